--- /dev/null
+++ b/pkg/rendezvous/rendezvous.go
@@ -0,0 +1,40 @@
+// Package rendezvous assigns keys to members by highest random weight hashing.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+type weighted struct {
+	id     string
+	weight uint64
+}
+
+// Rank returns the ids ordered by their weight for the key, the owner first. Removing an id does not change
+// the order of the others, so a change of membership moves only the keys of the member that left or joined.
+func Rank(key string, ids []string) []string {
+	ranked := make([]weighted, len(ids))
+	for i, id := range ids {
+		ranked[i] = weighted{id: id, weight: weight(key, id)}
+	}
+	slices.SortFunc(ranked, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id))
+	})
+	order := make([]string, len(ranked))
+	for i, r := range ranked {
+		order[i] = r.id
+	}
+	return order
+}
+
+func weight(key, id string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
