--- /dev/null
+++ b/pkg/route/table_test.go
@@ -0,0 +1,80 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+const seed = 20261204
+
+var start = time.Unix(1_800_000_000, 0)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+func engines(n int, models ...string) []platform.VM {
+	vms := make([]platform.VM, n)
+	for i := range vms {
+		vms[i] = platform.VM{
+			Name: fmt.Sprintf("e%d", i), Region: "r1", Zone: fmt.Sprintf("z%d", i%3), Role: platform.RoleEngine,
+			State: platform.VMLive, Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), Models: models,
+		}
+	}
+	return vms
+}
+
+func newTable(vms []platform.VM) *Table {
+	t := New(Location{Region: "r1", Zone: "z0"}, Options{})
+	t.Update(start, vms, nil)
+	return t
+}
+
+var request = Request{ID: "q", Organisation: "o", Class: "c", Pool: Model("m"), PromptTokens: 100, OutputTokens: 50}
+
+// Guards against new work at a leaving endpoint (I6), by a mark, by the list or by a mark in the view.
+func TestLeavingIsNeverChosen(t *testing.T) {
+	vms := engines(6, "m")
+	vms[1].State = platform.VMLeaving
+	table := newTable(vms)
+	table.SetLeaving(start, "e0", true)
+	check := func(leaving ...string) {
+		rng := newRand()
+		for range 500 {
+			d := table.Choose(start, rng, request)
+			must.True(t, d.OK())
+			must.SliceNotContains(t, leaving, d.Chosen)
+			table.Done(start, table.Begin(start, d), Succeeded)
+		}
+	}
+	check("e0", "e1")
+	table.Update(start, vms, func(vm string) bool { return vm == "e2" })
+	check("e1", "e2")
+	for _, vm := range vms {
+		table.SetLeaving(start, vm.Name, true)
+	}
+	d := table.Choose(start, newRand(), request)
+	must.False(t, d.OK())
+	must.Eq(t, ReasonNoEndpoint, d.Reason)
+}
+
+// Guards against in-flight work that is lost or counted twice when the endpoint leaves the list meanwhile.
+func TestAccountingSurvivesRemoval(t *testing.T) {
+	vms := engines(1, "m")
+	vms[0].MaxInFlight = 1
+	table := newTable(vms)
+	f := table.Begin(start, table.Choose(start, newRand(), request))
+	must.Eq(t, ReasonFull, table.Choose(start, newRand(), request).Reason)
+	table.Update(start, nil, nil)
+	must.Eq(t, PoolState{}, table.State(request.Pool))
+	table.Done(start, f, Succeeded)
+	table.Done(start, f, Succeeded)
+	table.Update(start, vms, nil)
+	d := table.Choose(start, newRand(), request)
+	must.Eq(t, "e0", d.Chosen)
+	must.Eq(t, ReasonOnlyCandidate, d.Reason)
+}
