Add the relay, the caller API and the routing task

The relay pays for a request before dispatch, streams from engines, resumes a broken stream from the first undelivered token and settles before the end marker. Frames with another request id or token index are dropped.

--- /dev/null
+++ b/pkg/relay/body.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/lavendershunt/lavendershunt/pkg/config"
+)
+
+// Priorities at the engine. A larger one is more urgent.
+const (
+	priorityWhole    = 1
+	priorityDeadline = 10
+)
+
+func priorityOf(class config.Class) int {
+	if class.Target == config.TargetDeadline {
+		return priorityDeadline
+	}
+	return priorityWhole
+}
+
+// engineFields are the fields that the relay sets in the body sent to an engine.
+type engineFields struct {
+	RequestID  string `json:"request_id"`
+	MaxTokens  int    `json:"max_tokens"`
+	Stream     bool   `json:"stream"`
+	Priority   int    `json:"priority"`
+	ResumeFrom int    `json:"resume_from"`
+}
+
+// engineBody returns the caller's body with the relay's fields set. Other fields are passed on unchanged.
+func engineBody(chat Chat, delivered int) ([]byte, error) {
+	fields, err := json.Marshal(engineFields{
+		RequestID: chat.ID, MaxTokens: chat.MaxTokens, Stream: true,
+		Priority: priorityOf(chat.Class), ResumeFrom: delivered,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode engine fields: %w", err)
+	}
+	merged := make(map[string]json.RawMessage)
+	for _, source := range [][]byte{chat.Body, fields} {
+		if err := json.Unmarshal(source, &merged); err != nil {
+			return nil, fmt.Errorf("merge engine body: %w", err)
+		}
+	}
+	return json.Marshal(merged)
+}
--- /dev/null
+++ b/pkg/relay/chat.go
@@ -0,0 +1,306 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/config"
+	"github.com/lavendershunt/lavendershunt/pkg/outcome"
+)
+
+const (
+	// tokensPerMessage is the bound for the template tokens that an engine adds to each message.
+	tokensPerMessage = 4
+	// eventBuffer lets the engine run a little ahead of a slow caller.
+	eventBuffer = 32
+	// retryAdvice is the advice given with failures that are expected to pass soon.
+	retryAdvice = time.Second
+	// maxAttempts bounds the endpoints that one request is sent to.
+	maxAttempts = 4
+	settleLimit = 10 * time.Second
+)
+
+// PromptBound returns the largest number of prompt tokens for the prompt and its messages.
+func PromptBound(promptBytes, messages, bytesPerToken int) int {
+	if bytesPerToken < 1 {
+		bytesPerToken = 1
+	}
+	return (promptBytes+bytesPerToken-1)/bytesPerToken + messages*tokensPerMessage
+}
+
+// chatRun is the state of one chat completion. Its task owns it.
+type chatRun struct {
+	*Relay
+	chat   Chat
+	events chan Event
+	// reserved is what the purse holds for the request.
+	reserved budget.Reservation
+	usage    Usage
+	finish   string
+	// delivered counts the tokens passed on to the caller.
+	delivered int
+	// sent is set once a request may have reached an endpoint.
+	sent    bool
+	suspect bool
+	tried   []string
+}
+
+// Chat runs a chat completion. The channel ends with one Event whose End is set. Cancelling ctx means that the
+// caller has hung up: the request is cancelled at the engine and the tokens delivered so far are billed.
+func (r *Relay) Chat(ctx context.Context, chat Chat) <-chan Event {
+	run := &chatRun{Relay: r, chat: chat, events: make(chan Event, eventBuffer)}
+	go run.run(ctx)
+	return run.events
+}
+
+func (c *chatRun) run(ctx context.Context) {
+	defer close(c.events)
+	c.Metrics.begin(c.chat.Class.Name)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline())
+	defer cancel()
+	end := c.execute(ctx)
+	c.Metrics.end(c.chat.Class.Name, end, time.Since(c.chat.Arrived))
+	c.events <- Event{End: &end}
+}
+
+func (c *chatRun) deadline() time.Time {
+	if c.chat.Class.Target == config.TargetDeadline {
+		return c.chat.Arrived.Add(c.chat.Class.Deadline())
+	}
+	return c.chat.Arrived.Add(budget.LongestRequest)
+}
+
+func (c *chatRun) execute(ctx context.Context) End {
+	suspect, failure := c.Crashes.Check(c.chat.Organisation.ID, c.chat.Fingerprint)
+	if failure != nil {
+		return End{Failure: failure}
+	}
+	c.suspect = suspect
+	upper := int64(PromptBound(len(c.chat.Prompt), c.chat.Messages, c.Selector.BytesPerToken(c.chat.Model)) + c.chat.MaxTokens)
+	release, failure := c.Admitter.Admit(ctx, c.chat.Request, upper)
+	if failure != nil {
+		return End{Failure: failure}
+	}
+	defer release()
+	if failure = c.reserve(ctx, upper); failure != nil {
+		return End{Failure: failure}
+	}
+	failure = c.attempts(ctx)
+	return c.conclude(ctx, failure)
+}
+
+func (c *chatRun) reserve(ctx context.Context, upper int64) *outcome.Failure {
+	reservation, err := c.Purse.Reserve(ctx, budget.Request{
+		Budget: c.chat.Budget, IdempotencyKey: c.chat.IdempotencyKey, RequestID: c.chat.ID, UpperBound: upper,
+	})
+	if err != nil {
+		return failureOf(err, outcome.ReasonGrantUnavailable)
+	}
+	c.reserved = reservation
+	return nil
+}
+
+// failureOf returns the typed failure in err. An error without one is a NotRun failure with the given reason.
+func failureOf(err error, reason outcome.Reason) *outcome.Failure {
+	var failure *outcome.Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return outcome.NotRunf(reason, retryAdvice, "%v", err)
+}
+
+// attempts sends the request to endpoints until the answer is whole, or no further attempt is allowed.
+func (c *chatRun) attempts(ctx context.Context) *outcome.Failure {
+	for attempt := 1; ; attempt++ {
+		failure, again := c.attempt(ctx)
+		if failure == nil || !again {
+			return failure
+		}
+		if ctx.Err() != nil || attempt == maxAttempts || !c.AllowRetry() {
+			return failure
+		}
+	}
+}
+
+// AllowRetry takes one retry from the retry budget.
+func (r *Relay) AllowRetry() bool { return r.Admitter.AllowRetry() }
+
+// attempt runs the rest of the request at one endpoint. again reports whether another attempt makes sense.
+func (c *chatRun) attempt(ctx context.Context) (failure *outcome.Failure, again bool) {
+	target, failure := c.Selector.Choose(Choosing{
+		RequestID: c.chat.ID, Organisation: c.chat.Organisation.ID, Class: c.chat.Class, Model: c.chat.Model,
+		Prompt: c.chat.Prompt, OutputTokens: c.chat.MaxTokens - c.delivered, Suspect: c.suspect, Exclude: c.tried,
+	})
+	if failure != nil {
+		return c.withoutEndpoint(failure), false
+	}
+	c.tried = append(c.tried, target.VM)
+	start := time.Now()
+	before := c.delivered
+	err := c.exchange(ctx, target, start)
+	c.Selector.Done(target, c.report(ctx, err, before, start))
+	if err == nil {
+		return nil, false
+	}
+	if ctx.Err() != nil {
+		c.client.cancel(target.Address, c.chat.ID)
+		return c.interrupted(ctx), false
+	}
+	return c.failedAttempt(ctx, target, err)
+}
+
+func (c *chatRun) report(ctx context.Context, err error, before int, start time.Time) Report {
+	return Report{
+		Cancelled: err != nil && ctx.Err() != nil,
+		Failed:    errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent),
+		Refused:   errors.Is(err, ErrRefused),
+		Tokens:    c.delivered - before,
+		Elapsed:   time.Since(start),
+	}
+}
+
+// withoutEndpoint keeps the truth about earlier attempts when no further endpoint can be chosen.
+func (c *chatRun) withoutEndpoint(failure *outcome.Failure) *outcome.Failure {
+	if !c.sent {
+		return failure
+	}
+	return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "the endpoint failed and no other is available: %s", failure.Message)
+}
+
+func (c *chatRun) interrupted(ctx context.Context) *outcome.Failure {
+	if !c.sent {
+		return outcome.NotRunf(outcome.ReasonDeadline, 0, "the request ended before it was sent to an endpoint")
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return outcome.Unknownf(outcome.ReasonEndpointTimeout, retryAdvice, "the deadline passed while the request was running")
+	}
+	return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "the caller disconnected")
+}
+
+// failedAttempt records the failure and decides whether another endpoint may be tried.
+func (c *chatRun) failedAttempt(ctx context.Context, target Target, err error) (*outcome.Failure, bool) {
+	switch {
+	case errors.Is(err, ErrNotSent), errors.Is(err, ErrRefused):
+		if c.sent {
+			return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "%v", err), true
+		}
+		return outcome.NotRunf(outcome.ReasonNoEndpoint, retryAdvice, "%v", err), true
+	case errors.Is(err, ErrRejected):
+		return outcome.NotRunf(outcome.ReasonBadRequest, 0, "%v", err), false
+	case !errors.Is(err, ErrCrashed):
+		c.client.cancel(target.Address, c.chat.ID)
+		return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "%v", err), true
+	default:
+		c.client.streams.CloseIdleConnections()
+		suspect, stop := c.Crashes.Crashed(ctx, c.chat.Organisation.ID, c.chat.Fingerprint, c.chat.ID+"@"+target.VM)
+		c.suspect = suspect
+		if stop != nil {
+			return stop, false
+		}
+		return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "%v", err), true
+	}
+}
+
+// exchange streams from one endpoint, beginning with the first token that was not delivered yet.
+func (c *chatRun) exchange(ctx context.Context, target Target, start time.Time) error {
+	body, err := engineBody(c.chat, c.delivered)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	opened, err := c.open(ctx, target, body)
+	if err != nil {
+		return err
+	}
+	defer opened.Close()
+	stop := context.AfterFunc(ctx, func() { c.client.cancel(target.Address, c.chat.ID) })
+	defer stop()
+	reader := newFrameReader(opened.body, c.chat.ID, c.delivered)
+	defer func() { c.Metrics.dropped(reader.dropped) }()
+	return c.copyTokens(ctx, reader, target, start)
+}
+
+func (c *chatRun) open(ctx context.Context, target Target, body []byte) (*stream, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	opened, err := c.client.openStream(target.Address, c.chat.ID, c.chat.Organisation.ID, c.chat.IdempotencyKey, body)
+	if err == nil || errors.Is(err, ErrBroken) {
+		c.sent = true
+	}
+	return opened, err
+}
+
+func (c *chatRun) copyTokens(ctx context.Context, reader *frameReader, target Target, start time.Time) error {
+	first := true
+	for {
+		p, err := reader.read()
+		if err != nil {
+			return err
+		}
+		if p.usage != nil {
+			c.usage = *p.usage
+		}
+		if p.finish != "" {
+			c.finish = p.finish
+		}
+		if p.token != nil {
+			if first {
+				first = false
+				c.Selector.FirstToken(target)
+				c.Metrics.firstToken(c.chat.Class.Name, time.Since(start))
+			}
+			if err := c.deliver(ctx, *p.token); err != nil {
+				return err
+			}
+		}
+		if p.complete {
+			return c.checkWhole()
+		}
+	}
+}
+
+func (c *chatRun) deliver(ctx context.Context, token Token) error {
+	select {
+	case c.events <- Event{Token: token}:
+		c.delivered++
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrBroken, ctx.Err())
+	}
+}
+
+// checkWhole compares the engine's own count with the tokens that arrived.
+func (c *chatRun) checkWhole() error {
+	if c.usage.CompletionTokens != c.delivered {
+		return fmt.Errorf("%w: engine counted %d tokens, %d arrived", ErrBroken, c.usage.CompletionTokens, c.delivered)
+	}
+	return nil
+}
+
+// conclude bills a whole answer, and the tokens that were delivered to a caller that hung up. An answer that
+// failed is not billed, because the caller's retry under the same key is.
+func (c *chatRun) conclude(ctx context.Context, failure *outcome.Failure) End {
+	hungUp := errors.Is(ctx.Err(), context.Canceled) && c.delivered > 0
+	if failure != nil && !hungUp {
+		c.Purse.Cancel(c.reserved)
+		return End{Failure: failure, Usage: c.usage}
+	}
+	used := c.used()
+	settleCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
+	defer cancel()
+	if err := c.Purse.Settle(settleCtx, c.reserved, used); err != nil {
+		return End{Failure: outcome.Unknownf(outcome.ReasonNotBilled, retryAdvice, "%v", err), Usage: c.usage}
+	}
+	return End{Failure: failure, Usage: c.usage, FinishReason: c.finish}
+}
+
+func (c *chatRun) used() int64 {
+	if c.usage.TotalTokens > 0 {
+		return int64(c.usage.TotalTokens)
+	}
+	prompt := PromptBound(len(c.chat.Prompt), c.chat.Messages, c.Selector.BytesPerToken(c.chat.Model))
+	return int64(prompt + c.delivered)
+}
--- /dev/null
+++ b/pkg/relay/frames.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// maxFrameBytes limits one SSE frame of an engine.
+const maxFrameBytes = 1 << 20
+
+var (
+	dataPrefix = []byte("data:")
+	doneMarker = []byte("[DONE]")
+)
+
+// frame is one SSE chunk of an engine's answer.
+type frame struct {
+	ID      string        `json:"id"`
+	Index   *int          `json:"index"`
+	Choices []frameChoice `json:"choices"`
+	Usage   *Usage        `json:"usage"`
+}
+
+type frameChoice struct {
+	Delta        frameDelta `json:"delta"`
+	FinishReason *string    `json:"finish_reason"`
+}
+
+type frameDelta struct {
+	Content string `json:"content"`
+}
+
+// frameReader reads the frames of one request and drops those that don't belong to it or come twice.
+type frameReader struct {
+	scanner   *bufio.Scanner
+	requestID string
+	// next is the index of the token that is expected next.
+	next    int
+	dropped int
+	// finished is set once a frame of this request carried a finish reason. The end marker has no request id,
+	// so one that comes before belongs to another request.
+	finished bool
+}
+
+func newFrameReader(body io.Reader, requestID string, next int) *frameReader {
+	s := bufio.NewScanner(body)
+	s.Buffer(make([]byte, 0, 4096), maxFrameBytes)
+	return &frameReader{scanner: s, requestID: requestID, next: next}
+}
+
+// part is what one accepted frame brings.
+type part struct {
+	token    *Token
+	usage    *Usage
+	finish   string
+	complete bool
+}
+
+// read returns the next part. It returns ErrBroken if the stream ends early or skips a token.
+func (r *frameReader) read() (part, error) {
+	for r.scanner.Scan() {
+		data, ok := bytes.CutPrefix(r.scanner.Bytes(), dataPrefix)
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if bytes.Equal(data, doneMarker) {
+			if r.finished {
+				return part{complete: true}, nil
+			}
+			r.dropped++
+			continue
+		}
+		p, ok, err := r.accept(data)
+		if err != nil {
+			return part{}, err
+		}
+		if ok {
+			return p, nil
+		}
+	}
+	if err := r.scanner.Err(); err != nil {
+		return part{}, classify(err)
+	}
+	return part{}, fmt.Errorf("%w: %w: stream ended without its end marker", ErrBroken, ErrCrashed)
+}
+
+// accept checks the frame's request id and token index. ok is false for a frame that is dropped.
+func (r *frameReader) accept(data []byte) (p part, ok bool, err error) {
+	var f frame
+	if err := json.Unmarshal(data, &f); err != nil {
+		return part{}, false, fmt.Errorf("%w: malformed frame: %w", ErrBroken, err)
+	}
+	if f.ID != r.requestID {
+		r.dropped++
+		return part{}, false, nil
+	}
+	p.usage = f.Usage
+	if len(f.Choices) == 0 {
+		return p, p.usage != nil, nil
+	}
+	choice := f.Choices[0]
+	if choice.FinishReason != nil {
+		p.finish = *choice.FinishReason
+		r.finished = true
+	}
+	if choice.Delta.Content == "" {
+		return p, p.usage != nil || p.finish != "", nil
+	}
+	return r.acceptToken(p, f.Index, choice.Delta.Content)
+}
+
+func (r *frameReader) acceptToken(p part, index *int, text string) (part, bool, error) {
+	switch {
+	case index == nil:
+		return part{}, false, fmt.Errorf("%w: frame without a token index", ErrBroken)
+	case *index < r.next:
+		r.dropped++
+		return part{}, false, nil
+	case *index > r.next:
+		return part{}, false, fmt.Errorf("%w: token %d came before token %d", ErrBroken, *index, r.next)
+	}
+	r.next++
+	p.token = &Token{Index: *index, Text: text}
+	return p, true, nil
+}
--- /dev/null
+++ b/pkg/relay/relay.go
@@ -0,0 +1,192 @@
+// Package relay runs accepted requests at endpoints: it pays for them, chooses endpoints, streams answers,
+// resumes broken streams and tells truthfully whether a request ran.
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/config"
+	"github.com/lavendershunt/lavendershunt/pkg/outcome"
+)
+
+// Request is what all kinds of requests have in common.
+type Request struct {
+	ID             string
+	Organisation   config.Organisation
+	Class          config.Class
+	IdempotencyKey string
+	// Fingerprint identifies the content of the request within the organisation.
+	Fingerprint uint64
+	Arrived     time.Time
+}
+
+// Chat is a chat completion. All its byte slices are owned by the relay.
+type Chat struct {
+	Request
+	Budget budget.ID
+	Model  string
+	// Prompt is the text of all messages, used for prefix affinity and the prompt bound.
+	Prompt   []byte
+	Messages int
+	// MaxTokens is the output limit in tokens that is passed to the engine.
+	MaxTokens int
+	// Body is the caller's JSON body.
+	Body []byte
+}
+
+// Token is one output token of a chat completion.
+type Token struct {
+	Index int
+	Text  string
+}
+
+// Usage counts the tokens of a finished chat completion.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Event is one step of a chat completion: a token, or the end.
+type Event struct {
+	Token Token
+	// End is set on the last event.
+	End *End
+}
+
+// End is the result of a chat completion.
+type End struct {
+	// Failure is nil if the whole answer was delivered and billed.
+	Failure      *outcome.Failure
+	Usage        Usage
+	FinishReason string
+}
+
+// Choosing describes a request to the endpoint selector.
+type Choosing struct {
+	RequestID    string
+	Organisation string
+	Class        config.Class
+	// Model or Service is set.
+	Model   string
+	Service string
+	Prompt  []byte
+	// OutputTokens is the number of tokens still to be generated.
+	OutputTokens int
+	// Suspect marks a request that was running on an endpoint that crashed.
+	Suspect bool
+	// Exclude lists VMs that were tried already.
+	Exclude []string
+}
+
+// Target is a chosen endpoint.
+type Target struct {
+	VM      string
+	Address string
+	// BytesPerToken is the least number of prompt bytes in one token of the endpoint's tokenizer.
+	BytesPerToken int
+	// Ticket identifies the choice in calls of Selector.Done.
+	Ticket uint64
+}
+
+// Report tells the selector how a request at an endpoint ended.
+type Report struct {
+	// Failed is set if the endpoint did not behave, Refused if it turned the request away unrun, and
+	// Cancelled if the caller or the deadline ended the request.
+	Failed    bool
+	Refused   bool
+	Cancelled bool
+	// Tokens is the number of tokens received from the endpoint.
+	Tokens int
+	// Elapsed is the time from dispatch to the end.
+	Elapsed time.Duration
+}
+
+// Selector chooses endpoints and keeps account of the work sent to them.
+type Selector interface {
+	// Choose returns an endpoint and counts the request as in progress there, or a NotRun failure.
+	Choose(c Choosing) (Target, *outcome.Failure)
+	// BytesPerToken returns the least bytes per token over the endpoints of the model; 1 if it is not known.
+	BytesPerToken(model string) int
+	// FirstToken reports the first token of the answer.
+	FirstToken(t Target)
+	// Done ends what Choose began.
+	Done(t Target, r Report)
+}
+
+// Admitter bounds queues and shares capacity between organisations.
+type Admitter interface {
+	// Admit waits until the request may be dispatched. The returned function must be called when it has ended.
+	Admit(ctx context.Context, r Request, tokens int64) (release func(), failure *outcome.Failure)
+	// AllowRetry takes one retry from the retry budget, or reports that none is left.
+	AllowRetry() bool
+}
+
+// CrashRecords stops requests that crash endpoints.
+type CrashRecords interface {
+	// Check returns a failure if the fingerprint has crashed too many endpoints, and whether it is a suspect.
+	Check(organisation string, fingerprint uint64) (suspect bool, failure *outcome.Failure)
+	// Crashed records that an endpoint crashed while it ran the request, tells the other routers, and
+	// returns like Check.
+	Crashed(ctx context.Context, organisation string, fingerprint uint64, crashID string) (suspect bool, failure *outcome.Failure)
+}
+
+// Relay runs requests. Its methods are safe for concurrent use.
+type Relay struct {
+	Purse    budget.Purse
+	Claims   budget.Claims
+	Selector Selector
+	Admitter Admitter
+	Crashes  CrashRecords
+	Metrics  *Metrics
+	// FirstByteTimeout is the longest wait for an engine's first byte. It covers the engine's own queue.
+	FirstByteTimeout time.Duration
+	// IdleTimeout is the longest silence within an engine's answer.
+	IdleTimeout time.Duration
+
+	client *client
+}
+
+// New returns a relay. All fields of parts but Purse, Claims and Selector may be nil.
+func New(parts Relay) *Relay {
+	r := parts
+	if r.FirstByteTimeout == 0 {
+		r.FirstByteTimeout = DefaultFirstByteTimeout
+	}
+	if r.IdleTimeout == 0 {
+		r.IdleTimeout = DefaultIdleTimeout
+	}
+	if r.Admitter == nil {
+		r.Admitter = openAdmission{}
+	}
+	if r.Crashes == nil {
+		r.Crashes = noCrashRecords{}
+	}
+	if r.Metrics == nil {
+		r.Metrics = NewMetrics(nil)
+	}
+	r.client = newClient(r.FirstByteTimeout, r.IdleTimeout)
+	return &r
+}
+
+// Defaults of the timeouts.
+const (
+	DefaultFirstByteTimeout = 30 * time.Second
+	DefaultIdleTimeout      = 5 * time.Second
+)
+
+type openAdmission struct{}
+
+func (openAdmission) Admit(context.Context, Request, int64) (func(), *outcome.Failure) {
+	return func() {}, nil
+}
+func (openAdmission) AllowRetry() bool { return true }
+
+type noCrashRecords struct{}
+
+func (noCrashRecords) Check(string, uint64) (bool, *outcome.Failure) { return false, nil }
+func (noCrashRecords) Crashed(context.Context, string, uint64, string) (bool, *outcome.Failure) {
+	return true, nil
+}
--- /dev/null
+++ b/pkg/selector/selector.go
@@ -0,0 +1,238 @@
+// Package selector is the task that owns a router's endpoint table. It chooses endpoints for the relay, writes
+// the decision log, and feeds the table with the VM list, operators' marks and the endpoints' own reports.
+package selector
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/lavendershunt/lavendershunt/pkg/outcome"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/relay"
+	"github.com/lavendershunt/lavendershunt/pkg/route"
+)
+
+// inboxSize lets senders go on while the task is busy with one message of another.
+const inboxSize = 256
+
+// Options configure a Selector.
+type Options struct {
+	Here    route.Location
+	Routing route.Options
+	Log     log.Interface
+	// Leaving reports operators' marks on VMs.
+	Leaving func(vm string) bool
+	// Rand draws the random candidates.
+	Rand *rand.Rand
+}
+
+// Selector is the routing task. Its methods are safe for concurrent use and need Run to be running.
+type Selector struct {
+	Options
+	inbox   chan message
+	stopped chan struct{}
+
+	// The fields below are owned by the task.
+	table   *route.Table
+	flights map[uint64]*route.Flight
+	ticket  uint64
+	vms     []platform.VM
+}
+
+// message is a request to the task; handle runs in the task.
+type message interface {
+	handle(s *Selector, now time.Time)
+}
+
+// New returns a selector with an empty table.
+func New(options Options) *Selector {
+	return &Selector{
+		Options: options,
+		inbox:   make(chan message, inboxSize),
+		stopped: make(chan struct{}),
+		table:   route.New(options.Here, options.Routing),
+		flights: make(map[uint64]*route.Flight),
+	}
+}
+
+// Run handles messages until ctx ends.
+func (s *Selector) Run(ctx context.Context) {
+	defer close(s.stopped)
+	for {
+		select {
+		case m := <-s.inbox:
+			m.handle(s, time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// send passes a message to the task and reports whether the task still runs.
+func (s *Selector) send(m message) bool {
+	select {
+	case s.inbox <- m:
+		return true
+	case <-s.stopped:
+		return false
+	}
+}
+
+type choose struct {
+	request relay.Choosing
+	reply   chan chosen
+}
+
+type chosen struct {
+	target  relay.Target
+	failure *outcome.Failure
+	// decision is logged by the sender, so that encoding it does not hold up the task.
+	decision route.Decision
+}
+
+// Choose implements relay.Selector.
+func (s *Selector) Choose(c relay.Choosing) (relay.Target, *outcome.Failure) {
+	m := choose{request: c, reply: make(chan chosen, 1)}
+	stopping := outcome.NotRunf(outcome.ReasonLeaving, time.Second, "this router is stopping")
+	if !s.send(m) {
+		return relay.Target{}, stopping
+	}
+	select {
+	case answer := <-m.reply:
+		s.logDecision(&answer.decision)
+		return answer.target, answer.failure
+	case <-s.stopped:
+		return relay.Target{}, stopping
+	}
+}
+
+func (m choose) handle(s *Selector, now time.Time) {
+	d := s.table.Choose(now, s.Rand, s.request(m.request))
+	if !d.OK() {
+		m.reply <- chosen{failure: d.Failure(), decision: d}
+		return
+	}
+	s.ticket++
+	s.flights[s.ticket] = s.table.Begin(now, d)
+	target := relay.Target{VM: d.Chosen, Address: d.Address, Ticket: s.ticket}
+	m.reply <- chosen{target: target, decision: d}
+}
+
+func (s *Selector) request(c relay.Choosing) route.Request {
+	r := route.Request{
+		ID: c.RequestID, Organisation: c.Organisation, Class: c.Class.Name, Pool: route.Service(c.Service),
+		OutputTokens: c.OutputTokens, Exclude: c.Exclude, Suspect: c.Suspect,
+	}
+	if c.Model != "" {
+		r.Pool = route.Model(c.Model)
+		r.PromptTokens = relay.PromptBound(len(c.Prompt), 1, s.bytesPerToken(c.Model))
+	}
+	return r
+}
+
+func (s *Selector) logDecision(d *route.Decision) {
+	considered := make([]string, len(d.Considered))
+	for i, c := range d.Considered {
+		considered[i] = fmt.Sprintf("%s=%.1f", c.VM, c.Score)
+	}
+	s.Log.WithFields(log.Fields{
+		"request_id": d.RequestID, "organisation": d.Organisation, "class": d.Class, "pool": string(d.Pool),
+		"candidates": d.Candidates, "considered": considered, "endpoint": d.Chosen, "reason": string(d.Reason),
+	}).Info("routing decision")
+}
+
+type firstToken struct{ ticket uint64 }
+
+// FirstToken implements relay.Selector.
+func (s *Selector) FirstToken(t relay.Target) { s.send(firstToken{ticket: t.Ticket}) }
+
+func (m firstToken) handle(s *Selector, now time.Time) {
+	if flight, ok := s.flights[m.ticket]; ok {
+		s.table.FirstToken(now, flight)
+	}
+}
+
+type done struct {
+	ticket uint64
+	result route.Result
+}
+
+// Done implements relay.Selector.
+func (s *Selector) Done(t relay.Target, r relay.Report) {
+	s.send(done{ticket: t.Ticket, result: resultOf(r)})
+}
+
+func resultOf(r relay.Report) route.Result {
+	switch {
+	case r.Cancelled:
+		return route.Cancelled
+	case r.Failed:
+		return route.Failed
+	default:
+		return route.Succeeded
+	}
+}
+
+func (m done) handle(s *Selector, now time.Time) {
+	flight, ok := s.flights[m.ticket]
+	if !ok {
+		return
+	}
+	delete(s.flights, m.ticket)
+	s.table.Done(now, flight, m.result)
+}
+
+type bytesQuery struct {
+	model string
+	reply chan int
+}
+
+// BytesPerToken implements relay.Selector.
+func (s *Selector) BytesPerToken(model string) int {
+	m := bytesQuery{model: model, reply: make(chan int, 1)}
+	if !s.send(m) {
+		return 1
+	}
+	select {
+	case n := <-m.reply:
+		return n
+	case <-s.stopped:
+		return 1
+	}
+}
+
+func (m bytesQuery) handle(s *Selector, _ time.Time) { m.reply <- s.bytesPerToken(m.model) }
+
+// bytesPerToken returns the least value over the model's endpoints, because a request may be sent to any.
+func (s *Selector) bytesPerToken(model string) int {
+	least := 0
+	for i := range s.vms {
+		for _, m := range s.vms[i].Models {
+			if n := max(1, s.vms[i].BytesPerToken); m == model && (least == 0 || n < least) {
+				least = n
+			}
+		}
+	}
+	return max(1, least)
+}
+
+type updateVMs struct{ vms []platform.VM }
+
+// UpdateVMs passes the platform's VM list to the table.
+func (s *Selector) UpdateVMs(vms []platform.VM) { s.send(updateVMs{vms: vms}) }
+
+func (m updateVMs) handle(s *Selector, now time.Time) {
+	s.vms = m.vms
+	s.table.Update(now, s.vms, s.Leaving)
+}
+
+type marksChanged struct{}
+
+// MarksChanged applies operators' marks again after a change of configuration.
+func (s *Selector) MarksChanged() { s.send(marksChanged{}) }
+
+func (marksChanged) handle(s *Selector, now time.Time) { s.table.Update(now, s.vms, s.Leaving) }
