--- /dev/null
+++ b/pkg/relay/chat_test.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/config"
+	"github.com/lavendershunt/lavendershunt/pkg/outcome"
+)
+
+var tenTokens = []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}
+
+// Guards against gaps and repeated tokens when an engine dies in the middle of an answer.
+func TestChatResumesAfterEngineDies(t *testing.T) {
+	first, second := startEngine(t, breaksAfter(4)), startEngine(t, whole(10))
+	purse := &fakePurse{}
+	r := New(Relay{Purse: purse, Selector: listSelector{[]string{first.address, second.address}}})
+	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
+	must.Nil(t, end.Failure)
+	must.Eq(t, tenTokens, indexes)
+	must.Eq(t, 4, second.requests()[0].ResumeFrom)
+	must.Eq(t, []budget.Tokens{13}, purse.settled)
+}
+
+// Guards against delivering frames that belong to another request, come twice or come late, and against
+// taking another request's end marker for the end of this answer.
+func TestChatDropsCrossedFrames(t *testing.T) {
+	crossed := func(w io.Writer, f engineFields) bool {
+		for i := range 10 {
+			writeToken(w, "someone-else", i)
+			writeToken(w, f.RequestID, i)
+			writeToken(w, f.RequestID, i)
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		writeEnd(w, "someone-else", 2)
+		writeEnd(w, f.RequestID, 10)
+		return true
+	}
+	engine := startEngine(t, crossed)
+	r := New(Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{engine.address}}})
+	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
+	must.Nil(t, end.Failure)
+	must.Eq(t, tenTokens, indexes)
+	must.Eq(t, 10, end.Usage.CompletionTokens)
+}
+
+// Guards against passing on an answer that lacks a token.
+func TestChatRefusesAGap(t *testing.T) {
+	gap := func(w io.Writer, f engineFields) bool {
+		writeToken(w, f.RequestID, 0)
+		writeToken(w, f.RequestID, 2)
+		writeEnd(w, f.RequestID, 3)
+		return true
+	}
+	broken, good := startEngine(t, gap), startEngine(t, whole(10))
+	r := New(Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{broken.address, good.address}}})
+	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
+	must.Nil(t, end.Failure)
+	must.Eq(t, tenTokens, indexes)
+}
+
+// Guards against an unpaid dispatch.
+func TestChatIsNotSentWithoutReservation(t *testing.T) {
+	engine := startEngine(t, whole(10))
+	refusal := outcome.NotRunf(outcome.ReasonBudgetExhausted, 0, "no tokens left")
+	r := New(Relay{Purse: &fakePurse{reserveErr: refusal}, Selector: listSelector{[]string{engine.address}}})
+	_, end := collect(r.Chat(t.Context(), testChat("r1")))
+	must.Eq(t, refusal, end.Failure)
+	must.Len(t, 0, engine.requests())
+}
+
+// Guards against telling a caller that an answer is done while its bill may be lost.
+func TestChatIsNotDoneWithoutBill(t *testing.T) {
+	engine := startEngine(t, whole(10))
+	r := New(Relay{Purse: &fakePurse{settleErr: errTest}, Selector: listSelector{[]string{engine.address}}})
+	_, end := collect(r.Chat(t.Context(), testChat("r1")))
+	must.Eq(t, outcome.Unknown, end.Failure.Outcome)
+	must.Eq(t, outcome.ReasonNotBilled, end.Failure.Reason)
+}
+
+// Guards against a false "not run" after the request reached an engine.
+func TestChatOutcomeAfterFailure(t *testing.T) {
+	dead := closedAddress(t)
+	broken := startEngine(t, breaksAfter(0))
+	for name, tc := range map[string]struct {
+		addresses []string
+		want      outcome.Outcome
+	}{
+		"connection refused everywhere":          {[]string{dead}, outcome.NotRun},
+		"broken before the first token":          {[]string{broken.address}, outcome.Unknown},
+		"refused after an attempt that was sent": {[]string{broken.address, dead}, outcome.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			purse := &fakePurse{}
+			r := New(Relay{Purse: purse, Selector: listSelector{tc.addresses}})
+			_, end := collect(r.Chat(t.Context(), testChat("r1")))
+			must.Eq(t, tc.want, end.Failure.Outcome)
+			must.Eq(t, 1, purse.cancelled)
+			must.Len(t, 0, purse.settled)
+		})
+	}
+}
+
+// Guards against an endless request to an engine that has stopped sending.
+func TestChatLeavesSilentEngine(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	silent := startEngine(t, func(w io.Writer, f engineFields) bool {
+		writeToken(w, f.RequestID, 0)
+		<-release
+		return false
+	})
+	good := startEngine(t, whole(10))
+	r := New(Relay{
+		Purse: &fakePurse{}, Selector: listSelector{[]string{silent.address, good.address}},
+		IdleTimeout: 50 * time.Millisecond,
+	})
+	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
+	must.Nil(t, end.Failure)
+	must.Eq(t, tenTokens, indexes)
+}
+
+// Guards against free tokens: a caller that hangs up pays for what it received.
+func TestChatBillsDeliveredTokensAfterHangUp(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	engine := startEngine(t, func(w io.Writer, f engineFields) bool {
+		writeToken(w, f.RequestID, 0)
+		writeToken(w, f.RequestID, 1)
+		<-release
+		return false
+	})
+	purse := &fakePurse{}
+	r := New(Relay{Purse: purse, Selector: listSelector{[]string{engine.address}}, IdleTimeout: 100 * time.Millisecond})
+	ctx, hangUp := context.WithCancel(t.Context())
+	events := r.Chat(ctx, testChat("r1"))
+	<-events
+	<-events
+	hangUp()
+	_, end := collect(events)
+	must.NotNil(t, end.Failure)
+	prompt := PromptBound(5, 1, 4)
+	must.Eq(t, []budget.Tokens{budget.Tokens(prompt + 2)}, purse.settled)
+}
+
+// Guards against work after a deadline: the request ends as unknown, because it was sent.
+func TestChatEndsAtDeadline(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	engine := startEngine(t, func(io.Writer, engineFields) bool { <-release; return false })
+	r := New(Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{engine.address}}, FirstByteTimeout: 200 * time.Millisecond})
+	chat := testChat("r1")
+	chat.Class = config.Class{Name: "reply", Target: config.TargetDeadline, DeadlineMS: 100}
+	_, end := collect(r.Chat(t.Context(), chat))
+	must.Eq(t, outcome.Unknown, end.Failure.Outcome)
+	must.Eq(t, outcome.ReasonEndpointTimeout, end.Failure.Reason)
+}
