--- /dev/null
+++ b/cmd/lsplatform/main.go
@@ -0,0 +1,58 @@
+// Command lsplatform is the stand-in of the platform: object API, VM list and weight store, with faults on command.
+package main
+
+import (
+	"flag"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/lavendershunt/lavendershunt/internal/standin"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/platform/memstore"
+)
+
+type settings struct {
+	Listen          string        `yaml:"listen" validate:"required"`
+	Seed            uint64        `yaml:"seed"`
+	WritesPerSecond int           `yaml:"writes_per_second"`
+	ReadsPerSecond  int           `yaml:"reads_per_second"`
+	History         int           `yaml:"history" validate:"min=0"`
+	VMLag           time.Duration `yaml:"vm_lag" validate:"min=0"`
+	// WeightBytesPerSecond limits the weight store; negative means no limit.
+	WeightBytesPerSecond int           `yaml:"weight_bytes_per_second"`
+	VMs                  []platform.VM `yaml:"vms"`
+}
+
+func main() {
+	path := flag.String("settings", "", "path of the YAML settings file")
+	listen := flag.String("listen", "", "IP address and port; replaces the setting listen")
+	flag.Parse()
+	if err := run(*path, *listen); err != nil {
+		log.WithError(err).Error("lsplatform stops")
+		os.Exit(1)
+	}
+}
+
+func run(path, listen string) error {
+	s := settings{Listen: "127.0.0.1:7000", Seed: 1, WeightBytesPerSecond: 100 << 20}
+	if path != "" {
+		if err := standin.LoadSettings(path, &s); err != nil {
+			return err
+		}
+	}
+	if listen != "" {
+		s.Listen = listen
+	}
+	store := memstore.New(memstore.Options{
+		WritesPerSecond: s.WritesPerSecond,
+		ReadsPerSecond:  s.ReadsPerSecond,
+		History:         s.History,
+		VMLag:           s.VMLag,
+		Seed:            s.Seed,
+	})
+	store.SetVMs(s.VMs)
+	server := memstore.NewServer(store, s.WeightBytesPerSecond)
+	return standin.Run(standin.NewServer("lsplatform", server.Handle, memstore.MaxBodyBytes), s.Listen)
+}
--- /dev/null
+++ b/pkg/platform/memstore/store.go
@@ -0,0 +1,214 @@
+// Package memstore is an in-memory stand-in for the platform's object API and VM list, with faults on command and
+// an HTTP server.
+package memstore
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lavendershunt/lavendershunt/internal/standin"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+// Defaults of Options.
+const (
+	// DefaultWritesPerSecond and DefaultReadsPerSecond are the rates that the platform sustains.
+	DefaultWritesPerSecond = 400
+	DefaultReadsPerSecond  = 2000
+	// DefaultHistory is the number of changes that Poll can look back.
+	DefaultHistory = 4096
+	// historyBytes bounds the values in the history, because values of up to 1 MB would otherwise need gigabytes.
+	historyBytes = 64 << 20
+)
+
+// Options configures a Store. Zero values mean the defaults.
+type Options struct {
+	// Clock is the source of time; default is the system's.
+	Clock standin.Clock
+	// WritesPerSecond and ReadsPerSecond limit the calls of all clients together; negative means no limit.
+	WritesPerSecond int
+	ReadsPerSecond  int
+	// History is the number of changes that Poll can look back.
+	History int
+	// VMLag is the time after which a change of the VM list becomes visible.
+	VMLag time.Duration
+	// Seed feeds the random choices of faults.
+	Seed uint64
+}
+
+// Counters counts calls by kind since the start. Calls that are throttled or fail count too.
+type Counters struct {
+	// Reads counts Get, Writes counts Put and Delete.
+	Reads  uint64 `json:"reads"`
+	Writes uint64 `json:"writes"`
+	Lists  uint64 `json:"lists"`
+	Polls  uint64 `json:"polls"`
+	// VMLists counts calls of VMs.
+	VMLists   uint64 `json:"vm_lists"`
+	Throttled uint64 `json:"throttled"`
+}
+
+// Store is the platform. Client returns the view of one client. It is safe for concurrent use.
+type Store struct {
+	clock standin.Clock
+	lag   time.Duration
+	limit int
+
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]platform.Object
+	history  []platform.Object
+	// trimmed is the revision of the newest change that the history no longer holds.
+	trimmed      uint64
+	historyBytes int
+	// changed is closed and replaced at each change of objects or faults.
+	changed  chan struct{}
+	writes   *Bucket
+	reads    *Bucket
+	counters Counters
+	faults   []Fault
+	nextID   int
+	random   *rand.Rand
+	vmLists  []vmList
+	vmSeen   map[string]int
+}
+
+// New returns an empty store.
+func New(options Options) *Store {
+	if options.Clock == nil {
+		options.Clock = standin.SystemClock{}
+	}
+	if options.WritesPerSecond == 0 {
+		options.WritesPerSecond = DefaultWritesPerSecond
+	}
+	if options.ReadsPerSecond == 0 {
+		options.ReadsPerSecond = DefaultReadsPerSecond
+	}
+	if options.History == 0 {
+		options.History = DefaultHistory
+	}
+	now := options.Clock.Now()
+	return &Store{
+		clock:   options.Clock,
+		lag:     options.VMLag,
+		limit:   options.History,
+		objects: map[string]platform.Object{},
+		changed: make(chan struct{}),
+		writes:  NewBucket(options.WritesPerSecond, now),
+		reads:   NewBucket(options.ReadsPerSecond, now),
+		random:  rand.New(rand.NewPCG(options.Seed, 0)),
+		vmSeen:  map[string]int{},
+	}
+}
+
+// Client returns the store as the client with the given id sees it.
+func (s *Store) Client(id string) platform.Store {
+	return &client{store: s, id: id}
+}
+
+// Counters returns the calls counted so far.
+func (s *Store) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counters
+}
+
+// broadcast wakes pending polls. The caller holds mu.
+func (s *Store) broadcast() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// apply stores the object at a new revision and returns it. The caller holds mu.
+func (s *Store) apply(object platform.Object) platform.Object {
+	s.revision++
+	object.Revision = s.revision
+	if object.Deleted {
+		delete(s.objects, object.Key)
+	} else {
+		s.objects[object.Key] = object
+	}
+	s.history = append(s.history, object)
+	s.historyBytes += len(object.Value)
+	for len(s.history) > s.limit || (s.historyBytes > historyBytes && len(s.history) > 1) {
+		s.trimmed = s.history[0].Revision
+		s.historyBytes -= len(s.history[0].Value)
+		s.history[0] = platform.Object{}
+		s.history = s.history[1:]
+	}
+	s.broadcast()
+	return object
+}
+
+// write checks the revision and applies the change. A lost response is reported after the change took effect.
+func (s *Store) write(id string, object platform.Object, ifRevision uint64) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, exists := s.objects[object.Key]
+	if current.Revision != ifRevision || (object.Deleted && !exists) {
+		return platform.Object{}, fmt.Errorf("%w: %s is at revision %d, not %d", platform.ErrConflict, object.Key, current.Revision, ifRevision)
+	}
+	stored := s.apply(object)
+	if s.takeFault(FaultLost, id) {
+		return platform.Object{}, platform.ErrUncertain
+	}
+	return clone(stored), nil
+}
+
+// changes returns the history below prefix after the given revision. The caller holds mu.
+func (s *Store) changes(prefix string, after uint64) ([]platform.Object, error) {
+	if after < s.trimmed || after > s.revision {
+		return nil, platform.ErrGap
+	}
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
+	var found []platform.Object
+	for _, object := range s.history[first:] {
+		if strings.HasPrefix(object.Key, prefix) {
+			found = append(found, clone(object))
+		}
+	}
+	return found, nil
+}
+
+// list returns the objects below prefix, sorted by key, and the store's revision.
+func (s *Store) list(prefix string) ([]platform.Object, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []platform.Object
+	for key, object := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, clone(object))
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return found, s.revision
+}
+
+// clone copies the value, so that a caller can't change the store's copy.
+func clone(object platform.Object) platform.Object {
+	object.Value = bytes.Clone(object.Value)
+	return object
+}
+
+// wait waits for a change of objects or faults, for d or for the end of ctx. It reports whether there was a change.
+func (s *Store) wait(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	expired := make(chan struct{})
+	go func() {
+		defer close(expired)
+		_ = s.clock.Sleep(bounded, d)
+	}()
+	select {
+	case <-changed:
+		return true
+	case <-expired:
+		return false
+	}
+}
