--- a/cmd/lsplatform/main.go
+++ b/cmd/lsplatform/main.go
@@ -20,7 +20,7 @@
 	ReadsPerSecond  int           `yaml:"reads_per_second"`
 	History         int           `yaml:"history" validate:"min=0"`
 	VMLag           time.Duration `yaml:"vm_lag" validate:"min=0"`
-	// WeightBytesPerSecond limits the weight store; negative means no limit.
+	// WeightBytesPerSecond limits the weight store; 0 or less means no limit.
 	WeightBytesPerSecond int           `yaml:"weight_bytes_per_second"`
 	VMs                  []platform.VM `yaml:"vms"`
 }
--- a/pkg/platform/httpstore/httpstore_test.go
+++ b/pkg/platform/httpstore/httpstore_test.go
@@ -65,4 +65,3 @@
 	_, err = store.Put(ctx, "k", nil, 0)
 	must.ErrorIs(t, err, platform.ErrUnavailable)
 }
-
--- a/pkg/platform/memstore/bucket.go
+++ b/pkg/platform/memstore/bucket.go
@@ -9,7 +9,7 @@
 	last   time.Time
 }
 
-// NewBucket returns a full bucket for perSecond units per second; a negative rate means no limit.
+// NewBucket returns a full bucket for perSecond units per second; a rate of 0 or less means no limit.
 func NewBucket(perSecond int, now time.Time) *Bucket {
 	return &Bucket{rate: float64(perSecond), tokens: float64(perSecond), last: now}
 }
@@ -21,7 +21,7 @@
 
 // Take takes n units if they are there and reports whether it did.
 func (b *Bucket) Take(n int, now time.Time) bool {
-	if b.rate < 0 {
+	if b.rate <= 0 {
 		return true
 	}
 	b.refill(now)
@@ -34,7 +34,7 @@
 
 // Reserve takes n units, even if they are not there yet, and returns the time until they are.
 func (b *Bucket) Reserve(n int, now time.Time) time.Duration {
-	if b.rate < 0 {
+	if b.rate <= 0 {
 		return 0
 	}
 	b.refill(now)
--- a/pkg/platform/memstore/server.go
+++ b/pkg/platform/memstore/server.go
@@ -38,13 +38,14 @@
 // Server serves a Store over HTTP.
 type Server struct {
 	store   *Store
-	weights *Bucket
+	weights *weightStore
 }
 
 // NewServer returns a server for the store. The weight store sends at most weightsPerSecond bytes per second to all
-// its readers together; negative means no limit.
+// its readers together; 0 or less means no limit.
 func NewServer(store *Store, weightsPerSecond int) *Server {
-	return &Server{store: store, weights: NewBucket(weightsPerSecond, store.clock.Now())}
+	bucket := NewBucket(weightsPerSecond, store.clock.Now())
+	return &Server{store: store, weights: &weightStore{store: store, bucket: bucket}}
 }
 
 // Handle is the server's request handler.
@@ -62,6 +63,10 @@
 		var vms []platform.VM
 		vms, err = s.client(ctx).VMs(context.Background())
 		answer = platform.WireVMs{VMs: vms}
+	case platform.PathWeights:
+		if err = s.weights.serve(ctx); err == nil {
+			return
+		}
 	default:
 		answer, err = s.control(ctx)
 	}
--- /dev/null
+++ b/pkg/service/server.go
@@ -0,0 +1,94 @@
+package service
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/lavendershunt/lavendershunt/internal/standin"
+)
+
+// MaxBodyBytes bounds a request body.
+const MaxBodyBytes = 4 << 20
+
+// Refusal is the body of an answer to a call that did not run.
+type Refusal struct {
+	Error string `json:"error"`
+	Ran   bool   `json:"ran"`
+}
+
+// Handle is the service's request handler.
+func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
+	if strings.HasPrefix(string(ctx.Path()), "/control/") {
+		s.control(ctx)
+		return
+	}
+	record := Record{
+		RequestID:      string(ctx.Request.Header.Peek(HeaderRequestID)),
+		Organisation:   string(ctx.Request.Header.Peek(HeaderOrganisation)),
+		IdempotencyKey: string(ctx.Request.Header.Peek(HeaderIdempotencyKey)),
+		Method:         string(ctx.Method()),
+		Path:           string(ctx.Path()),
+	}
+	fault, kept, latency := s.begin(record)
+	if fault.Kind == FaultFailBefore {
+		standin.WriteJSON(ctx, http.StatusServiceUnavailable, Refusal{Error: "the call was refused before it ran"})
+		return
+	}
+	s.sleep(latency)
+	run := s.ran(kept)
+	switch fault.Kind {
+	case FaultFailAfter:
+		standin.WriteError(ctx, http.StatusInternalServerError, "the call failed")
+	case FaultHang:
+		s.sleep(time.Duration(fault.HangMS) * time.Millisecond)
+		standin.Drop(ctx)
+	default:
+		standin.WriteJSON(ctx, http.StatusOK, Echo{
+			RequestID: record.RequestID, IdempotencyKey: record.IdempotencyKey, Method: record.Method,
+			Path: record.Path, Body: string(ctx.PostBody()), Run: run,
+		})
+	}
+}
+
+// LatencyChange is the body of POST /control/latency.
+type LatencyChange struct {
+	// LatencyMS is in milliseconds.
+	LatencyMS int `json:"latency_ms"`
+}
+
+func (s *Service) control(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Method()) + " " + string(ctx.Path()) {
+	case "POST /control/faults":
+		var fault Fault
+		err := standin.DecodeJSON(ctx.PostBody(), &fault)
+		if err == nil {
+			err = s.Inject(fault)
+		}
+		writeResult(ctx, err)
+	case "DELETE /control/faults":
+		s.ClearFaults()
+		writeResult(ctx, nil)
+	case "POST /control/latency":
+		var change LatencyChange
+		err := standin.DecodeJSON(ctx.PostBody(), &change)
+		if err == nil {
+			s.SetLatency(time.Duration(change.LatencyMS) * time.Millisecond)
+		}
+		writeResult(ctx, err)
+	case "GET /control/record":
+		standin.WriteJSON(ctx, http.StatusOK, s.Records(uint64(ctx.QueryArgs().GetUintOrZero("after"))))
+	default:
+		standin.WriteError(ctx, http.StatusNotFound, "no handler for this path")
+	}
+}
+
+func writeResult(ctx *fasthttp.RequestCtx, err error) {
+	if err != nil {
+		standin.WriteError(ctx, http.StatusBadRequest, err.Error())
+		return
+	}
+	standin.WriteJSON(ctx, http.StatusOK, struct{}{})
+}
