Add the ledger shard: books, bills, claims and their stored form

Every operation is idempotent: per issuer the shard keeps recent results and a floor below which operations are refused as stale. Bills stay until every present holder has flushed the requests it began within the retry window. Two additive fields in pkg/budget: Op.FlushedMS and CodeStale.

--- a/pkg/budget/ledger.go
+++ b/pkg/budget/ledger.go
@@ -21,7 +21,7 @@
 	OpTopUp        OpKind = "top_up"        // Tokens; ID is the operator's id of the top-up
 	OpPrefer       OpKind = "prefer"        // Preference
 	OpGrant        OpKind = "grant"         // Holder, Need, Want
-	OpSettle       OpKind = "settle"        // Holder, Bills
+	OpSettle       OpKind = "settle"        // Holder, Bills, FlushedMS
 	OpReturn       OpKind = "return"        // Holder, Tokens
 	OpTransfer     OpKind = "transfer"      // Holder, To, Tokens; ID identifies the transfer
 	OpCloseHolder  OpKind = "close_holder"  // Holder, Bills, Transfers; covers all budgets of the shard
@@ -47,6 +47,11 @@
 	Transfers  []Transfer   `json:"transfers,omitempty"`
 	Preference Preference   `json:"preference,omitempty"`
 	Claim      *ClaimRecord `json:"claim,omitempty"`
+	// FlushedMS belongs to OpSettle: every request of the organisation that Holder reserved before this time
+	// (ms since 1970) is cancelled, or its bill is in this or an earlier applied operation, and every transfer
+	// that Holder made before it is applied. Bills that a later flush could repeat are kept. 0 stands for
+	// LongestRequest before the time of the operation.
+	FlushedMS int64 `json:"flushed_ms,omitempty"`
 }
 
 // Bill is the charge of one request. Its identity is (organisation, Key).
@@ -95,6 +100,9 @@
 	CodeClaimed Code = "claimed"
 	// CodeInvalid means that the operation is malformed or exceeds the holder's grant; nothing was changed.
 	CodeInvalid Code = "invalid"
+	// CodeStale means that the operation's sequence number is below the history kept for its issuer. Nothing was
+	// changed; an earlier delivery of the operation may have taken effect.
+	CodeStale Code = "stale"
 	// CodeFull means that the shard can't take more records now.
 	CodeFull Code = "full"
 )
--- /dev/null
+++ b/pkg/ledger/codec.go
@@ -0,0 +1,164 @@
+package ledger
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	ledgerv1 "github.com/lavendershunt/lavendershunt/api/ls/ledger/v1"
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+)
+
+// format is the version of the stored format.
+const format = 1
+
+// Bounds on the encoded size of one record, in bytes, without its strings.
+const (
+	accountBytes  = 48
+	grantBytes    = 24
+	billBytes     = 13
+	issuerBytes   = 48
+	entryBytes    = 24
+	operatorBytes = 16
+	claimBytes    = 80
+	// ageBytes is how much longer one stored age can become.
+	ageBytes = 4
+)
+
+// codes fixes the stored numbers of the codes; new ones go to the end.
+var codes = []budget.Code{
+	budget.CodeOK, budget.CodeBudgetUnknown, budget.CodeExists, budget.CodeExhausted, budget.CodeHeldElsewhere,
+	budget.CodeHolderClosed, budget.CodeClaimed, budget.CodeInvalid, budget.CodeStale, budget.CodeFull,
+}
+
+// Size returns an upper bound of the encoded size in bytes.
+func (s *Shard) Size() int { return s.size }
+
+// Encode returns the stored form of the shard.
+func (s *Shard) Encode() ([]byte, error) {
+	e := encoder{shard: s, positions: map[string]uint32{}}
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(e.encode())
+	if err != nil {
+		return nil, fmt.Errorf("ledger: encode shard: %w", err)
+	}
+	s.size = s.bound(len(value))
+	return value, nil
+}
+
+// bound returns a bound on the encoded size after any time, if it is n now.
+func (s *Shard) bound(n int) int {
+	ages := len(s.operators) + len(s.closed) + len(s.claims)
+	for _, org := range s.organisations {
+		for _, a := range org {
+			ages += 1 + len(a.grants)
+		}
+	}
+	for _, h := range s.issuers {
+		ages += len(h.entries)
+	}
+	return n + ageBytes*ages
+}
+
+type encoder struct {
+	shard     *Shard
+	out       ledgerv1.ShardState
+	positions map[string]uint32
+}
+
+func (e *encoder) encode() *ledgerv1.ShardState {
+	s := e.shard
+	e.out.Format = format
+	e.out.Clock = s.clock
+	for _, name := range slices.Sorted(maps.Keys(s.organisations)) {
+		org := &ledgerv1.OrganisationState{Id: name}
+		for _, b := range slices.Sorted(maps.Keys(s.organisations[name])) {
+			org.Budgets = append(org.Budgets, e.account(s.organisations[name][b]))
+		}
+		e.out.Organisations = append(e.out.Organisations, org)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.issuers)) {
+		e.out.Issuers = append(e.out.Issuers, e.issuer(name, s.issuers[name]))
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.operators)) {
+		e.out.OperatorIds = append(e.out.OperatorIds, id)
+		e.out.OperatorAges = append(e.out.OperatorAges, e.age(s.operators[id].at))
+		e.out.OperatorCodes = append(e.out.OperatorCodes, codeNumber(s.operators[id].code))
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.closed)) {
+		e.out.Closed = append(e.out.Closed, id)
+		e.out.ClosedAges = append(e.out.ClosedAges, e.age(s.closed[id]))
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.claims)) {
+		e.out.Claims = append(e.out.Claims, e.claim(key, s.claims[key]))
+	}
+	return &e.out
+}
+
+func (e *encoder) account(a *account) *ledgerv1.BudgetState {
+	out := &ledgerv1.BudgetState{
+		Name: a.id.Budget, AvoidRefusal: a.preference == budget.AvoidRefusal, ToppedUp: a.toppedUp, Settled: a.settled,
+	}
+	for _, g := range a.grants {
+		out.GrantHolders = append(out.GrantHolders, e.instance(g.holder))
+		out.GrantTokens = append(out.GrantTokens, g.tokens)
+		out.GrantFlushAges = append(out.GrantFlushAges, int32(e.shard.clock-g.flushed))
+	}
+	if len(a.bills) == 0 {
+		return out
+	}
+	out.BillKeys = make([]uint64, len(a.bills))
+	out.BillDeltas = make([]uint32, len(a.bills))
+	for i, b := range a.bills {
+		out.BillKeys[i] = b.key
+		if i == 0 {
+			out.BillDeltas[i] = e.age(b.at)
+		} else {
+			out.BillDeltas[i] = uint32(b.at - a.bills[i-1].at)
+		}
+	}
+	return out
+}
+
+func (e *encoder) issuer(name string, h *history) *ledgerv1.IssuerState {
+	out := &ledgerv1.IssuerState{Name: name, Floor: h.floor}
+	last := h.floor
+	for i, entry := range h.entries {
+		out.Sequences = append(out.Sequences, entry.sequence-last)
+		last = entry.sequence
+		out.Ages = append(out.Ages, e.age(entry.at))
+		out.Codes = append(out.Codes, codeNumber(entry.code))
+		out.Granted = append(out.Granted, entry.granted)
+		for _, d := range entry.duplicates {
+			out.Duplicates = append(out.Duplicates, uint32(i), d)
+		}
+	}
+	return out
+}
+
+func (e *encoder) claim(key uint64, c *claim) *ledgerv1.ClaimState {
+	out := &ledgerv1.ClaimState{
+		Key: key, Id: c.id, Owner: e.instance(c.owner), BodyHash: c.bodyHash, Age: e.age(c.at),
+	}
+	if r := c.result; r != nil {
+		out.Result = &ledgerv1.ResultState{
+			Status: uint32(r.Status), ContentType: r.ContentType, Body: r.Body, Truncated: r.Truncated,
+		}
+	}
+	return out
+}
+
+func (e *encoder) instance(id string) uint32 {
+	if n, ok := e.positions[id]; ok {
+		return n
+	}
+	n := uint32(len(e.out.Instances))
+	e.positions[id] = n
+	e.out.Instances = append(e.out.Instances, id)
+	return n
+}
+
+func (e *encoder) age(at int64) uint32 { return uint32(max(0, e.shard.clock-at)) }
+
+func codeNumber(c budget.Code) uint32 { return uint32(slices.Index(codes, c)) }
--- /dev/null
+++ b/pkg/ledger/doc.go
@@ -0,0 +1,75 @@
+// Package ledger is the pure state of one ledger shard: budgets, grants, bills and claims of a set of
+// organisations, and the operations on them. It has no I/O and no clock; the time is passed in.
+//
+// At every version, settled + sum of grants <= topped up for every budget. Apply panics if an operation breaks
+// this, because a process that holds wrong books must not go on.
+//
+// Duplicates. Operations of routers have ids "<issuer>/<sequence>". Per issuer the shard keeps the results of the
+// latest operations and a floor; an operation at or below the floor is refused as stale, so a duplicate never takes
+// effect however late it arrives. Operators' operations are recognised by a hash of their id for OperatorRetention.
+package ledger
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Retention times, measured by the shard's clock.
+const (
+	// HistoryRetention is how long the result of a router's operation is kept at least, unless the issuer has
+	// more than historyMax later ones. It covers reordering between the paths of a router's operations.
+	HistoryRetention = time.Minute
+	// OperatorRetention is how long the id of an operator's operation is recognised.
+	OperatorRetention = 30 * 24 * time.Hour
+	// ClosedRetention is how long a closed holder is recognised. A holder that is forgotten after that has no
+	// grant, so its settlements, returns and transfers are refused; a late grant to it would stay unspent,
+	// because its witnesses refuse its journal.
+	ClosedRetention = 24 * time.Hour
+	// IssuerRetention is how long the history of an issuer without grants is kept after its last operation.
+	IssuerRetention = 24 * time.Hour
+	// ClaimRetention is how long claims are kept.
+	ClaimRetention = 24 * time.Hour
+)
+
+// Bounds on the size of a shard.
+const (
+	historyMin  = 16
+	historyMax  = 256
+	operatorMax = 8192
+	// maxTokens bounds amounts so that sums can't overflow.
+	maxTokens = int64(1) << 53
+	// maxName bounds the length of names and ids in bytes.
+	maxName = 256
+	// MaxResultBody is the largest body of a claim's result, in bytes.
+	MaxResultBody = 4096
+	// MaxSize is the largest encoded size of a shard in bytes, a margin below the platform's limit.
+	MaxSize = 1 << 20 * 15 / 16
+	// growthSize is the size above which operations that lead to new records are refused; the rest up to
+	// MaxSize is left for settlements.
+	growthSize = MaxSize * 3 / 4
+	// claimsSize bounds the size of all claims with their results. The part beyond resultsSize is for the claims.
+	claimsSize = MaxSize / 4
+	// resultsSize bounds the bodies of results; beyond it the oldest bodies are dropped, never the claims.
+	resultsSize = claimsSize / 2
+)
+
+// ShardOf returns the shard of an organisation.
+func ShardOf(organisation string, shards int) int {
+	return int(xxhash.Sum64String(organisation) % uint64(shards))
+}
+
+// Key returns the key of a shard's object.
+func Key(shard int) string { return "ledger/" + strconv.Itoa(shard) }
+
+// recordKey identifies a bill or claim by organisation and idempotency key. With 64 bits and 100,000 records in a
+// shard the chance that a new record meets the hash of another is below 1 in 10^14.
+func recordKey(organisation, key string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(organisation)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
--- /dev/null
+++ b/pkg/ledger/settle.go
@@ -0,0 +1,228 @@
+package ledger
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+)
+
+// settle bills requests against the holder's grants. It changes nothing if a grant does not cover its bills. The
+// second value holds the positions of the bills that the ledger already had; they cost nothing.
+func (s *Shard) settle(op budget.Op) (budget.Result, []uint32) {
+	if r, ok := s.covered(op); !ok {
+		return r, nil
+	}
+	if s.Size()+len(op.Bills)*billBytes > MaxSize {
+		return budget.Result{Code: budget.CodeFull, Message: "shard has no room for more bills"}, nil
+	}
+	var r budget.Result
+	var duplicates []uint32
+	for i, b := range op.Bills {
+		if s.bill(s.account(b.Budget), op.Holder, b) {
+			continue
+		}
+		duplicates = append(duplicates, uint32(i))
+		r.Duplicates = append(r.Duplicates, b.Key)
+	}
+	s.flushed(op)
+	for _, b := range op.Bills {
+		s.account(b.Budget).check(op)
+	}
+	d := s.describe(op, budget.CodeOK)
+	d.Duplicates = r.Duplicates
+	return d, duplicates
+}
+
+// covered reports whether the holder's grants cover the bills that the ledger does not have yet.
+func (s *Shard) covered(op budget.Op) (budget.Result, bool) {
+	sums := map[*account]int64{}
+	seen := make(map[uint64]bool, len(op.Bills))
+	for _, b := range op.Bills {
+		a := s.account(b.Budget)
+		if a == nil {
+			return budget.Result{Code: budget.CodeBudgetUnknown, Message: "budget " + b.Budget.String()}, false
+		}
+		key := recordKey(b.Budget.Organisation, b.Key)
+		if _, ok := s.bills[key]; ok || seen[key] {
+			continue
+		}
+		seen[key] = true
+		sums[a] += b.Tokens
+	}
+	for a, sum := range sums {
+		if held := a.held(op.Holder); sum > held {
+			return invalid("holder %s has %d tokens of %s and can't settle %d", op.Holder, held, a.id, sum), false
+		}
+	}
+	return budget.Result{}, true
+}
+
+// bill stores the bill and takes its tokens from the holder's grant. It reports false if the ledger has the bill.
+func (s *Shard) bill(a *account, holder string, b budget.Bill) bool {
+	key := recordKey(b.Budget.Organisation, b.Key)
+	if _, ok := s.bills[key]; ok {
+		return false
+	}
+	s.bills[key] = struct{}{}
+	a.bills = append(a.bills, billEntry{key: key, at: s.clock})
+	s.size += billBytes
+	s.take(a, holder, b.Tokens)
+	a.settled += b.Tokens
+	return true
+}
+
+// flushed records up to when the holder's requests of the organisation are flushed.
+func (s *Shard) flushed(op budget.Op) {
+	at := op.FlushedMS / 1000
+	if at == 0 {
+		at = s.clock - int64(budget.LongestRequest.Seconds())
+	}
+	for _, a := range s.organisations[op.Budget.Organisation] {
+		if g := a.find(op.Holder); g != nil {
+			g.flushed = max(g.flushed, min(at, s.clock))
+		}
+	}
+}
+
+// closeHolder ends a holder: it applies the transfers, settles the bills and returns the rest of its grants in all
+// budgets of the shard. Later operations of the holder are refused. Closing again changes nothing. The holder stays
+// open if a transfer or a bill is not covered yet, because a transfer from a third holder is missing; the tokens
+// then stay held.
+func (s *Shard) closeHolder(op budget.Op) budget.Result {
+	if s.isClosed(op.Holder) {
+		return budget.Result{Code: budget.CodeOK, Message: "holder is closed already"}
+	}
+	if open := s.applyTransfers(op.Transfers); open > 0 {
+		return invalid("%d transfers of holder %s are not covered by its grants", open, op.Holder)
+	}
+	if r, ok := s.covered(op); !ok {
+		return r
+	}
+	r := budget.Result{Code: budget.CodeOK}
+	for _, b := range op.Bills {
+		if !s.bill(s.account(b.Budget), op.Holder, b) {
+			r.Duplicates = append(r.Duplicates, b.Key)
+		}
+	}
+	s.forget(op)
+	s.closed[xxhash.Sum64String(op.Holder)] = s.clock
+	s.size += operatorBytes
+	return r
+}
+
+// applyTransfers applies the transfers, whose order is not known, and returns the number of those that can't be
+// applied. A transfer with a closed holder is complete: closing the giver applied it, and a closed receiver that
+// did not bring it has not spent it.
+func (s *Shard) applyTransfers(transfers []budget.Transfer) int {
+	for {
+		var open []budget.Transfer
+		for _, t := range transfers {
+			r := s.applyRouter(budget.Op{
+				ID: t.ID, Kind: budget.OpTransfer, Budget: t.Budget, Holder: t.From, To: t.To, Tokens: t.Tokens,
+			})
+			if r.Code != budget.CodeOK && r.Code != budget.CodeHolderClosed {
+				open = append(open, t)
+			}
+		}
+		if len(open) == 0 || len(open) == len(transfers) {
+			return len(open)
+		}
+		transfers = open
+	}
+}
+
+// forget returns the holder's grants and drops its history; the closed mark replaces both.
+func (s *Shard) forget(op budget.Op) {
+	for _, org := range s.organisations {
+		for _, a := range org {
+			s.take(a, op.Holder, a.held(op.Holder))
+			a.check(op)
+		}
+	}
+	for issuer := range s.issuers {
+		if ownedBy(issuer, op.Holder) {
+			delete(s.issuers, issuer)
+		}
+	}
+}
+
+func (s *Shard) isClosed(holder string) bool {
+	_, ok := s.closed[xxhash.Sum64String(holder)]
+	return ok
+}
+
+// Prune drops records whose retention has ended. A bill is kept for budget.RetentionTime, and until every present
+// holder of its budget has flushed all requests that it began within retryWindow of the bill: such a request can
+// carry the same key, and must still meet the bill.
+func (s *Shard) Prune(now time.Time) {
+	s.clock = max(s.clock, now.Unix())
+	for _, org := range s.organisations {
+		for _, a := range org {
+			s.pruneBills(a)
+		}
+	}
+	prune(s, s.operators, OperatorRetention, func(e operatorEntry) int64 { return e.at })
+	prune(s, s.closed, ClosedRetention, func(at int64) int64 { return at })
+	s.pruneClaims()
+	s.pruneIssuers()
+}
+
+// retryWindow is the time after a bill during which a repeated request is recognised: a request that begins in it
+// ends within the retention time.
+const retryWindow = budget.RetentionTime - budget.LongestRequest
+
+func (s *Shard) pruneBills(a *account) {
+	before := s.clock - int64(budget.RetentionTime.Seconds())
+	for _, g := range a.grants {
+		before = min(before, g.flushed-int64(retryWindow.Seconds()))
+	}
+	n := 0
+	for n < len(a.bills) && a.bills[n].at < before {
+		delete(s.bills, a.bills[n].key)
+		n++
+	}
+	if n > 0 {
+		a.bills = append([]billEntry(nil), a.bills[n:]...)
+	}
+}
+
+func prune[K comparable, V any](s *Shard, m map[K]V, keep time.Duration, at func(V) int64) {
+	for k, v := range m {
+		if s.clock-at(v) > int64(keep.Seconds()) {
+			delete(m, k)
+		}
+	}
+}
+
+// pruneIssuers drops histories without recent operations. It keeps those of present holders.
+func (s *Shard) pruneIssuers() {
+	var present map[string]bool
+	for name, h := range s.issuers {
+		if n := len(h.entries); n > 0 && s.clock-h.entries[n-1].at <= int64(IssuerRetention.Seconds()) {
+			continue
+		}
+		if present == nil {
+			present = s.present()
+		}
+		holder, _, _ := strings.Cut(name, "/")
+		if !present[holder] {
+			delete(s.issuers, name)
+		}
+	}
+}
+
+// present returns the holders of grants.
+func (s *Shard) present() map[string]bool {
+	present := map[string]bool{}
+	for _, org := range s.organisations {
+		for _, a := range org {
+			for _, g := range a.grants {
+				present[g.holder] = true
+			}
+		}
+	}
+	return present
+}
