--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -20,12 +20,11 @@
 	overReserve metric.Int64Counter
 }
 
-// NewMetrics creates the instruments. A nil provider records nothing.
-func NewMetrics(provider metric.MeterProvider) *Metrics {
-	if provider == nil {
-		provider = noop.NewMeterProvider()
+// NewMetrics creates the instruments. A nil meter records nothing.
+func NewMetrics(meter metric.Meter) *Metrics {
+	if meter == nil {
+		meter = noop.NewMeterProvider().Meter("")
 	}
-	meter := provider.Meter("lavendershunt/relay")
 	m := &Metrics{}
 	// The meter returns usable instruments also with an error, which only reports an invalid name.
 	m.inProgress, _ = meter.Int64UpDownCounter("ls_requests_in_progress", metric.WithDescription("Requests in progress by class."))
--- /dev/null
+++ b/pkg/router/router.go
@@ -0,0 +1,166 @@
+// Package router assembles the parts of lsrouter and runs them.
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lavendershunt/lavendershunt/pkg/admin"
+	"github.com/lavendershunt/lavendershunt/pkg/config"
+	"github.com/lavendershunt/lavendershunt/pkg/gateway"
+	"github.com/lavendershunt/lavendershunt/pkg/logging"
+	"github.com/lavendershunt/lavendershunt/pkg/member"
+	"github.com/lavendershunt/lavendershunt/pkg/platform/httpstore"
+	"github.com/lavendershunt/lavendershunt/pkg/purse"
+	"github.com/lavendershunt/lavendershunt/pkg/relay"
+	"github.com/lavendershunt/lavendershunt/pkg/route"
+	"github.com/lavendershunt/lavendershunt/pkg/selector"
+	"github.com/lavendershunt/lavendershunt/pkg/settings"
+	"github.com/lavendershunt/lavendershunt/pkg/telemetry"
+)
+
+// Router is one router process.
+type Router struct {
+	settings settings.Settings
+	self     member.Member
+	log      log.Interface
+	metrics  *telemetry.Metrics
+	platform *httpstore.Store
+	config   *config.Store
+	vms      vmList
+	selector *selector.Selector
+	purse    *purse.Purse
+	gateway  *gateway.Gateway
+	admin    *admin.Server
+	requests atomic.Uint64
+}
+
+// New builds a router from its settings. It opens no sockets.
+func New(s settings.Settings) (*Router, error) {
+	logger, err := logging.New(os.Stderr, s.Log.Format, s.Log.Level)
+	if err != nil {
+		return nil, err
+	}
+	metrics, err := telemetry.New("lavendershunt")
+	if err != nil {
+		return nil, err
+	}
+	self := member.Member{
+		Instance: member.NewInstance(s.VM, time.Now()), VM: s.VM, Region: s.Region, Zone: s.Zone,
+		PeerAddress: s.Advertise.Peer, CallerAddress: s.Advertise.Caller, State: member.Alive,
+	}
+	r := &Router{
+		settings: s, self: self, log: logger.WithField("instance", self.Instance), metrics: metrics, config: config.NewStore(),
+		platform: httpstore.New(httpstore.Options{Address: s.Platform.Address, ClientID: s.VM, Timeout: s.Platform.Timeout.Std()}),
+	}
+	if err := r.assemble(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Router) assemble() error {
+	r.selector = selector.New(selector.Options{
+		Here: route.Location{Region: r.self.Region, Zone: r.self.Zone}, Log: r.log, Leaving: r.config.Leaving,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	ledger := r.newLedger()
+	r.purse = purse.New(r.self.Instance, ledger, purse.Settings{})
+	relay := relay.New(relay.Relay{
+		Purse: r.purse, Claims: r.newClaims(ledger), Selector: r.selector, Metrics: relay.NewMetrics(r.metrics.Meter),
+	})
+	r.gateway = gateway.New(gateway.Options{
+		Config: r.config, Members: r.members(), Relay: relay, Log: r.log,
+		AddressTTL: r.settings.Intervals.AddressTTL.Std(), NewID: r.newRequestID,
+	})
+	r.admin = admin.NewServer(admin.Deps{
+		Platform: r.platform, Config: r.config, Publish: func([]config.Entry) {}, Ledger: ledger, Members: r.members(),
+		VMs: r.vms.get, OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
+	})
+	return nil
+}
+
+// newRequestID returns an id that is unique across the fleet, because instance ids are.
+func (r *Router) newRequestID() string {
+	return r.self.Instance + "." + strconv.FormatUint(r.requests.Add(1), 36)
+}
+
+// Run serves until ctx ends. It returns nil after a graceful stop.
+func (r *Router) Run(ctx context.Context) error {
+	caller, err := listen(r.settings.Listen.Caller)
+	if err != nil {
+		return fmt.Errorf("listen.caller: %w", err)
+	}
+	adminListener, err := listen(r.settings.Listen.Admin)
+	if err != nil {
+		return fmt.Errorf("listen.admin: %w", err)
+	}
+	tasks, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTasks()
+	var running conc.WaitGroup
+	defer running.Wait()
+	running.Go(func() { r.selector.Run(tasks) })
+	running.Go(func() { r.purse.Run(tasks) })
+	running.Go(func() { r.watchConfig(tasks) })
+	running.Go(func() { r.pollVMs(tasks) })
+	servers := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 2)
+	running.Go(func() { failed <- r.gateway.Serve(caller) })
+	running.Go(func() { failed <- serveHTTP(servers, adminListener) })
+	r.log.WithFields(log.Fields{"caller": caller.Addr().String(), "admin": adminListener.Addr().String()}).Info("router started")
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		r.drain()
+	}
+	closeServers(r.gateway, servers)
+	stopTasks()
+	return err
+}
+
+func listen(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
+
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
+	}
+	return nil
+}
+
+// drain waits until no request is in progress.
+func (r *Router) drain() {
+	<-r.gateway.Idle()
+}
+
+const (
+	headerTimeout   = 5 * time.Second
+	shutdownTimeout = 2 * time.Second
+)
+
+func closeServers(g *gateway.Gateway, admin *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	// Only idle connections are left, so a timeout here loses nothing.
+	_ = g.Shutdown(ctx)
+	_ = admin.Shutdown(ctx)
+}
+
+func (r *Router) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(r.admin.Handler())
+	mux.Handle("/metrics", r.metrics.Handler)
+	return mux
+}
