Add the batching ledger writer and the client that routes operations

A task per active shard writes all waiting operations in one conditional update. The history is kept per issuer and organisation, because a router's operations on several organisations arrive in any order; with one history per issuer an outage test with 500 outstanding operations ended with stale refusals.

--- a/pkg/ledger/codec.go
+++ b/pkg/ledger/codec.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -78,8 +79,8 @@
 		}
 		e.out.Organisations = append(e.out.Organisations, org)
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.issuers)) {
-		e.out.Issuers = append(e.out.Issuers, e.issuer(name, s.issuers[name]))
+	for _, key := range slices.SortedFunc(maps.Keys(s.issuers), compareIssuers) {
+		e.out.Issuers = append(e.out.Issuers, e.issuer(key, s.issuers[key]))
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.operators)) {
 		e.out.OperatorIds = append(e.out.OperatorIds, id)
@@ -101,7 +102,7 @@
 		Name: a.id.Budget, AvoidRefusal: a.preference == budget.AvoidRefusal, ToppedUp: a.toppedUp, Settled: a.settled,
 	}
 	for _, g := range a.grants {
-		out.GrantHolders = append(out.GrantHolders, e.instance(g.holder))
+		out.GrantHolders = append(out.GrantHolders, e.name(g.holder))
 		out.GrantTokens = append(out.GrantTokens, g.tokens)
 		out.GrantFlushAges = append(out.GrantFlushAges, int32(e.shard.clock-g.flushed))
 	}
@@ -121,8 +122,14 @@
 	return out
 }
 
-func (e *encoder) issuer(name string, h *history) *ledgerv1.IssuerState {
-	out := &ledgerv1.IssuerState{Name: name, Floor: h.floor}
+func compareIssuers(a, b issuerKey) int {
+	return cmp.Or(cmp.Compare(a.issuer, b.issuer), cmp.Compare(a.organisation, b.organisation))
+}
+
+func (e *encoder) issuer(key issuerKey, h *history) *ledgerv1.IssuerState {
+	out := &ledgerv1.IssuerState{
+		Issuer: e.name(key.issuer), Organisation: e.name(key.organisation), Floor: h.floor,
+	}
 	last := h.floor
 	for i, entry := range h.entries {
 		out.Sequences = append(out.Sequences, entry.sequence-last)
@@ -139,7 +146,7 @@
 
 func (e *encoder) claim(key uint64, c *claim) *ledgerv1.ClaimState {
 	out := &ledgerv1.ClaimState{
-		Key: key, Id: c.id, Owner: e.instance(c.owner), BodyHash: c.bodyHash, Age: e.age(c.at),
+		Key: key, Id: c.id, Owner: e.name(c.owner), BodyHash: c.bodyHash, Age: e.age(c.at),
 	}
 	if r := c.result; r != nil {
 		out.Result = &ledgerv1.ResultState{
@@ -149,13 +156,14 @@
 	return out
 }
 
-func (e *encoder) instance(id string) uint32 {
+// name returns the position of the name in the table of names.
+func (e *encoder) name(id string) uint32 {
 	if n, ok := e.positions[id]; ok {
 		return n
 	}
-	n := uint32(len(e.out.Instances))
+	n := uint32(len(e.out.Names))
 	e.positions[id] = n
-	e.out.Instances = append(e.out.Instances, id)
+	e.out.Names = append(e.out.Names, id)
 	return n
 }
 
--- a/pkg/ledger/decode.go
+++ b/pkg/ledger/decode.go
@@ -26,11 +26,11 @@
 	s.clock = in.Clock
 	for _, org := range in.Organisations {
 		for _, b := range org.Budgets {
-			s.decodeAccount(org.Id, b, in.Instances)
+			s.decodeAccount(org.Id, b, in.Names)
 		}
 	}
 	for _, i := range in.Issuers {
-		s.issuers[i.Name] = s.decodeIssuer(i)
+		s.issuers[issuerKey{in.Names[i.Issuer], in.Names[i.Organisation]}] = s.decodeIssuer(i)
 	}
 	for i, id := range in.OperatorIds {
 		s.operators[id] = operatorEntry{at: s.clock - int64(in.OperatorAges[i]), code: codes[in.OperatorCodes[i]]}
@@ -39,7 +39,7 @@
 		s.closed[id] = s.clock - int64(in.ClosedAges[i])
 	}
 	for _, c := range in.Claims {
-		s.decodeClaim(c, in.Instances)
+		s.decodeClaim(c, in.Names)
 	}
 	s.size = s.bound(len(value))
 	return s, nil
@@ -54,20 +54,20 @@
 			ok = ok && len(b.GrantHolders) == len(b.GrantTokens) && len(b.GrantHolders) == len(b.GrantFlushAges) &&
 				len(b.BillKeys) == len(b.BillDeltas)
 			for _, n := range b.GrantHolders {
-				ok = ok && int(n) < len(in.Instances)
+				ok = ok && int(n) < len(in.Names)
 			}
 		}
 	}
 	for _, i := range in.Issuers {
 		n := len(i.Sequences)
 		ok = ok && n == len(i.Ages) && n == len(i.Codes) && n == len(i.Granted) && len(i.Duplicates)%2 == 0 &&
-			knownCodes(i.Codes)
+			knownCodes(i.Codes) && int(i.Issuer) < len(in.Names) && int(i.Organisation) < len(in.Names)
 		for d := 0; d < len(i.Duplicates); d += 2 {
 			ok = ok && int(i.Duplicates[d]) < n
 		}
 	}
 	for _, c := range in.Claims {
-		ok = ok && int(c.Owner) < len(in.Instances)
+		ok = ok && int(c.Owner) < len(in.Names)
 	}
 	return ok
 }
@@ -81,7 +81,7 @@
 	return true
 }
 
-func (s *Shard) decodeAccount(organisation string, in *ledgerv1.BudgetState, instances []string) {
+func (s *Shard) decodeAccount(organisation string, in *ledgerv1.BudgetState, names []string) {
 	a := &account{
 		id:         budget.ID{Organisation: organisation, Budget: in.Name},
 		preference: budget.AvoidOverspend, toppedUp: in.ToppedUp, settled: in.Settled,
@@ -91,7 +91,7 @@
 	}
 	for i, n := range in.GrantHolders {
 		a.grants = append(a.grants, grant{
-			holder: instances[n], tokens: in.GrantTokens[i], flushed: s.clock - int64(in.GrantFlushAges[i]),
+			holder: names[n], tokens: in.GrantTokens[i], flushed: s.clock - int64(in.GrantFlushAges[i]),
 		})
 	}
 	a.bills = make([]billEntry, len(in.BillKeys))
@@ -124,9 +124,9 @@
 	return h
 }
 
-func (s *Shard) decodeClaim(in *ledgerv1.ClaimState, instances []string) {
+func (s *Shard) decodeClaim(in *ledgerv1.ClaimState, names []string) {
 	c := &claim{
-		id: in.Id, owner: instances[in.Owner], bodyHash: in.BodyHash, at: s.clock - int64(in.Age),
+		id: in.Id, owner: names[in.Owner], bodyHash: in.BodyHash, at: s.clock - int64(in.Age),
 	}
 	if r := in.Result; r != nil {
 		c.result = &budget.StoredResult{
--- a/pkg/ledger/doc.go
+++ b/pkg/ledger/doc.go
@@ -4,9 +4,9 @@
 // At every version, settled + sum of grants <= topped up for every budget. Apply panics if an operation breaks
 // this, because a process that holds wrong books must not go on.
 //
-// Duplicates. Operations of routers have ids "<issuer>/<sequence>". Per issuer the shard keeps the results of the
-// latest operations and a floor; an operation at or below the floor is refused as stale, so a duplicate never takes
-// effect however late it arrives. Operators' operations are recognised by a hash of their id for OperatorRetention.
+// Duplicates. Operations of routers have ids "<issuer>/<sequence>". Per issuer and organisation the shard keeps the
+// results of the latest operations and a floor; an operation at or below the floor is refused as stale, so a
+// duplicate never takes effect however late it arrives. Operators' operations are recognised by a hash of their id for OperatorRetention.
 package ledger
 
 import (
@@ -35,8 +35,9 @@
 
 // Bounds on the size of a shard.
 const (
-	historyMin  = 16
-	historyMax  = 256
+	historyMin = 8
+	// historyMax is twice the largest number of operations of one issuer in one write.
+	historyMax  = 512
 	operatorMax = 8192
 	// maxTokens bounds amounts so that sums can't overflow.
 	maxTokens = int64(1) << 53
--- a/pkg/ledger/history.go
+++ b/pkg/ledger/history.go
@@ -9,6 +9,12 @@
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 )
 
+// issuerKey names a sequence of operations. Each organisation has its own history, because a router sends the
+// operations of one organisation in order, but those of several organisations in any order.
+type issuerKey struct {
+	issuer, organisation string
+}
+
 // history is the recent operations of one issuer. Operations up to the floor are no longer known.
 type history struct {
 	floor   uint64
@@ -64,7 +70,7 @@
 		return budget.Result{Code: budget.CodeHolderClosed}
 	}
 	issuer, sequence, _ := splitID(op.ID)
-	h := s.issuer(issuer)
+	h := s.issuer(issuerKey{issuer, op.Budget.Organisation})
 	i, found := h.find(sequence)
 	if found {
 		return s.replay(op, h.entries[i])
@@ -85,12 +91,12 @@
 	return r
 }
 
-func (s *Shard) issuer(name string) *history {
-	h := s.issuers[name]
+func (s *Shard) issuer(key issuerKey) *history {
+	h := s.issuers[key]
 	if h == nil {
 		h = &history{}
-		s.issuers[name] = h
-		s.size += issuerBytes + len(name)
+		s.issuers[key] = h
+		s.size += issuerBytes + len(key.issuer) + len(key.organisation)
 	}
 	return h
 }
@@ -101,7 +107,6 @@
 	})
 }
 
-
 // trim drops the entries with the lowest sequence numbers, which raises the floor.
 func (s *Shard) trim(h *history) {
 	for len(h.entries) > historyMin {
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -114,8 +114,8 @@
 	must.Eq(t, 100, b.status().Grants[0].Tokens)
 	b.now = b.now.Add(2 * HistoryRetention)
 	b.ok(budget.Op{ID: "a/999", Kind: budget.OpReturn, Holder: "a"})
-	must.LessEq(t, historyMin, len(b.s.issuers["a"].entries))
-	b.code(budget.CodeStale, budget.Op{ID: "a/200", Kind: budget.OpReturn, Holder: "a"})
+	must.LessEq(t, historyMin, len(b.s.issuers[issuerKey{"a", acct.Organisation}].entries))
+	b.code(budget.CodeStale, budget.Op{ID: fmt.Sprintf("a/%d", historyMax-9), Kind: budget.OpReturn, Holder: "a"})
 }
 
 // Guards the order of arrival: an operation that is overtaken by later ones still takes effect once.
--- a/pkg/ledger/settle.go
+++ b/pkg/ledger/settle.go
@@ -142,9 +142,9 @@
 			a.check(op)
 		}
 	}
-	for issuer := range s.issuers {
-		if ownedBy(issuer, op.Holder) {
-			delete(s.issuers, issuer)
+	for key := range s.issuers {
+		if ownedBy(key.issuer, op.Holder) {
+			delete(s.issuers, key)
 		}
 	}
 }
@@ -200,16 +200,16 @@
 // pruneIssuers drops histories without recent operations. It keeps those of present holders.
 func (s *Shard) pruneIssuers() {
 	var present map[string]bool
-	for name, h := range s.issuers {
+	for key, h := range s.issuers {
 		if n := len(h.entries); n > 0 && s.clock-h.entries[n-1].at <= int64(IssuerRetention.Seconds()) {
 			continue
 		}
 		if present == nil {
 			present = s.present()
 		}
-		holder, _, _ := strings.Cut(name, "/")
+		holder, _, _ := strings.Cut(key.issuer, "/")
 		if !present[holder] {
-			delete(s.issuers, name)
+			delete(s.issuers, key)
 		}
 	}
 }
--- a/pkg/ledger/shard.go
+++ b/pkg/ledger/shard.go
@@ -14,7 +14,7 @@
 	// clock is the latest time seen, in seconds since 1970.
 	clock         int64
 	organisations map[string]map[string]*account
-	issuers       map[string]*history
+	issuers       map[issuerKey]*history
 	operators     map[uint64]operatorEntry
 	// closed maps the hash of a closed instance to the time of the closure.
 	closed map[uint64]int64
@@ -54,7 +54,7 @@
 func New() *Shard {
 	return &Shard{
 		organisations: map[string]map[string]*account{},
-		issuers:       map[string]*history{},
+		issuers:       map[issuerKey]*history{},
 		operators:     map[uint64]operatorEntry{},
 		closed:        map[uint64]int64{},
 		bills:         map[uint64]struct{}{},
--- /dev/null
+++ b/pkg/ledgerwriter/calls.go
@@ -0,0 +1,75 @@
+package ledgerwriter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+// calls counts calls to the platform and their failures.
+type calls struct {
+	gets, puts, ops, conflicts, uncertain, throttled, unavailable atomic.Uint64
+}
+
+// Counts is a snapshot of a writer's calls to the platform.
+type Counts struct {
+	// Gets and Puts are calls by kind; Ops are the operations stored by this writer's puts.
+	Gets, Puts, Ops uint64
+	// Failures by cause.
+	Conflicts, Uncertain, Throttled, Unavailable uint64
+}
+
+// Counts returns the calls made so far.
+func (w *Writer) Counts() Counts {
+	c := &w.calls
+	return Counts{
+		Gets: c.gets.Load(), Puts: c.puts.Load(), Ops: c.ops.Load(), Conflicts: c.conflicts.Load(),
+		Uncertain: c.uncertain.Load(), Throttled: c.throttled.Load(), Unavailable: c.unavailable.Load(),
+	}
+}
+
+func (w *Writer) get(ctx context.Context, key string) (platform.Object, error) {
+	w.calls.gets.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	object, err := w.store.Get(ctx, key)
+	if ctx.Err() != nil && err != nil && !errors.Is(err, platform.ErrUnavailable) {
+		err = fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	w.count(err)
+	return object, err
+}
+
+func (w *Writer) put(ctx context.Context, key string, value []byte, ifRevision uint64) (platform.Object, error) {
+	w.calls.puts.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	object, err := w.store.Put(ctx, key, value, ifRevision)
+	if ctx.Err() != nil && err != nil && !known(err) {
+		err = fmt.Errorf("%w: %w", platform.ErrUncertain, err)
+	}
+	w.count(err)
+	return object, err
+}
+
+// known reports whether the error tells that nothing was written.
+func known(err error) bool {
+	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable) ||
+		errors.Is(err, platform.ErrThrottled) || errors.Is(err, platform.ErrTooLarge)
+}
+
+func (w *Writer) count(err error) {
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		w.calls.conflicts.Add(1)
+	case errors.Is(err, platform.ErrUncertain):
+		w.calls.uncertain.Add(1)
+	case errors.Is(err, platform.ErrThrottled):
+		w.calls.throttled.Add(1)
+	case errors.Is(err, platform.ErrUnavailable):
+		w.calls.unavailable.Add(1)
+	}
+}
--- /dev/null
+++ b/pkg/ledgerwriter/fake_test.go
@@ -0,0 +1,189 @@
+package ledgerwriter
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/ledger"
+	"github.com/lavendershunt/lavendershunt/pkg/member"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+func TestMain(m *testing.M) {
+	seeded := false
+	for _, arg := range os.Args {
+		seeded = seeded || bytes.Contains([]byte(arg), []byte("rapid.seed"))
+	}
+	if !seeded {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// fakeStore is a store whose faults a test sets call by call.
+type fakeStore struct {
+	platform.Store
+	mu       sync.Mutex
+	objects  map[string]platform.Object
+	revision uint64
+	latency  time.Duration
+	// calls counts reads and writes.
+	calls int
+	// fault returns the fault of the next call; nil means none.
+	fault func(write bool) fault
+	// check is called with each stored value.
+	check func(key string, value []byte)
+}
+
+// fault is what happens to one call.
+type fault int
+
+const (
+	faultNone fault = iota
+	faultDown
+	faultThrottled
+	// faultLostAfter loses the response of a write that took effect, faultLostBefore that of one that did not.
+	faultLostAfter
+	faultLostBefore
+)
+
+func newStore() *fakeStore { return &fakeStore{objects: map[string]platform.Object{}} }
+
+func (f *fakeStore) begin(ctx context.Context, write bool) (fault, error) {
+	f.mu.Lock()
+	f.calls++
+	kind := faultNone
+	if f.fault != nil {
+		kind = f.fault(write)
+	}
+	f.mu.Unlock()
+	if f.latency > 0 {
+		if err := sleep(ctx, f.latency); err != nil {
+			return kind, err
+		}
+	}
+	switch kind {
+	case faultDown:
+		return kind, platform.ErrUnavailable
+	case faultThrottled:
+		return kind, platform.ErrThrottled
+	default:
+		return kind, nil
+	}
+}
+
+func (f *fakeStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	if _, err := f.begin(ctx, false); err != nil {
+		return platform.Object{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o, ok := f.objects[key]
+	if !ok {
+		return o, fmt.Errorf("%w: %s", platform.ErrNotFound, key)
+	}
+	return o, nil
+}
+
+func (f *fakeStore) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (platform.Object, error) {
+	kind, err := f.begin(ctx, true)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	if kind == faultLostBefore {
+		return platform.Object{}, platform.ErrUncertain
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.objects[key].Revision != ifRevision {
+		return platform.Object{}, platform.ErrConflict
+	}
+	if len(value) > platform.MaxValueBytes {
+		return platform.Object{}, platform.ErrTooLarge
+	}
+	f.revision++
+	o := platform.Object{Key: key, Revision: f.revision, Value: bytes.Clone(value)}
+	f.objects[key] = o
+	if f.check != nil {
+		f.check(key, o.Value)
+	}
+	if kind == faultLostAfter {
+		return platform.Object{}, platform.ErrUncertain
+	}
+	return o, nil
+}
+
+// shard returns the stored shard.
+func (f *fakeStore) shard(n int) *ledger.Shard {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, err := ledger.Decode(f.objects[ledger.Key(n)].Value)
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// fakeView is a fixed view of routers whose address is their instance.
+type fakeView struct {
+	self  string
+	names []string
+}
+
+func (v fakeView) Self() member.Member {
+	return member.Member{Instance: v.self, PeerAddress: v.self, State: member.Alive}
+}
+
+func (v fakeView) Members() []member.Member {
+	var all []member.Member
+	for _, n := range v.names {
+		all = append(all, member.Member{Instance: n, PeerAddress: n, State: member.Alive})
+	}
+	return all
+}
+
+// fakeFleet connects clients by function calls. Routers in cut do not answer.
+type fakeFleet struct {
+	clients map[string]*Client
+	cut     map[string]bool
+	visits  map[string]int
+}
+
+func (f *fakeFleet) Apply(ctx context.Context, address, organisation string, ops []budget.Op) ([]budget.Result, error) {
+	if f.cut[address] {
+		return nil, platform.ErrUnavailable
+	}
+	f.visits[address]++
+	return f.clients[address].ApplyHere(ctx, organisation, ops)
+}
+
+func (f *fakeFleet) Read(ctx context.Context, address, organisation string) ([]budget.Status, error) {
+	if f.cut[address] {
+		return nil, platform.ErrUnavailable
+	}
+	return f.clients[address].ReadHere(ctx, organisation)
+}
+
+var acct = budget.ID{Organisation: "velocar", Budget: "main"}
+
+func create() []budget.Op {
+	return []budget.Op{
+		{ID: "create", Kind: budget.OpCreate, Budget: acct},
+		{ID: "top", Kind: budget.OpTopUp, Budget: acct, Tokens: 1 << 40},
+	}
+}
+
+func grantOp(holder string, sequence int, need int64) budget.Op {
+	return budget.Op{
+		ID: fmt.Sprintf("%s/%d", holder, sequence), Kind: budget.OpGrant, Budget: acct, Holder: holder, Need: need,
+	}
+}
