Serve a request end to end through separate processes

lsrouter, lsplatform, lsengine and lsctl run a prepaid chat completion, whole and streamed, with the budget kept in the platform's ledger shard.

--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -17,10 +17,13 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lavendershunt/lavendershunt/pkg/admin"
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
 	"github.com/lavendershunt/lavendershunt/pkg/gateway"
+	"github.com/lavendershunt/lavendershunt/pkg/ledgerwriter"
 	"github.com/lavendershunt/lavendershunt/pkg/logging"
 	"github.com/lavendershunt/lavendershunt/pkg/member"
+	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/platform/httpstore"
 	"github.com/lavendershunt/lavendershunt/pkg/purse"
 	"github.com/lavendershunt/lavendershunt/pkg/relay"
@@ -43,6 +46,8 @@
 	purse    *purse.Purse
 	gateway  *gateway.Gateway
 	admin    *admin.Server
+	ledger   *lateLedger
+	writer   *ledgerwriter.Writer
 	requests atomic.Uint64
 }
 
@@ -75,22 +80,42 @@
 		Here: route.Location{Region: r.self.Region, Zone: r.self.Zone}, Log: r.log, Leaving: r.config.Leaving,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	ledger := r.newLedger()
-	r.purse = purse.New(r.self.Instance, ledger, purse.Settings{})
+	r.ledger = &lateLedger{}
+	r.writer = ledgerwriter.New(ledgerwriter.Options{Store: r.platform})
+	r.purse = purse.New(r.self.Instance, r.ledger, purse.Settings{})
 	relay := relay.New(relay.Relay{
-		Purse: r.purse, Claims: r.newClaims(ledger), Selector: r.selector, Metrics: relay.NewMetrics(r.metrics.Meter),
+		Purse: r.purse, Claims: noClaims{}, Selector: r.selector, Metrics: relay.NewMetrics(r.metrics.Meter),
 	})
 	r.gateway = gateway.New(gateway.Options{
-		Config: r.config, Members: r.members(), Relay: relay, Log: r.log,
+		Config: r.config, Members: solo{r.self}, Relay: relay, Log: r.log,
 		AddressTTL: r.settings.Intervals.AddressTTL.Std(), NewID: r.newRequestID,
 	})
 	r.admin = admin.NewServer(admin.Deps{
-		Platform: r.platform, Config: r.config, Publish: func([]config.Entry) {}, Ledger: ledger, Members: r.members(),
+		Platform: r.platform, Config: r.config, Publish: func([]config.Entry) {}, Ledger: r.ledger, Members: solo{r.self},
 		VMs: r.vms.get, OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
 	})
 	return nil
 }
 
+func (r *Router) newLedgerClient(shards int) *ledgerwriter.Client {
+	return ledgerwriter.NewClient(r.writer, nil, solo{r.self}, shards)
+}
+
+// solo is a view of a fleet of one.
+type solo struct{ self member.Member }
+
+func (s solo) Self() member.Member      { return s.self }
+func (s solo) Members() []member.Member { return []member.Member{s.self} }
+
+// noClaims refuses non-idempotent calls.
+type noClaims struct{}
+
+func (noClaims) Claim(context.Context, budget.CallRequest) (budget.Claim, error) {
+	return budget.Claim{}, outcome.NotRunf(outcome.ReasonClaimUnavailable, 0, "claims are not available")
+}
+func (noClaims) Finish(context.Context, budget.Claim, budget.StoredResult) error { return nil }
+func (noClaims) Release(budget.Claim)                                            {}
+
 // newRequestID returns an id that is unique across the fleet, because instance ids are.
 func (r *Router) newRequestID() string {
 	return r.self.Instance + "." + strconv.FormatUint(r.requests.Add(1), 36)
@@ -113,6 +138,7 @@
 	running.Go(func() { r.selector.Run(tasks) })
 	running.Go(func() { r.purse.Run(tasks) })
 	running.Go(func() { r.watchConfig(tasks) })
+	running.Go(func() { r.ledger.load(tasks, r.platform, r.newLedgerClient) })
 	running.Go(func() { r.pollVMs(tasks) })
 	servers := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 2)
