--- /dev/null
+++ b/pkg/claim/claim.go
@@ -0,0 +1,237 @@
+// Package claim makes non-idempotent calls run at most once. A claim is stored in the ledger before the call is
+// dispatched; only its owner dispatches the call. Another router that meets the claim asks the owner.
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/outcome"
+)
+
+// State is what the owner of a claim knows about it.
+type State int
+
+// States of claims at their owner.
+const (
+	// Unknown means that the owner gave no usable answer.
+	Unknown State = iota
+	// InProgress means that the owner may have dispatched the call.
+	InProgress
+	// Finished means that the owner has the result.
+	Finished
+	// Released means that the owner did not and will not dispatch the call, and that the claim is released.
+	Released
+)
+
+// Owners asks the owners of claims.
+type Owners interface {
+	// Ask asks the instance about its claim. An error means that it gave no answer.
+	Ask(ctx context.Context, owner, organisation, key, claimID string) (State, *budget.StoredResult, error)
+}
+
+// Bounds of the retries and of the waiting for an owner.
+const (
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 5 * time.Second
+	// maxStore is how long the storing of a claim is retried before the call is refused.
+	maxStore = 2 * time.Second
+	// maxWait is how long a second attempt waits for the result of the first one.
+	maxWait = 2 * time.Second
+	// askInterval is the time between two questions to the owner.
+	askInterval = 100 * time.Millisecond
+	// maxTries bounds the attempts to take over claims that are released.
+	maxTries = 5
+	// maxHandOut is the longest time between the start of a claim and its use. It is far below the retention of
+	// claims, so that an attempt that was paused does not use a claim that the ledger has dropped.
+	maxHandOut = budget.LongestRequest
+	// retryAfter is the advice to callers that are refused.
+	retryAfter = time.Second
+)
+
+// attempt is a claim that this instance made.
+type attempt struct {
+	call  budget.CallRequest
+	state attemptState
+	// began is the wall clock time of the start, which also counts the time in which the VM was paused.
+	began time.Time
+	// result is set in the state finished.
+	result *budget.StoredResult
+}
+
+type attemptState int
+
+const (
+	// storing: the claim is being stored and was not handed out.
+	storing attemptState = iota
+	// handedOut: the relay may dispatch the call at any time.
+	handedOut
+	// finished: the call has a result that is not durable yet.
+	finished
+	// abandoned: the claim will not be handed out and is being released.
+	abandoned
+)
+
+// Keeper implements budget.Claims for one instance and answers other routers' questions about its claims. A claim
+// stays known until its result or its release is durable.
+type Keeper struct {
+	instance string
+	ledger   budget.Ledger
+	owners   Owners
+	ctx      context.Context
+	cancel   context.CancelFunc
+	retries  conc.WaitGroup
+
+	mu       sync.Mutex
+	closed   bool
+	last     uint64
+	attempts map[string]*attempt
+}
+
+// New returns a Keeper. The instance is the id under which the router registered.
+func New(instance string, ledger budget.Ledger, owners Owners) *Keeper {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Keeper{
+		instance: instance, ledger: ledger, owners: owners, ctx: ctx, cancel: cancel, attempts: map[string]*attempt{},
+	}
+}
+
+// Close ends the retries of results and releases that are not durable yet, and waits for them.
+func (k *Keeper) Close() {
+	k.mu.Lock()
+	k.closed = true
+	k.mu.Unlock()
+	k.cancel()
+	k.retries.Wait()
+}
+
+// Claim implements budget.Claims.
+func (k *Keeper) Claim(ctx context.Context, call budget.CallRequest) (budget.Claim, error) {
+	for range maxTries {
+		id := k.begin(call)
+		r, err := k.store(ctx, call, id)
+		switch {
+		case err != nil:
+			k.abandon(id)
+			return budget.Claim{}, outcome.NotRunf(outcome.ReasonClaimUnavailable, retryAfter, "claim was not stored: %v", err)
+		case r.Code == budget.CodeOK:
+			if !k.handOut(ctx, id) {
+				return budget.Claim{}, outcome.NotRunf(outcome.ReasonClaimUnavailable, retryAfter, "claim was stored too late")
+			}
+			return budget.Claim{Call: call, ID: id}, nil
+		case r.Code != budget.CodeClaimed || r.Claim == nil:
+			k.abandon(id)
+			return budget.Claim{}, outcome.NotRunf(outcome.ReasonClaimUnavailable, retryAfter, "claim was refused: %s %s", r.Code, r.Message)
+		}
+		k.drop(id)
+		c, again, err := k.other(ctx, call, r.Claim)
+		if !again {
+			return c, err
+		}
+	}
+	return budget.Claim{}, outcome.NotRunf(outcome.ReasonClaimUnavailable, retryAfter, "claim changes hands too often")
+}
+
+// begin registers a new attempt before anything is sent.
+func (k *Keeper) begin(call budget.CallRequest) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.last++
+	id := fmt.Sprintf("%s/claim/%d", k.instance, k.last)
+	k.attempts[id] = &attempt{call: call, began: time.Now().Round(0)}
+	return id
+}
+
+// store stores the claim. It repeats the same operation until its result is known, maxStore
+// has passed or ctx ends.
+func (k *Keeper) store(ctx context.Context, call budget.CallRequest, id string) (budget.Result, error) {
+	op := k.op(budget.OpClaim, call, id)
+	op.ID = id
+	return backoff.Retry(ctx, func() (budget.Result, error) { return k.apply(ctx, op) },
+		append(options(), backoff.WithMaxElapsedTime(maxStore))...)
+}
+
+// handOut reports whether the stored claim may be used. The caller's time must not be over, because the caller of
+// Claim treats an error of its context as not run.
+func (k *Keeper) handOut(ctx context.Context, id string) bool {
+	k.mu.Lock()
+	a := k.attempts[id]
+	ok := ctx.Err() == nil && a.state == storing && time.Now().Round(0).Sub(a.began) < maxHandOut
+	if ok {
+		a.state = handedOut
+	}
+	k.mu.Unlock()
+	if !ok {
+		k.abandon(id)
+	}
+	return ok
+}
+
+// other handles a call that another attempt has claimed. again reports that the claim was released and may be taken.
+func (k *Keeper) other(ctx context.Context, call budget.CallRequest, record *budget.ClaimRecord) (c budget.Claim, again bool, err error) {
+	if record.BodyHash != call.BodyHash {
+		return c, false, outcome.NotRunf(outcome.ReasonKeyReused, 0, "idempotency key %q was used with another body", call.IdempotencyKey)
+	}
+	stored := budget.Claim{Call: call, ID: record.ID, Stored: record.Result}
+	if record.Result != nil {
+		return stored, false, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxWait)
+	defer cancel()
+	state := Unknown
+	for ctx.Err() == nil {
+		var result *budget.StoredResult
+		state, result, err = k.ask(ctx, call, record)
+		if err == nil && state == Released {
+			return c, true, nil
+		}
+		if err == nil && state == Finished && result != nil {
+			stored.Stored = result
+			return stored, false, nil
+		}
+		if err != nil || state != InProgress {
+			break
+		}
+		sleep(ctx, askInterval)
+	}
+	return c, false, outcome.Unknownf(outcome.ReasonInProgress, retryAfter,
+		"instance %s owns the call and gave no result (state %d)", record.Owner, state)
+}
+
+func (k *Keeper) ask(ctx context.Context, call budget.CallRequest, record *budget.ClaimRecord) (State, *budget.StoredResult, error) {
+	if record.Owner == k.instance {
+		return k.Answer(ctx, call.Organisation, call.IdempotencyKey, record.ID)
+	}
+	return k.owners.Ask(ctx, record.Owner, call.Organisation, call.IdempotencyKey, record.ID)
+}
+
+// Finish implements budget.Claims.
+func (k *Keeper) Finish(ctx context.Context, c budget.Claim, result budget.StoredResult) error {
+	if len(result.Body) > maxBody {
+		result.Body, result.Truncated = nil, true
+	}
+	k.mu.Lock()
+	a := k.attempts[c.ID]
+	if a == nil || a.state != handedOut {
+		k.mu.Unlock()
+		return outcome.Unknownf(outcome.ReasonClaimUnavailable, 0, "claim %s is not held by this instance", c.ID)
+	}
+	a.state, a.result = finished, &result
+	k.mu.Unlock()
+	durable := k.record(k.op(budget.OpClaimResult, c.Call, c.ID), c.ID)
+	select {
+	case <-durable:
+		return nil
+	case <-ctx.Done():
+		return outcome.Unknownf(outcome.ReasonClaimUnavailable, 0, "result of claim %s is not durable yet", c.ID)
+	}
+}
+
+// Release implements budget.Claims.
+func (k *Keeper) Release(c budget.Claim) { k.abandon(c.ID) }
--- a/pkg/ledger/claims.go
+++ b/pkg/ledger/claims.go
@@ -81,7 +81,9 @@
 		return budget.Result{Code: budget.CodeOK}
 	}
 	if c.result != nil {
-		return invalid("claim %s has a result", c.id)
+		r := invalid("claim %s has a result", c.id)
+		r.Claim = c.record(op.Claim.Key)
+		return r
 	}
 	s.dropClaim(key, c)
 	return budget.Result{Code: budget.CodeOK}
