--- /dev/null
+++ b/pkg/instance/closer.go
@@ -0,0 +1,241 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/journal"
+	"github.com/lavendershunt/lavendershunt/pkg/ledger"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+// maxAttempts bounds the repeated reads of a record that others change at the same time.
+const maxAttempts = 8
+
+// Witnesses calls the witnesses of other instances.
+type Witnesses interface {
+	// Close closes the journal and returns its content. It returns journal.ErrNotWitness if the callee is not the
+	// named witness any more.
+	Close(ctx context.Context, w journal.Ref, instance string) (journal.Copy, error)
+	// Forget drops the content of a closed journal.
+	Forget(ctx context.Context, w journal.Ref, instance string) error
+}
+
+// ShardWriter applies operations to ledger shards; ledgerwriter.Writer implements it.
+type ShardWriter interface {
+	Apply(ctx context.Context, shard int, ops []budget.Op) ([]budget.Result, error)
+}
+
+// HeldError means that an instance can't be closed now, so that its tokens stay held.
+type HeldError struct {
+	Instance string
+	Reason   string
+}
+
+// Error implements error.
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("instance %s stays held: %s", e.Instance, e.Reason)
+}
+
+// Closer closes instances. Several closers may close the same instance at the same time, and any of them may
+// resume what another has begun: every step can be repeated.
+type Closer struct {
+	store     platform.Store
+	witnesses Witnesses
+	writer    ShardWriter
+	shards    int
+	router    string
+}
+
+// NewCloser returns a closer that acts for a router instance. The number of shards is that of the stored layout.
+func NewCloser(store platform.Store, witnesses Witnesses, writer ShardWriter, shards int, router string) *Closer {
+	return &Closer{store: store, witnesses: witnesses, writer: writer, shards: shards, router: router}
+}
+
+// Close closes an instance: its record is set to closing, every named witness closes the journal, the ledger settles
+// the bills and takes back the rest, and the record is deleted. It returns a *HeldError if a witness or the ledger
+// does not allow it now.
+func (c *Closer) Close(ctx context.Context, instance string) error {
+	return c.close(ctx, instance, false)
+}
+
+// Release closes an instance without the witnesses that do not answer. It is for operators: bills that only such a
+// witness had are lost, so the budget may be spent twice to that extent.
+func (c *Closer) Release(ctx context.Context, instance string) error {
+	return c.close(ctx, instance, true)
+}
+
+func (c *Closer) close(ctx context.Context, instance string, force bool) error {
+	r, err := c.update(ctx, instance, func(r *Record) { c.setClosing(r) })
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	copies, reason := c.collect(ctx, r)
+	if reason == "" || force {
+		if reason, err = c.closeHolder(ctx, instance, journal.Merge(copies)); err != nil {
+			return err
+		}
+	}
+	if reason != "" {
+		return c.hold(ctx, r, reason)
+	}
+	if err := c.remove(ctx, instance); err != nil {
+		return err
+	}
+	for _, w := range r.Witnesses {
+		// What is not dropped now is dropped by Prune.
+		_ = c.witnesses.Forget(ctx, w, instance)
+	}
+	return nil
+}
+
+func (c *Closer) setClosing(r *Record) {
+	if r.State != Closing {
+		r.State, r.Closer = Closing, c.router
+	}
+}
+
+// update changes the record by conditional update and returns the result. A lost response is resolved by reading
+// the record back.
+func (c *Closer) update(ctx context.Context, instance string, change func(*Record)) (Record, error) {
+	var last error
+	for range maxAttempts {
+		o, err := c.store.Get(ctx, Key(instance))
+		if err != nil {
+			return Record{}, fmt.Errorf("instance %s: read record: %w", instance, err)
+		}
+		old, err := decode(o.Value)
+		if err != nil {
+			return Record{}, err
+		}
+		r := old
+		change(&r)
+		value, err := r.encode()
+		if err != nil {
+			return Record{}, err
+		}
+		if r.State == old.State && r.Held == old.Held {
+			return r, nil
+		}
+		if _, last = c.store.Put(ctx, Key(instance), value, o.Revision); last == nil {
+			return r, nil
+		}
+		if !errors.Is(last, platform.ErrConflict) && !errors.Is(last, platform.ErrUncertain) {
+			break
+		}
+	}
+	return Record{}, fmt.Errorf("instance %s: change record: %w", instance, last)
+}
+
+// collect closes the journal at all witnesses. The reason is empty if all have answered.
+func (c *Closer) collect(ctx context.Context, r Record) (copies []journal.Copy, reason string) {
+	var reasons []string
+	for _, w := range r.Witnesses {
+		content, err := c.witnesses.Close(ctx, w, r.Instance)
+		switch {
+		case errors.Is(err, journal.ErrNotWitness):
+			reasons = append(reasons, fmt.Sprintf("witness %s has restarted and lost its copy", w.Router))
+		case err != nil:
+			reasons = append(reasons, fmt.Sprintf("witness %s at %s is not reachable", w.Router, w.Address))
+		default:
+			copies = append(copies, content)
+		}
+	}
+	return copies, strings.Join(reasons, "; ")
+}
+
+// closeHolder ends the holder in every shard. The operation has the same id for every closer, and the journals are
+// closed, so every closer sends the same content.
+func (c *Closer) closeHolder(ctx context.Context, instance string, f journal.Final) (reason string, err error) {
+	ops := make([]budget.Op, c.shards)
+	for _, e := range f.Bills {
+		op := &ops[ledger.ShardOf(e.Budget.Organisation, c.shards)]
+		op.Bills = append(op.Bills, budget.Bill{Budget: e.Budget, Key: e.Key, Tokens: e.Tokens})
+	}
+	for _, e := range slices.Concat(f.TransfersIn, f.TransfersOut) {
+		op := &ops[ledger.ShardOf(e.Budget.Organisation, c.shards)]
+		t := budget.Transfer{ID: e.Transfer, Budget: e.Budget, From: instance, To: e.Peer, Tokens: e.Tokens}
+		if e.Kind == journal.TransferIn {
+			t.From, t.To = e.Peer, instance
+		}
+		op.Transfers = append(op.Transfers, t)
+	}
+	for shard := range ops {
+		op := ops[shard]
+		op.ID, op.Kind, op.Holder = "close/"+instance, budget.OpCloseHolder, instance
+		results, err := c.writer.Apply(ctx, shard, []budget.Op{op})
+		if err != nil {
+			return "", fmt.Errorf("instance %s: close in shard %d: %w", instance, shard, err)
+		}
+		if len(results) != 1 || results[0].Code != budget.CodeOK {
+			return fmt.Sprintf("ledger shard %d refuses the closing: %+v", shard, results), nil
+		}
+	}
+	return "", nil
+}
+
+// hold records why the closing does not go on.
+func (c *Closer) hold(ctx context.Context, r Record, reason string) error {
+	held := &HeldError{Instance: r.Instance, Reason: reason}
+	if r.Held == reason {
+		return held
+	}
+	if _, err := c.update(ctx, r.Instance, func(r *Record) { r.Held = reason }); err != nil {
+		return errors.Join(held, err)
+	}
+	return held
+}
+
+// remove deletes the record of a closed instance.
+func (c *Closer) remove(ctx context.Context, instance string) error {
+	var last error
+	for range maxAttempts {
+		o, err := c.store.Get(ctx, Key(instance))
+		if errors.Is(err, platform.ErrNotFound) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("instance %s: read record: %w", instance, err)
+		}
+		last = c.store.Delete(ctx, Key(instance), o.Revision)
+		if last == nil || errors.Is(last, platform.ErrNotFound) {
+			return nil
+		}
+		if !errors.Is(last, platform.ErrConflict) && !errors.Is(last, platform.ErrUncertain) {
+			break
+		}
+	}
+	return fmt.Errorf("instance %s: delete record: %w", instance, last)
+}
+
+// Held returns the instances that are being closed, with the reason why their tokens stay held.
+func Held(ctx context.Context, store platform.Store) ([]Record, error) {
+	records, err := list(ctx, store, Prefix)
+	if err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(records, func(r Record) bool { return r.State != Closing }), nil
+}
+
+func list(ctx context.Context, store platform.Store, prefix string) ([]Record, error) {
+	objects, _, err := store.List(ctx, prefix)
+	if err != nil {
+		return nil, fmt.Errorf("instance: list records: %w", err)
+	}
+	records := make([]Record, 0, len(objects))
+	for _, o := range objects {
+		r, err := decode(o.Value)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, r)
+	}
+	return records, nil
+}
--- /dev/null
+++ b/pkg/instance/registry.go
@@ -0,0 +1,116 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/lavendershunt/lavendershunt/pkg/journal"
+	"github.com/lavendershunt/lavendershunt/pkg/member"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+// retryInterval is the time between two attempts to learn the outcome of a write.
+const retryInterval = 200 * time.Millisecond
+
+// Registry keeps the instance records of this router. It implements journal.Registrar.
+type Registry struct {
+	store  platform.Store
+	view   member.View
+	scopes []Scope
+	last   atomic.Uint64
+}
+
+var _ journal.Registrar = (*Registry)(nil)
+
+// NewRegistry returns a registry. An empty list of scopes stands for DefaultScopes.
+func NewRegistry(store platform.Store, view member.View, scopes []Scope) *Registry {
+	if len(scopes) == 0 {
+		scopes = DefaultScopes
+	}
+	return &Registry{store: store, view: view, scopes: scopes}
+}
+
+// Register implements journal.Registrar.
+func (g *Registry) Register(ctx context.Context) (journal.Registration, error) {
+	self := g.view.Self()
+	id := fmt.Sprintf("%s.%d", self.Instance, g.last.Add(1))
+	r := Record{
+		Instance: id, Router: self.Instance, VM: self.VM, Region: self.Region, Zone: self.Zone, State: Open,
+		Witnesses: Choose(g.view, id, g.scopes, nil),
+	}
+	value, err := r.encode()
+	if err != nil {
+		return journal.Registration{}, err
+	}
+	if _, err = g.store.Put(ctx, Key(id), value, 0); err != nil && !g.wrote(ctx, id, value, err) {
+		return journal.Registration{}, fmt.Errorf("instance %s: register: %w", id, err)
+	}
+	return journal.Registration{Instance: id, Witnesses: r.Witnesses}, nil
+}
+
+// wrote reports whether a write whose response was lost took effect. Otherwise the id is not used: a late effect
+// leaves a record without grants, which is closed like that of a failed instance.
+func (g *Registry) wrote(ctx context.Context, id string, value []byte, err error) bool {
+	if !errors.Is(err, platform.ErrUncertain) {
+		return false
+	}
+	o, err := g.store.Get(ctx, Key(id))
+	return err == nil && bytes.Equal(o.Value, value)
+}
+
+// Rewitness implements journal.Registrar.
+func (g *Registry) Rewitness(ctx context.Context, instance string, witnesses []journal.Ref) (changed, closed bool, err error) {
+	uncertain := false
+	for {
+		done, changed, closed, err := g.tryRewitness(ctx, instance, witnesses, &uncertain)
+		if done {
+			return changed, closed, nil
+		}
+		select {
+		case <-ctx.Done():
+			return false, false, fmt.Errorf("instance %s: change of witnesses: %w", instance, errors.Join(ctx.Err(), err))
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+// tryRewitness makes one attempt. Once a write is uncertain, only what a later read or write shows counts.
+func (g *Registry) tryRewitness(ctx context.Context, instance string, witnesses []journal.Ref, uncertain *bool) (done, changed, closed bool, err error) {
+	o, err := g.store.Get(ctx, Key(instance))
+	if errors.Is(err, platform.ErrNotFound) {
+		return true, false, true, nil
+	}
+	if err != nil {
+		return !*uncertain, false, false, err
+	}
+	r, err := decode(o.Value)
+	if err != nil {
+		return false, false, false, err
+	}
+	if r.State != Open {
+		return true, false, true, nil
+	}
+	if sameWitnesses(r.Witnesses, witnesses) {
+		return true, true, false, nil
+	}
+	r.Witnesses = witnesses
+	value, err := r.encode()
+	if err != nil {
+		return false, false, false, err
+	}
+	_, err = g.store.Put(ctx, Key(instance), value, o.Revision)
+	switch {
+	case err == nil:
+		return true, true, false, nil
+	case errors.Is(err, platform.ErrUncertain):
+		*uncertain = true
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
+	default:
+		return !*uncertain, false, false, err
+	}
+	return false, false, false, err
+}
--- a/pkg/ledger/history.go
+++ b/pkg/ledger/history.go
@@ -101,7 +101,6 @@
 	})
 }
 
-
 // trim drops the entries with the lowest sequence numbers, which raises the floor.
 func (s *Shard) trim(h *history) {
 	for len(h.entries) > historyMin {
--- a/pkg/purse/core.go
+++ b/pkg/purse/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/journal"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 )
 
@@ -17,17 +18,28 @@
 	ops          []budget.Op
 }
 
-// completion ends a call of Reserve or Settle.
+// completion ends a call of Reserve, Settle, recalled or given.
 type completion struct {
 	call        uint64
 	reservation budget.Reservation
 	failure     *outcome.Failure
+	// recalled answers a recall and given a transfer.
+	recalled RecallAnswer
+	given    TransferAnswer
 }
 
 // effects are the actions that an event has caused.
 type effects struct {
 	applies     []applyCall
+	appends     []journal.Append
+	recalls     []recallCall
+	transfers   []transferCall
 	completions []completion
+	// record is a set of witnesses that the instance record is to name; recordSet tells that there is one.
+	record    []journal.Ref
+	recordSet bool
+	// closed tells that the instance has been closed and a new one must be registered.
+	closed bool
 }
 
 // core is the state of a purse. It does no I/O and reads no clock.
@@ -35,39 +47,62 @@
 	settings Settings
 	instance string
 	out      effects
+	log      *journal.Log
+	peers    []string
 
 	accounts map[budget.ID]*account
-	// active lists the accounts in the order of their creation.
-	active       []*account
+	// active lists the accounts in the order of their creation, and hot those that every tick looks at.
+	active, hot  []*account
 	reservations map[uint64]*reservation
 	bills        map[billKey]*bill
 	flushes      map[string]*flush
-	lastID       uint64
-	lastOp       uint64
-	closed       bool
+	busy         []*flush
+	moves        map[string]*move
+	// awaiting maps positions in the journal to what waits for their acknowledgement.
+	awaiting map[uint64]func(now time.Time)
+	// unrecorded lists reservations that wait for a witness, the oldest first.
+	unrecorded []*reservation
+	callers    map[uint64]caller
+	nextScan   time.Time
+
+	lastID, lastOp, lastMove uint64
+	closed, draining         bool
 	// excess counts the tokens used above reservations; they are not billed.
 	excess budget.Tokens
 }
 
-func newCore(instance string, settings Settings) *core {
-	return &core{
+// caller is what a call waits for; one field is set.
+type caller struct {
+	waiter      *waiter
+	reservation *reservation
+	bill        *bill
+}
+
+func newCore(instance string, witnesses []journal.Ref, settings Settings) *core {
+	c := &core{
 		settings: settings.withDefaults(), instance: instance,
 		accounts: map[budget.ID]*account{}, reservations: map[uint64]*reservation{},
-		bills: map[billKey]*bill{}, flushes: map[string]*flush{},
+		bills: map[billKey]*bill{}, flushes: map[string]*flush{}, moves: map[string]*move{},
+		awaiting: map[uint64]func(time.Time){}, callers: map[uint64]caller{},
 	}
+	c.log = journal.NewLog(instance, witnesses, settings.Journal, c.openEntries)
+	return c
 }
 
 // take returns the effects caused since the last call.
-func (c *core) take() effects {
+func (c *core) take(now time.Time) effects {
+	c.send(now)
 	out := c.out
 	c.out = effects{}
 	return out
 }
 
 func (c *core) complete(call uint64, r budget.Reservation, failure *outcome.Failure) {
-	if call != 0 {
-		c.out.completions = append(c.out.completions, completion{call: call, reservation: r, failure: failure})
+	if call == 0 {
+		return
 	}
+	delete(c.callers, call)
+	c.out.completions = append(c.out.completions, completion{call: call, reservation: r, failure: failure})
 }
 
 func (c *core) account(id budget.ID) *account {
@@ -80,44 +115,75 @@
 	return a
 }
 
+func (c *core) heat(a *account) {
+	if !a.hot {
+		a.hot = true
+		c.hot = append(c.hot, a)
+	}
+}
+
 // reserve asks for tokens; the call is completed later.
 func (c *core) reserve(now time.Time, call uint64, req budget.Request) {
-	if c.closed {
+	switch {
+	case c.closed:
 		c.complete(call, budget.Reservation{}, closedFailure())
 		return
-	}
-	if req.UpperBound <= 0 {
+	case c.draining:
+		c.complete(call, budget.Reservation{}, outcome.NotRunf(outcome.ReasonLeaving, retryAdvice, "the router takes no new work"))
+		return
+	case req.UpperBound <= 0:
 		c.complete(call, budget.Reservation{}, outcome.NotRunf(outcome.ReasonBadRequest, 0, "the request has no upper bound"))
 		return
 	}
 	a := c.account(req.Budget)
 	a.demand.add(now, req.UpperBound, c.settings.DemandWindow)
 	a.lastUse = now
-	a.waiting = append(a.waiting, &waiter{call: call, request: req, deadline: now.Add(c.settings.ReserveWait)})
+	w := &waiter{call: call, request: req, account: a, began: now, deadline: now.Add(c.settings.ReserveWait)}
+	a.waiting = append(a.waiting, w)
+	c.callers[call] = caller{waiter: w}
 	c.serve(now, a)
 }
 
 // serve gives free tokens to the waiting requests in order and refills the account.
 func (c *core) serve(now time.Time, a *account) {
-	for len(a.waiting) > 0 && a.waiting[0].request.UpperBound <= a.free {
+	for !c.closed && len(a.waiting) > 0 && a.waiting[0].request.UpperBound <= a.free {
 		w := a.waiting[0]
 		a.waiting = a.waiting[1:]
-		c.open(a, w)
+		c.openReservation(now, w)
+	}
+	if len(a.waiting) > 0 {
+		c.heat(a)
+	} else {
+		a.waiting = nil
 	}
 	c.refill(now, a)
+	if c.draining {
+		c.giveBack(now, a, a.free)
+	}
 }
 
-func (c *core) open(a *account, w *waiter) {
+func (c *core) openReservation(now time.Time, w *waiter) {
 	c.lastID++
-	r := &reservation{id: c.lastID, account: a, request: w.request, tokens: w.request.UpperBound, call: w.call}
+	a := w.account
+	r := &reservation{
+		id: c.lastID, account: a, request: w.request, tokens: w.request.UpperBound, call: w.call,
+		span: c.flushOf(a.id.Organisation).begin(w.began), deadline: now.Add(c.settings.ReserveWait),
+	}
 	a.free -= r.tokens
 	a.reserved += r.tokens
 	c.reservations[r.id] = r
-	c.reserved(r)
+	c.callers[r.call] = caller{reservation: r}
+	r.seq = c.log.Add(now, r.entry(), true).Seq
+	if !c.log.Witnessed() {
+		c.recorded(r)
+		return
+	}
+	c.awaiting[r.seq] = func(time.Time) { c.recorded(r) }
+	c.unrecorded = append(c.unrecorded, r)
 }
 
-// reserved completes the call of Reserve once the reservation is recorded.
-func (c *core) reserved(r *reservation) {
+// recorded completes the call of Reserve once the reservation is recorded.
+func (c *core) recorded(r *reservation) {
 	call := r.call
 	r.call = 0
 	c.complete(call, budget.Reservation{Request: r.request, ID: r.id}, nil)
@@ -125,129 +191,85 @@
 
 // withdraw ends the wait of a Reserve or Settle call whose caller has gone. It reports the reason for the wait.
 func (c *core) withdraw(now time.Time, call uint64) {
-	for _, a := range c.active {
-		for i, w := range a.waiting {
-			if w.call == call {
-				a.waiting = append(a.waiting[:i:i], a.waiting[i+1:]...)
-				c.complete(call, budget.Reservation{}, c.refusal(a))
-				c.serve(now, a)
-				return
-			}
-		}
-	}
-	for _, r := range c.reservations {
-		if r.call == call {
-			r.call = 0
-			c.complete(call, budget.Reservation{}, outcome.NotRunf(outcome.ReasonNoWitness, retryAdvice, "the reservation was not recorded in time"))
-			c.cancel(now, r.id)
-			return
-		}
+	waits := c.callers[call]
+	switch {
+	case waits.waiter != nil:
+		c.drop(waits.waiter, c.refusal(waits.waiter.account))
+		c.serve(now, waits.waiter.account)
+	case waits.reservation != nil:
+		c.unrecordedInTime(now, waits.reservation)
+	case waits.bill != nil:
+		c.leave(waits.bill, call)
+		c.complete(call, budget.Reservation{}, notBilled("the bill was not recorded in time"))
+	default:
+		// A recall or transfer: what it has moved is found in the ledger.
+		c.out.completions = append(c.out.completions, completion{call: call, failure: unanswered()})
 	}
-	c.withdrawSettle(call)
 }
 
-func (c *core) withdrawSettle(call uint64) {
-	for _, b := range c.bills {
-		for i, waiting := range b.calls {
-			if waiting == call {
-				b.calls = append(b.calls[:i:i], b.calls[i+1:]...)
-				c.complete(call, budget.Reservation{}, notBilled("the bill was not recorded in time"))
-				return
-			}
+// drop removes a waiting request and refuses it.
+func (c *core) drop(w *waiter, failure *outcome.Failure) {
+	a := w.account
+	for i := range a.waiting {
+		if a.waiting[i] == w {
+			a.waiting = append(a.waiting[:i:i], a.waiting[i+1:]...)
+			break
 		}
 	}
+	c.complete(w.call, budget.Reservation{}, failure)
 }
 
-// settle bills a reservation; the call is completed once the bill is durable.
-func (c *core) settle(now time.Time, call, id uint64, used budget.Tokens) {
-	r, ok := c.reservations[id]
-	if !ok {
-		c.complete(call, budget.Reservation{}, notBilled("the reservation is not open"))
-		return
-	}
-	delete(c.reservations, id)
-	if used > r.tokens {
-		c.excess += used - r.tokens
-		used = r.tokens
-	}
-	a := r.account
-	a.reserved -= r.tokens
-	key := billKey{organisation: a.id.Organisation, key: r.request.IdempotencyKey}
-	if b, ok := c.bills[key]; ok {
-		// Another attempt of the same request was billed here; this one costs nothing.
-		a.free += r.tokens
-		c.join(b, call)
-	} else {
-		a.free += r.tokens - used
-		c.bill(now, &bill{key: key, account: a, tokens: used, calls: []uint64{call}})
-	}
-	c.serve(now, a)
-}
-
-func (c *core) join(b *bill, call uint64) {
-	if b.durable {
-		c.complete(call, budget.Reservation{}, nil)
-		return
-	}
-	b.calls = append(b.calls, call)
-}
-
-func (c *core) bill(now time.Time, b *bill) {
-	a := b.account
-	if len(a.unflushed) == 0 {
-		a.firstBill = now
-		f := c.flushOf(a.id.Organisation)
-		f.billed = append(f.billed, a)
-	}
-	a.billed += b.tokens
-	a.unflushed = append(a.unflushed, b)
-	c.bills[b.key] = b
-	c.flush(now, a.id.Organisation)
-}
-
-// durable completes the calls that wait for the bill.
-func (c *core) durable(b *bill) {
-	b.durable = true
-	for _, call := range b.calls {
-		c.complete(call, budget.Reservation{}, nil)
-	}
-	b.calls = nil
+func (c *core) unrecordedInTime(now time.Time, r *reservation) {
+	call := r.call
+	r.call = 0
+	c.complete(call, budget.Reservation{}, outcome.NotRunf(outcome.ReasonNoWitness, retryAdvice, "no witness has recorded the reservation in time"))
+	c.cancel(now, r.id)
 }
 
 // cancel frees a reservation without a bill.
 func (c *core) cancel(now time.Time, id uint64) {
 	r, ok := c.reservations[id]
-	if !ok {
+	if !ok || c.closed {
 		return
 	}
-	delete(c.reservations, id)
-	r.account.reserved -= r.tokens
+	c.end(r)
+	r.span.ended = true
 	r.account.free += r.tokens
+	c.log.Add(now, journal.Entry{Kind: journal.Cancel, Reservation: r.id, Budget: r.account.id}, false)
 	c.serve(now, r.account)
 }
 
+// end takes a reservation off the books; its tokens are then free or billed.
+func (c *core) end(r *reservation) {
+	delete(c.reservations, r.id)
+	delete(c.awaiting, r.seq)
+	r.account.reserved -= r.tokens
+}
+
 // close ends the instance: the ledger or a witness has refused it, so its tokens belong to others.
 func (c *core) close() {
 	if c.closed {
 		return
 	}
 	c.closed = true
+	c.out.closed = true
 	for _, a := range c.active {
 		for _, w := range a.waiting {
 			c.complete(w.call, budget.Reservation{}, closedFailure())
 		}
 		a.waiting = nil
 	}
-	for _, r := range c.reservations {
+	for _, r := range c.sortedReservations() {
 		c.complete(r.call, budget.Reservation{}, closedFailure())
 		r.call = 0
 	}
-	for _, b := range c.bills {
+	for _, b := range c.sortedBills() {
 		for _, call := range b.calls {
 			c.complete(call, budget.Reservation{}, notBilled("the instance was closed"))
 		}
 		b.calls = nil
 	}
+	c.closeMoves()
 }
 
 func closedFailure() *outcome.Failure {
--- a/pkg/purse/flush.go
+++ b/pkg/purse/flush.go
@@ -1,35 +1,55 @@
 package purse
 
 import (
+	"cmp"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
-	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
-// maxOps bounds the operations of one call to the ledger.
-const maxOps = 256
+const (
+	// maxOps bounds the operations of one call to the ledger. It is small against the number of operations per
+	// instance that the ledger remembers, so that a repeated call is recognised.
+	maxOps = 32
+	// maxBills bounds the bills of one operation.
+	maxBills = 256
+	// clockMargin is subtracted from the flush time that the ledger is told, for differences between clocks.
+	clockMargin = 30 * time.Second
+)
 
 // pendingOp is an operation that the ledger has not confirmed.
 type pendingOp struct {
 	op      budget.Op
 	account *account
 	bills   []*bill
+	move    *move
+	// probe marks a grant operation that only asks for the holders.
+	probe bool
+	// calls are recalls that wait for a return.
+	calls []uint64
 }
 
 // flush is the exchange with the ledger for one organisation. The operations of a call stay the same until its
 // result is known, because a call that failed may have taken effect.
 type flush struct {
 	organisation string
-	// billed lists the accounts with unflushed bills.
-	billed     []*account
+	// billed lists the accounts with unflushed bills; bills is the number of bills and firstBill the time of the
+	// oldest.
+	billed    []*account
+	bills     int
+	firstBill time.Time
+
 	queue      []*pendingOp
 	sent       []*pendingOp
 	inProgress bool
 	retryAt    time.Time
 	lastError  error
+	// spans are the requests that may still be billed, the oldest first.
+	spans []*span
+	busy  bool
 }
 
 func (c *core) flushOf(organisation string) *flush {
@@ -41,15 +61,60 @@
 	return f
 }
 
-func (c *core) enqueue(a *account, op budget.Op, bills []*bill) {
-	op.ID, op.Budget, op.Holder = c.opID(), a.id, c.instance
-	f := c.flushOf(a.id.Organisation)
-	f.queue = append(f.queue, &pendingOp{op: op, account: a, bills: bills})
+func (f *flush) begin(at time.Time) *span {
+	s := &span{began: at}
+	f.spans = append(f.spans, s)
+	return s
+}
+
+// flushedUntil returns the time before which every request is billed or cancelled, once the given bills are.
+func (f *flush) flushedUntil(now time.Time, bills []*bill) time.Time {
+	done := 0
+	for done < len(f.spans) && f.spans[done].ended {
+		done++
+	}
+	f.spans = f.spans[done:]
+	until := now
+	if len(f.spans) > 0 {
+		inOp := make(map[*span]bool, len(bills))
+		for _, b := range bills {
+			inOp[b.span] = true
+		}
+		for _, s := range f.spans {
+			if !s.ended && !inOp[s] && s.began.Before(until) {
+				until = s.began
+			}
+		}
+	}
+	return until.Add(-clockMargin)
+}
+
+func (f *flush) pending() bool {
+	return f.inProgress || len(f.queue) > 0 || len(f.sent) > 0 || len(f.billed) > 0
+}
+
+// away reports whether the platform can't be reached at present.
+func (f *flush) away() bool { return f.lastError != nil }
+
+func (c *core) enqueue(p *pendingOp) {
+	if p.op.ID == "" {
+		p.op.ID = c.opID()
+	}
+	if p.op.Holder == "" {
+		p.op.Holder = c.instance
+	}
+	p.op.Budget = p.account.id
+	f := c.flushOf(p.account.id.Organisation)
+	f.queue = append(f.queue, p)
 }
 
-// flush sends what is due for the organisation if no call is in progress. Bills go before grants.
+// flush sends what is due for the organisation if no call is in progress.
 func (c *core) flush(now time.Time, organisation string) {
 	f := c.flushOf(organisation)
+	if f.pending() && !f.busy {
+		f.busy = true
+		c.busy = append(c.busy, f)
+	}
 	if c.closed || f.inProgress || now.Before(f.retryAt) {
 		return
 	}
@@ -67,26 +132,62 @@
 	c.out.applies = append(c.out.applies, applyCall{organisation: organisation, ops: ops})
 }
 
+// collect returns the operations of the next call: transfers before the bills that they may pay for, and bills
+// and returns before grants.
 func (c *core) collect(now time.Time, f *flush) []*pendingOp {
-	grants := f.queue
-	f.queue = nil
+	if f.bills > 0 && c.settleDue(now, f) {
+		c.enqueueBills(now, f)
+	}
+	if len(f.queue) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(f.queue, func(a, b *pendingOp) int { return cmp.Compare(order(a.op.Kind), order(b.op.Kind)) })
+	n := min(len(f.queue), maxOps)
+	sent := slices.Clone(f.queue[:n])
+	f.queue = slices.Clone(f.queue[n:])
+	return sent
+}
+
+// settleDue reports whether bills are to be sent now: at once without witnesses, else after an interval or together
+// with other operations.
+func (c *core) settleDue(now time.Time, f *flush) bool {
+	due := !c.log.Witnessed() || c.draining || len(f.queue) > 0 || f.bills >= c.settings.FlushBills ||
+		now.Sub(f.firstBill) >= c.settings.FlushInterval
+	if due && !c.log.MaySettle(f.organisation) {
+		c.log.HasMarks()
+		return false
+	}
+	return due
+}
+
+func (c *core) enqueueBills(now time.Time, f *flush) {
 	for _, a := range f.billed {
-		c.enqueue(a, budget.Op{Kind: budget.OpSettle, Bills: records(a.unflushed)}, a.unflushed)
-		a.unflushed = nil
-	}
-	f.billed = nil
-	all := append(f.queue, grants...)
-	n := min(len(all), maxOps)
-	f.queue = append([]*pendingOp(nil), all[n:]...)
-	return all[:n]
+		n := min(len(a.unflushed), maxBills)
+		bills := a.unflushed[:n:n]
+		op := budget.Op{Kind: budget.OpSettle, Bills: make([]budget.Bill, n)}
+		for i, b := range bills {
+			op.Bills[i] = b.record()
+		}
+		op.FlushedMS = f.flushedUntil(now, bills).UnixMilli()
+		c.enqueue(&pendingOp{op: op, account: a, bills: bills})
+		a.unflushed = a.unflushed[n:]
+		f.bills -= n
+	}
+	f.billed = slices.DeleteFunc(f.billed, func(a *account) bool { return len(a.unflushed) == 0 })
+	f.firstBill = now
 }
 
-func records(bills []*bill) []budget.Bill {
-	out := make([]budget.Bill, len(bills))
-	for i, b := range bills {
-		out[i] = b.record()
+func order(k budget.OpKind) int {
+	switch k {
+	case budget.OpTransfer:
+		return 0
+	case budget.OpSettle:
+		return 1
+	case budget.OpReturn:
+		return 2
+	default:
+		return 3
 	}
-	return out
 }
 
 // applied takes the result of a call to the ledger.
@@ -96,16 +197,21 @@
 	if c.closed {
 		return
 	}
+	if err == nil && len(results) != len(f.sent) {
+		err = errResults
+	}
 	f.lastError = err
-	if err != nil || len(results) != len(f.sent) {
+	if err != nil {
 		f.retryAt = now.Add(c.settings.RetryInterval)
 		return
 	}
 	sent := f.sent
 	f.sent = nil
 	for i, p := range sent {
-		if results[i].Code == budget.CodeHolderClosed {
+		if results[i].Code == budget.CodeHolderClosed && p.op.Kind != budget.OpTransfer {
 			c.close()
+		}
+		if c.closed {
 			return
 		}
 		c.confirm(now, p, results[i])
@@ -113,120 +219,27 @@
 	c.flush(now, organisation)
 }
 
+// errResults means that a call did not return one result per operation.
+var errResults = errors.New("purse: the ledger returned another number of results than operations")
+
 func (c *core) confirm(now time.Time, p *pendingOp, result budget.Result) {
 	if result.Preference != "" {
 		p.account.preference = result.Preference
 	}
 	switch p.op.Kind {
 	case budget.OpSettle:
-		c.settled(p, result)
+		c.settled(now, p, result)
 	case budget.OpGrant:
 		c.granted(now, p, result)
 	case budget.OpReturn:
-		p.account.away -= p.op.Tokens
-	}
-	c.serve(now, p.account)
-}
-
-func (c *core) settled(p *pendingOp, result budget.Result) {
-	if result.Code != budget.CodeOK {
-		// The grant no longer covers the bills: an operator has released it.
-		c.close()
-		return
-	}
-	duplicates := map[string]bool{}
-	for _, key := range result.Duplicates {
-		duplicates[key] = true
-	}
-	for _, b := range p.bills {
-		p.account.billed -= b.tokens
-		if duplicates[b.key.key] {
-			p.account.free += b.tokens
-		}
-		c.durable(b)
-		delete(c.bills, b.key)
-	}
-}
-
-func (c *core) granted(now time.Time, p *pendingOp, result budget.Result) {
-	a := p.account
-	a.refilling = false
-	switch result.Code {
-	case budget.CodeOK:
-		a.free += result.Granted
-		if result.Granted < p.op.Want {
-			a.nextRefill = now.Add(c.settings.RecallInterval)
-		}
-	case budget.CodeBudgetUnknown:
-		c.refuseAll(a, outcome.NotRunf(outcome.ReasonBudgetUnknown, 0, "budget %s does not exist", a.id))
-	case budget.CodeExhausted:
-		c.refuseFirst(a, p.op.Need)
-		a.nextRefill = now.Add(c.settings.RecallInterval)
-	default:
-		a.nextRefill = now.Add(c.settings.RecallInterval)
-	}
-}
-
-func (c *core) refuseAll(a *account, failure *outcome.Failure) {
-	for _, w := range a.waiting {
-		c.complete(w.call, budget.Reservation{}, failure)
-	}
-	a.waiting = nil
-}
-
-// refuseFirst refuses the first request if the ledger could not cover it.
-func (c *core) refuseFirst(a *account, need budget.Tokens) {
-	if len(a.waiting) == 0 || a.waiting[0].request.UpperBound-a.free < need {
-		return
-	}
-	w := a.waiting[0]
-	a.waiting = a.waiting[1:]
-	c.complete(w.call, budget.Reservation{}, outcome.NotRunf(outcome.ReasonBudgetExhausted, 0, "budget %s has too few tokens left", a.id))
-}
-
-// refill asks for tokens if requests wait or the free tokens will run out soon.
-func (c *core) refill(now time.Time, a *account) {
-	if c.closed || a.refilling {
-		return
-	}
-	horizon := a.demand.over(now, c.settings.DemandWindow, c.settings.horizon(a.preference))
-	var need, waiting budget.Tokens
-	for _, w := range a.waiting {
-		waiting += w.request.UpperBound
-	}
-	if waiting > 0 {
-		need = max(1, a.waiting[0].request.UpperBound-a.free)
-	} else if a.free < horizon/2 {
-		need = 1
+		c.returned(p, result)
+	case budget.OpTransfer:
+		c.moved(now, p, result)
 	}
-	if need == 0 || now.Before(a.nextRefill) {
-		return
-	}
-	a.refilling = true
-	want := max(need, waiting+horizon-a.free)
-	c.enqueue(a, budget.Op{Kind: budget.OpGrant, Need: need, Want: want}, nil)
-	c.flush(now, a.id.Organisation)
-}
-
-// refusal returns the failure of a request that waited until its deadline.
-func (c *core) refusal(a *account) *outcome.Failure {
-	if err := c.flushOf(a.id.Organisation).lastError; err != nil && errors.Is(err, platform.ErrUnavailable) {
-		return outcome.NotRunf(outcome.ReasonPlatformAway, retryAdvice, "the platform is not reachable and no tokens of %s are left here", a.id)
+	if !c.closed {
+		c.serve(now, p.account)
 	}
-	return outcome.NotRunf(outcome.ReasonGrantUnavailable, retryAdvice, "no tokens of %s could be obtained in time", a.id)
 }
 
-// tick ends waits whose deadline has passed, repeats failed calls and sends what is due.
-func (c *core) tick(now time.Time) {
-	for _, a := range c.active {
-		for len(a.waiting) > 0 && !now.Before(a.waiting[0].deadline) {
-			w := a.waiting[0]
-			a.waiting = a.waiting[1:]
-			c.complete(w.call, budget.Reservation{}, c.refusal(a))
-		}
-		c.serve(now, a)
-	}
-	for _, a := range c.active {
-		c.flush(now, a.id.Organisation)
-	}
-}
+// isAway reports whether the error tells that the platform is not reachable by any path.
+func isAway(err error) bool { return errors.Is(err, platform.ErrUnavailable) }
--- a/pkg/purse/purse.go
+++ b/pkg/purse/purse.go
@@ -7,15 +7,45 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/journal"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 )
 
-// tickInterval is the time between checks of deadlines and retries.
-const tickInterval = 20 * time.Millisecond
+const (
+	// tickInterval is the time between checks of deadlines and retries.
+	tickInterval = 20 * time.Millisecond
+	// applyTimeout bounds one call to the ledger; it is repeated after that.
+	applyTimeout = 5 * time.Second
+	// peerTimeout bounds one call to another router.
+	peerTimeout = time.Second
+	// eventQueue is the number of events that wait for the task.
+	eventQueue = 1024
+)
+
+// Peers calls other routers. Implementations are safe for concurrent use.
+type Peers interface {
+	// Append sends a journal message to the witness at a.Address.
+	Append(ctx context.Context, a journal.Append) (journal.Code, error)
+	// Recall asks a holder to return idle tokens to the ledger.
+	Recall(ctx context.Context, from, holder string, id budget.ID, need budget.Tokens) (RecallAnswer, error)
+	// Transfer asks a router for idle tokens.
+	Transfer(ctx context.Context, to, router string, id budget.ID, need, want budget.Tokens) (TransferAnswer, error)
+	// Routers returns the other routers that may be asked for tokens.
+	Routers() []string
+}
+
+// Config is what a purse needs.
+type Config struct {
+	Registration journal.Registration
+	Ledger       budget.Ledger
+	Peers        Peers
+	Registrar    journal.Registrar
+	Settings     Settings
+}
 
 // Purse implements budget.Purse.
 type Purse struct {
-	ledger budget.Ledger
+	config Config
 	events chan func(now time.Time, c *core)
 	ended  chan struct{}
 	core   *core
@@ -26,12 +56,18 @@
 
 var _ budget.Purse = (*Purse)(nil)
 
-// New returns a purse that spends grants made to the instance. Run must be called.
-func New(instance string, ledger budget.Ledger, settings Settings) *Purse {
-	return &Purse{
-		ledger: ledger, events: make(chan func(time.Time, *core), 1024), ended: make(chan struct{}),
-		core: newCore(instance, settings), calls: map[uint64]chan completion{},
+// New returns a purse that spends grants made to the registered instance, or registers one if none is given. Run
+// must be called.
+func New(config Config) *Purse {
+	p := &Purse{
+		config: config, events: make(chan func(time.Time, *core), eventQueue), ended: make(chan struct{}),
+		core:  newCore(config.Registration.Instance, config.Registration.Witnesses, config.Settings),
+		calls: map[uint64]chan completion{},
+	}
+	if config.Registration.Instance == "" {
+		p.core.close()
 	}
+	return p
 }
 
 // Run handles events until ctx ends.
@@ -40,19 +76,27 @@
 	defer ticker.Stop()
 	defer p.tasks.Wait()
 	defer close(p.ended)
+	p.carryOut(ctx, p.core.take(time.Now()))
 	for {
+		var now time.Time
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case now = <-ticker.C:
+			if p.config.Peers != nil {
+				p.core.peers = p.config.Peers.Routers()
+			}
 			p.core.tick(now)
 		case event := <-p.events:
-			event(time.Now(), p.core)
+			now = time.Now()
+			event(now, p.core)
 		}
-		p.carryOut(ctx, p.core.take())
+		p.carryOut(ctx, p.core.take(now))
 	}
 }
 
+// carryOut starts what an event has caused. Results go back to the core that caused it; they are dropped if the
+// instance was closed meanwhile.
 func (p *Purse) carryOut(ctx context.Context, out effects) {
 	for _, done := range out.completions {
 		if reply, ok := p.calls[done.call]; ok {
@@ -61,13 +105,97 @@
 		}
 	}
 	for _, call := range out.applies {
-		p.tasks.Go(func() {
-			results, err := p.ledger.Apply(ctx, call.organisation, call.ops)
-			p.send(func(now time.Time, c *core) { c.applied(now, call.organisation, results, err) })
+		p.start(ctx, applyTimeout, func(ctx context.Context) func(time.Time, *core) {
+			results, err := p.config.Ledger.Apply(ctx, call.organisation, call.ops)
+			return func(now time.Time, c *core) { c.applied(now, call.organisation, results, err) }
+		})
+	}
+	for _, a := range out.appends {
+		p.start(ctx, peerTimeout, func(ctx context.Context) func(time.Time, *core) {
+			code, err := p.config.Peers.Append(ctx, a)
+			return func(now time.Time, c *core) { c.appended(now, a, code, err) }
+		})
+	}
+	p.carryOutPeers(ctx, out)
+	if out.recordSet {
+		p.rewitness(ctx, out.record)
+	}
+	if out.closed && p.config.Registrar != nil {
+		p.register(ctx)
+	}
+}
+
+func (p *Purse) carryOutPeers(ctx context.Context, out effects) {
+	self := p.core.instance
+	for _, call := range out.recalls {
+		p.start(ctx, peerTimeout, func(ctx context.Context) func(time.Time, *core) {
+			answer, err := p.config.Peers.Recall(ctx, self, call.holder, call.budget, call.need)
+			return func(now time.Time, c *core) { c.recalledBy(now, call, answer, err) }
+		})
+	}
+	for _, call := range out.transfers {
+		p.start(ctx, peerTimeout, func(ctx context.Context) func(time.Time, *core) {
+			answer, err := p.config.Peers.Transfer(ctx, self, call.peer, call.budget, call.need, call.want)
+			return func(now time.Time, c *core) { c.givenBy(now, call, answer, err) }
 		})
 	}
 }
 
+// start runs a call and passes its result to the core that caused it.
+func (p *Purse) start(ctx context.Context, timeout time.Duration, call func(context.Context) func(time.Time, *core)) {
+	cause := p.core
+	p.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		result := call(ctx)
+		p.send(func(now time.Time, c *core) {
+			if c == cause {
+				result(now, c)
+			}
+		})
+	})
+}
+
+// rewitness changes the instance record until the outcome is known.
+func (p *Purse) rewitness(ctx context.Context, set []journal.Ref) {
+	cause := p.core
+	p.tasks.Go(func() {
+		changed, closed, err := p.config.Registrar.Rewitness(ctx, cause.instance, set)
+		if err != nil {
+			return
+		}
+		p.send(func(now time.Time, c *core) {
+			if c == cause {
+				c.rewitnessed(now, changed, closed)
+			}
+		})
+	})
+}
+
+// register replaces a closed instance by a new one. Reservations of the closed one can't be billed.
+func (p *Purse) register(ctx context.Context) {
+	p.tasks.Go(func() {
+		for ctx.Err() == nil {
+			r, err := p.config.Registrar.Register(ctx)
+			if err == nil {
+				p.send(func(_ time.Time, c *core) { p.replace(c, r) })
+				return
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Second):
+			}
+		}
+	})
+}
+
+func (p *Purse) replace(closed *core, r journal.Registration) {
+	next := newCore(r.Instance, r.Witnesses, p.config.Settings)
+	next.lastID, next.lastMove, next.draining = closed.lastID, closed.lastMove, closed.draining
+	next.excess, next.peers = closed.excess, closed.peers
+	p.core = next
+}
+
 // send passes an event to the task; it reports false if the task has ended.
 func (p *Purse) send(event func(now time.Time, c *core)) bool {
 	select {
@@ -78,17 +206,31 @@
 	}
 }
 
-// call passes an event that is completed later and waits for its completion.
+// ask runs a function in the task and waits for it.
+func (p *Purse) ask(f func(now time.Time, c *core)) bool {
+	done := make(chan struct{})
+	if !p.send(func(now time.Time, c *core) { f(now, c); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-p.ended:
+		return false
+	}
+}
+
+// call passes an event that is completed later and waits for its completion. If ctx ends first, the wait is
+// withdrawn, and the completion tells what became of the call.
 func (p *Purse) call(ctx context.Context, start func(now time.Time, c *core, call uint64)) (completion, bool) {
 	reply := make(chan completion, 1)
-	var call uint64
-	ok := p.send(func(now time.Time, c *core) {
+	number := make(chan uint64, 1)
+	if !p.send(func(now time.Time, c *core) {
 		p.last++
-		call = p.last
-		p.calls[call] = reply
-		start(now, c, call)
-	})
-	if !ok {
+		p.calls[p.last] = reply
+		number <- p.last
+		start(now, c, p.last)
+	}) {
 		return completion{}, false
 	}
 	select {
@@ -97,7 +239,7 @@
 	case <-p.ended:
 		return completion{}, false
 	case <-ctx.Done():
-		p.send(func(now time.Time, c *core) { c.withdraw(now, call) })
+		p.send(func(now time.Time, c *core) { c.withdraw(now, <-number) })
 	}
 	select {
 	case done := <-reply:
@@ -110,13 +252,12 @@
 // Reserve implements budget.Purse.
 func (p *Purse) Reserve(ctx context.Context, req budget.Request) (budget.Reservation, error) {
 	done, ok := p.call(ctx, func(now time.Time, c *core, call uint64) { c.reserve(now, call, req) })
-	if !ok {
+	switch {
+	case !ok:
 		return budget.Reservation{}, outcome.NotRunf(outcome.ReasonLeaving, retryAdvice, "the router has stopped")
-	}
-	if done.failure != nil {
+	case done.failure != nil:
 		return budget.Reservation{}, done.failure
-	}
-	if ctx.Err() != nil {
+	case ctx.Err() != nil:
 		p.Cancel(done.reservation)
 		return budget.Reservation{}, outcome.NotRunf(outcome.ReasonDeadline, 0, "the caller has gone")
 	}
--- a/pkg/purse/purse_test.go
+++ b/pkg/purse/purse_test.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/journal"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
@@ -26,7 +27,7 @@
 
 // startPurse runs a purse until the test ends.
 func startPurse(t *testing.T, ledger budget.Ledger) *Purse {
-	p := New("i1", ledger, Settings{})
+	p := New(Config{Registration: journal.Registration{Instance: "i1"}, Ledger: ledger})
 	ctx, cancel := context.WithCancel(t.Context())
 	var tasks conc.WaitGroup
 	tasks.Go(func() { p.Run(ctx) })
--- /dev/null
+++ b/pkg/purse/rpc.go
@@ -0,0 +1,138 @@
+package purse
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+
+	pursev1 "github.com/lavendershunt/lavendershunt/api/ls/purse/v1"
+	"github.com/lavendershunt/lavendershunt/api/ls/purse/v1/pursev1connect"
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/journal"
+	"github.com/lavendershunt/lavendershunt/pkg/member"
+)
+
+// ErrNoAddress means that a router is not in the membership view.
+var ErrNoAddress = errors.New("purse: router is not known")
+
+// RouterOf returns the router instance of an instance that holds grants.
+func RouterOf(instance string) string {
+	if i := strings.LastIndexByte(instance, '.'); i >= 0 {
+		return instance[:i]
+	}
+	return instance
+}
+
+// Service answers recalls and transfers of other routers.
+type Service struct {
+	purse *Purse
+}
+
+var _ pursev1connect.PurseServiceHandler = (*Service)(nil)
+
+// NewService returns the service of a purse.
+func NewService(p *Purse) *Service { return &Service{purse: p} }
+
+// Handler returns the path and the handler for the peer API.
+func (s *Service) Handler(options ...connect.HandlerOption) (string, http.Handler) {
+	return pursev1connect.NewPurseServiceHandler(s, options...)
+}
+
+// Recall implements PurseService.
+func (s *Service) Recall(ctx context.Context, req *connect.Request[pursev1.RecallRequest]) (*connect.Response[pursev1.RecallResponse], error) {
+	id := budget.ID{Organisation: req.Msg.GetOrganisation(), Budget: req.Msg.GetBudget()}
+	answer, err := s.purse.Recall(ctx, req.Msg.GetHolder(), id, req.Msg.GetNeed())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&pursev1.RecallResponse{
+		Returned: answer.Returned, Reserved: answer.Reserved, NotHolder: answer.NotHolder,
+	}), nil
+}
+
+// Transfer implements PurseService.
+func (s *Service) Transfer(ctx context.Context, req *connect.Request[pursev1.TransferRequest]) (*connect.Response[pursev1.TransferResponse], error) {
+	id := budget.ID{Organisation: req.Msg.GetOrganisation(), Budget: req.Msg.GetBudget()}
+	answer, err := s.purse.Give(ctx, req.Msg.GetTo(), id, req.Msg.GetNeed(), req.Msg.GetWant())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&pursev1.TransferResponse{Id: answer.ID, From: answer.From, Tokens: answer.Tokens}), nil
+}
+
+// RemotePeers implements Peers over the network.
+type RemotePeers struct {
+	view    member.View
+	journal *journal.Client
+	http    connect.HTTPClient
+	options []connect.ClientOption
+}
+
+var _ Peers = (*RemotePeers)(nil)
+
+// NewRemotePeers returns peers that are called with the HTTP client of the peer API.
+func NewRemotePeers(view member.View, journal *journal.Client, http connect.HTTPClient, options ...connect.ClientOption) *RemotePeers {
+	return &RemotePeers{view: view, journal: journal, http: http, options: options}
+}
+
+// Append implements Peers.
+func (r *RemotePeers) Append(ctx context.Context, a journal.Append) (journal.Code, error) {
+	return r.journal.Append(ctx, a)
+}
+
+func (r *RemotePeers) to(router string) (pursev1connect.PurseServiceClient, error) {
+	for _, m := range r.view.Members() {
+		if m.Instance == router {
+			return pursev1connect.NewPurseServiceClient(r.http, "http://"+m.PeerAddress, r.options...), nil
+		}
+	}
+	return nil, fmt.Errorf("%w: %s", ErrNoAddress, router)
+}
+
+// Recall implements Peers.
+func (r *RemotePeers) Recall(ctx context.Context, from, holder string, id budget.ID, need budget.Tokens) (RecallAnswer, error) {
+	client, err := r.to(RouterOf(holder))
+	if err != nil {
+		return RecallAnswer{}, err
+	}
+	response, err := client.Recall(ctx, connect.NewRequest(&pursev1.RecallRequest{
+		Organisation: id.Organisation, Budget: id.Budget, Need: need, From: from, Holder: holder,
+	}))
+	if err != nil {
+		return RecallAnswer{}, fmt.Errorf("purse: recall from %s: %w", holder, err)
+	}
+	return RecallAnswer{
+		Returned: response.Msg.GetReturned(), Reserved: response.Msg.GetReserved(), NotHolder: response.Msg.GetNotHolder(),
+	}, nil
+}
+
+// Transfer implements Peers.
+func (r *RemotePeers) Transfer(ctx context.Context, to, router string, id budget.ID, need, want budget.Tokens) (TransferAnswer, error) {
+	client, err := r.to(router)
+	if err != nil {
+		return TransferAnswer{}, err
+	}
+	response, err := client.Transfer(ctx, connect.NewRequest(&pursev1.TransferRequest{
+		Organisation: id.Organisation, Budget: id.Budget, Need: need, Want: want, To: to,
+	}))
+	if err != nil {
+		return TransferAnswer{}, fmt.Errorf("purse: transfer from %s: %w", router, err)
+	}
+	return TransferAnswer{ID: response.Msg.GetId(), From: response.Msg.GetFrom(), Tokens: response.Msg.GetTokens()}, nil
+}
+
+// Routers implements Peers.
+func (r *RemotePeers) Routers() []string {
+	self := r.view.Self().Instance
+	var out []string
+	for _, m := range r.view.Members() {
+		if m.State == member.Alive && m.Instance != self {
+			out = append(out, m.Instance)
+		}
+	}
+	return out
+}
--- a/pkg/purse/settings.go
+++ b/pkg/purse/settings.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/journal"
 )
 
 // Settings are the limits of a purse. Zero values are replaced by the defaults.
@@ -24,19 +25,27 @@
 	RetryInterval time.Duration
 	// RecallInterval is the time after which a recall that brought too little is repeated.
 	RecallInterval time.Duration
+	// ScarceTime is how long tokens that nobody waits for are not asked for after the ledger had too few.
+	ScarceTime time.Duration
+	// TransferInterval is the time between two rounds of asking other routers for tokens.
+	TransferInterval time.Duration
 	// DemandWindow is the time constant of the demand estimate.
 	DemandWindow time.Duration
 	// Horizons gives the time that a grant is to last, by preference.
 	Horizons map[budget.Preference]time.Duration
 	// IdleTimes gives the time without a reservation after which unspent tokens are returned, by preference.
 	IdleTimes map[budget.Preference]time.Duration
+	// Journal are the intervals of the journal.
+	Journal journal.Timing
 }
 
 func (s Settings) withDefaults() Settings {
 	setDuration(&s.ReserveWait, 2*time.Second)
 	setDuration(&s.FlushInterval, 500*time.Millisecond)
 	setDuration(&s.RetryInterval, 100*time.Millisecond)
-	setDuration(&s.RecallInterval, 100*time.Millisecond)
+	setDuration(&s.RecallInterval, 250*time.Millisecond)
+	setDuration(&s.ScarceTime, time.Second)
+	setDuration(&s.TransferInterval, 500*time.Millisecond)
 	setDuration(&s.DemandWindow, 5*time.Second)
 	if s.FlushBills == 0 {
 		s.FlushBills = 256
@@ -64,3 +73,10 @@
 	}
 	return s.Horizons[budget.AvoidOverspend]
 }
+
+func (s Settings) idleTime(p budget.Preference) time.Duration {
+	if d, ok := s.IdleTimes[p]; ok {
+		return d
+	}
+	return s.IdleTimes[budget.AvoidOverspend]
+}
