--- /dev/null
+++ b/pkg/router/books.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/claim"
+	"github.com/lavendershunt/lavendershunt/pkg/instance"
+	"github.com/lavendershunt/lavendershunt/pkg/journal"
+	"github.com/lavendershunt/lavendershunt/pkg/ledgerrpc"
+	"github.com/lavendershunt/lavendershunt/pkg/ledgerwriter"
+	"github.com/lavendershunt/lavendershunt/pkg/member"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/purse"
+)
+
+// defaultShards is the number of ledger shards that a new deployment gets.
+const defaultShards = 64
+
+// books are the parts of a router that keep budgets, bills and claims.
+type books struct {
+	store    platform.Store
+	members  member.View
+	writer   *ledgerwriter.Writer
+	peers    *ledgerrpc.Peers
+	ledger   *lateLedger
+	claims   *claim.Keeper
+	journals *journal.Client
+	witness  *journal.Service
+	registry *instance.Registry
+	purse    *purse.Purse
+	manager  atomic.Pointer[instance.Manager]
+}
+
+func newBooks(store platform.Store, members member.View, peers *http.Client) *books {
+	b := &books{store: store, members: members, ledger: &lateLedger{}}
+	b.writer = ledgerwriter.New(ledgerwriter.Options{Store: store})
+	b.peers = ledgerrpc.NewPeers(peers, members)
+	b.claims = claim.New(members.Self().Instance, b.ledger, b.peers)
+	b.journals = journal.NewClient(peers)
+	b.witness = journal.NewService(members.Self().Instance)
+	b.registry = instance.NewRegistry(store, members, nil)
+	b.purse = purse.New(purse.Config{
+		Ledger: b.ledger, Peers: purse.NewRemotePeers(members, b.journals, peers), Registrar: b.registry,
+	})
+	return b
+}
+
+// run works until ctx ends.
+func (b *books) run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	tasks.Go(func() { b.purse.Run(ctx) })
+	tasks.Go(func() { b.load(ctx) })
+	tasks.Wait()
+	b.claims.Close()
+	b.writer.Close()
+}
+
+// load reads the number of shards, with retries until ctx ends, and starts what needs it. A router can so start
+// while the platform is unavailable.
+func (b *books) load(ctx context.Context) {
+	for ctx.Err() == nil {
+		shards, err := ledgerwriter.Layout(ctx, b.store, defaultShards)
+		if err != nil {
+			sleep(ctx, retryInterval)
+			continue
+		}
+		b.ledger.client.Store(ledgerwriter.NewClient(b.writer, b.peers, b.members, shards))
+		closer := instance.NewCloser(b.store, b.journals, b.writer, shards, b.members.Self().Instance)
+		manager := instance.NewManager(b.store, b.members, b.purse, b.witness, closer, nil, instance.Intervals{})
+		b.manager.Store(manager)
+		manager.Run(ctx)
+	}
+}
+
+// stop gives the grants back at a graceful stop.
+func (b *books) stop(ctx context.Context) error {
+	manager := b.manager.Load()
+	if manager == nil {
+		return nil
+	}
+	if err := manager.Stop(ctx); err != nil {
+		return fmt.Errorf("give grants back: %w", err)
+	}
+	return nil
+}
+
+// register adds the services that other routers call.
+func (b *books) register(mux *http.ServeMux) {
+	mux.Handle(b.witness.Handler())
+	mux.Handle(purse.NewService(b.purse).Handler())
+	mux.Handle(ledgerrpc.NewHandler(b.ledger, b.claims))
+}
+
+// lateLedger is a ledger that becomes usable once the number of its shards is known.
+type lateLedger struct {
+	client atomic.Pointer[ledgerwriter.Client]
+}
+
+func (l *lateLedger) ready() (*ledgerwriter.Client, error) {
+	if client := l.client.Load(); client != nil {
+		return client, nil
+	}
+	return nil, fmt.Errorf("the number of ledger shards is not known yet: %w", platform.ErrUnavailable)
+}
+
+// Apply implements budget.Ledger.
+func (l *lateLedger) Apply(ctx context.Context, organisation string, ops []budget.Op) ([]budget.Result, error) {
+	client, err := l.ready()
+	if err != nil {
+		return nil, err
+	}
+	return client.Apply(ctx, organisation, ops)
+}
+
+// ApplyHere implements ledgerrpc.Here.
+func (l *lateLedger) ApplyHere(ctx context.Context, organisation string, ops []budget.Op) ([]budget.Result, error) {
+	client, err := l.ready()
+	if err != nil {
+		return nil, err
+	}
+	return client.ApplyHere(ctx, organisation, ops)
+}
+
+// Read implements budget.Ledger.
+func (l *lateLedger) Read(ctx context.Context, organisation string) ([]budget.Status, error) {
+	client, err := l.ready()
+	if err != nil {
+		return nil, err
+	}
+	return client.Read(ctx, organisation)
+}
+
+// ReadHere implements ledgerrpc.Here.
+func (l *lateLedger) ReadHere(ctx context.Context, organisation string) ([]budget.Status, error) {
+	client, err := l.ready()
+	if err != nil {
+		return nil, err
+	}
+	return client.ReadHere(ctx, organisation)
+}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -17,15 +17,11 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lavendershunt/lavendershunt/pkg/admin"
-	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
 	"github.com/lavendershunt/lavendershunt/pkg/gateway"
-	"github.com/lavendershunt/lavendershunt/pkg/ledgerwriter"
 	"github.com/lavendershunt/lavendershunt/pkg/logging"
 	"github.com/lavendershunt/lavendershunt/pkg/member"
-	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/platform/httpstore"
-	"github.com/lavendershunt/lavendershunt/pkg/purse"
 	"github.com/lavendershunt/lavendershunt/pkg/relay"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/selector"
@@ -41,13 +37,13 @@
 	metrics  *telemetry.Metrics
 	platform *httpstore.Store
 	config   *config.Store
+	members  member.View
+	peers    *http.Client
 	vms      vmList
 	selector *selector.Selector
-	purse    *purse.Purse
+	books    *books
 	gateway  *gateway.Gateway
 	admin    *admin.Server
-	ledger   *lateLedger
-	writer   *ledgerwriter.Writer
 	requests atomic.Uint64
 }
 
@@ -76,46 +72,33 @@
 }
 
 func (r *Router) assemble() error {
+	r.members = solo{r.self}
+	r.peers = newPeerClient()
 	r.selector = selector.New(selector.Options{
 		Here: route.Location{Region: r.self.Region, Zone: r.self.Zone}, Log: r.log, Leaving: r.config.Leaving,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	r.ledger = &lateLedger{}
-	r.writer = ledgerwriter.New(ledgerwriter.Options{Store: r.platform})
-	r.purse = purse.New(r.self.Instance, r.ledger, purse.Settings{})
+	r.books = newBooks(r.platform, r.members, r.peers)
 	relay := relay.New(relay.Relay{
-		Purse: r.purse, Claims: noClaims{}, Selector: r.selector, Metrics: relay.NewMetrics(r.metrics.Meter),
+		Purse: r.books.purse, Claims: r.books.claims, Selector: r.selector, Metrics: relay.NewMetrics(r.metrics.Meter),
 	})
 	r.gateway = gateway.New(gateway.Options{
-		Config: r.config, Members: solo{r.self}, Relay: relay, Log: r.log,
+		Config: r.config, Members: r.members, Relay: relay, Log: r.log,
 		AddressTTL: r.settings.Intervals.AddressTTL.Std(), NewID: r.newRequestID,
 	})
 	r.admin = admin.NewServer(admin.Deps{
-		Platform: r.platform, Config: r.config, Publish: func([]config.Entry) {}, Ledger: r.ledger, Members: solo{r.self},
+		Platform: r.platform, Config: r.config, Publish: func([]config.Entry) {}, Ledger: r.books.ledger, Members: r.members,
 		VMs: r.vms.get, OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
 	})
 	return nil
 }
 
-func (r *Router) newLedgerClient(shards int) *ledgerwriter.Client {
-	return ledgerwriter.NewClient(r.writer, nil, solo{r.self}, shards)
-}
-
 // solo is a view of a fleet of one.
 type solo struct{ self member.Member }
 
 func (s solo) Self() member.Member      { return s.self }
 func (s solo) Members() []member.Member { return []member.Member{s.self} }
 
-// noClaims refuses non-idempotent calls.
-type noClaims struct{}
-
-func (noClaims) Claim(context.Context, budget.CallRequest) (budget.Claim, error) {
-	return budget.Claim{}, outcome.NotRunf(outcome.ReasonClaimUnavailable, 0, "claims are not available")
-}
-func (noClaims) Finish(context.Context, budget.Claim, budget.StoredResult) error { return nil }
-func (noClaims) Release(budget.Claim)                                            {}
-
 // newRequestID returns an id that is unique across the fleet, because instance ids are.
 func (r *Router) newRequestID() string {
 	return r.self.Instance + "." + strconv.FormatUint(r.requests.Add(1), 36)
@@ -131,57 +114,69 @@
 	if err != nil {
 		return fmt.Errorf("listen.admin: %w", err)
 	}
+	peerListener, err := listen(r.settings.Listen.Peer)
+	if err != nil {
+		return fmt.Errorf("listen.peer: %w", err)
+	}
 	tasks, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTasks()
 	var running conc.WaitGroup
 	defer running.Wait()
-	running.Go(func() { r.selector.Run(tasks) })
-	running.Go(func() { r.purse.Run(tasks) })
-	running.Go(func() { r.watchConfig(tasks) })
-	running.Go(func() { r.ledger.load(tasks, r.platform, r.newLedgerClient) })
-	running.Go(func() { r.pollVMs(tasks) })
-	servers := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout}
-	failed := make(chan error, 2)
+	for _, task := range []func(context.Context){r.selector.Run, r.books.run, r.watchConfig, r.pollVMs} {
+		running.Go(func() { task(tasks) })
+	}
+	adminServer := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout}
+	peerServer := newPeerServer(r.peerHandler())
+	failed := make(chan error, 3)
 	running.Go(func() { failed <- r.gateway.Serve(caller) })
-	running.Go(func() { failed <- serveHTTP(servers, adminListener) })
+	running.Go(func() { failed <- serveHTTP(adminServer, adminListener) })
+	running.Go(func() { failed <- serveHTTP(peerServer, peerListener) })
 	r.log.WithFields(log.Fields{"caller": caller.Addr().String(), "admin": adminListener.Addr().String()}).Info("router started")
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
-		r.drain()
+		err = r.drain()
 	}
-	closeServers(r.gateway, servers)
+	r.stopServing(adminServer, peerServer)
 	stopTasks()
 	return err
 }
 
-func listen(address string) (net.Listener, error) {
-	return net.Listen("tcp", address)
-}
-
-func serveHTTP(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
-	}
-	return nil
-}
-
-// drain waits until no request is in progress.
-func (r *Router) drain() {
+// drain waits until no request is in progress and then gives the grants back.
+func (r *Router) drain() error {
 	<-r.gateway.Idle()
+	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
+	defer cancel()
+	return r.books.stop(ctx)
 }
 
 const (
 	headerTimeout   = 5 * time.Second
 	shutdownTimeout = 2 * time.Second
+	// returnTimeout bounds the wait for the platform when grants are given back. Other routers close the instance
+	// if it is not enough.
+	returnTimeout = 30 * time.Second
 )
 
-func closeServers(g *gateway.Gateway, admin *http.Server) {
+// stopServing closes the listeners. Only idle connections are left, so a timeout here loses nothing.
+func (r *Router) stopServing(servers ...*http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	// Only idle connections are left, so a timeout here loses nothing.
-	_ = g.Shutdown(ctx)
-	_ = admin.Shutdown(ctx)
+	_ = r.gateway.Shutdown(ctx)
+	for _, server := range servers {
+		_ = server.Shutdown(ctx)
+	}
+}
+
+func listen(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
+
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
+	}
+	return nil
 }
 
 func (r *Router) adminHandler() http.Handler {
@@ -190,3 +185,9 @@
 	mux.Handle("/metrics", r.metrics.Handler)
 	return mux
 }
+
+func (r *Router) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	r.books.register(mux)
+	return mux
+}
