Add the load tool's run command and the demo

make demo needs a whole fleet with faults whose invariants are counted from outside the routers: from the callers' answers, the records of the stand-ins and the ledger's stored shards. The follower of the ledger decodes the stored form itself, so that a fault in the routers' books can't hide itself.

--- /dev/null
+++ b/pkg/load/caller/answers.go
@@ -0,0 +1,123 @@
+package caller
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/lavendershunt/lavendershunt/pkg/engine"
+	"github.com/lavendershunt/lavendershunt/pkg/load/evidence"
+	"github.com/lavendershunt/lavendershunt/pkg/service"
+)
+
+// maxLine bounds one line of a stream.
+const maxLine = 1 << 20
+
+var errNoOutcome = errors.New("the answer has no outcome")
+
+// readEcho checks the echo of a plain service. Another status than 200 is passed on from the service: the call ran.
+func (x *exchange) readEcho(status int, body []byte) error {
+	if status != http.StatusOK {
+		x.attempt.Outcome, x.attempt.Reason = "unknown", "service_status"
+		x.attempt.Detail = fmt.Sprintf("status %d", status)
+		return nil
+	}
+	var echo service.Echo
+	if err := json.Unmarshal(body, &echo); err != nil {
+		return err
+	}
+	x.attempt.Outcome = "done"
+	x.request.Match = evidence.MatchWhole
+	if echo.Body != string(x.item.Body) || echo.IdempotencyKey != x.item.Key {
+		x.request.Match, x.request.Crossed = evidence.MatchOther, true
+	}
+	return nil
+}
+
+func (x *exchange) readWhole(status int, body []byte) error {
+	var answer engine.Completion
+	if err := json.Unmarshal(body, &answer); err != nil || status != http.StatusOK || len(answer.Choices) != 1 {
+		return fmt.Errorf("%w: status %d", errNoOutcome, status)
+	}
+	x.attempt.Outcome = "done"
+	x.request.Usage = int64(answer.Usage.TotalTokens)
+	x.compare(answer.Choices[0].Message.Content, true)
+	return nil
+}
+
+// chunk holds what a caller reads of a chunk of a stream.
+type chunk struct {
+	Choices []engine.ChunkChoice `json:"choices"`
+	Usage   *engine.Usage        `json:"usage"`
+}
+
+// readStream reads server-sent events up to the end of the answer.
+func (x *exchange) readStream(body io.Reader) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), maxLine)
+	var text strings.Builder
+	event, tokens := "", 0
+	var usage *engine.Usage
+	for lines.Scan() {
+		x.watchdog.Reset(x.item.Mix.Silence)
+		line := lines.Text()
+		if name, ok := strings.CutPrefix(line, "event: "); ok {
+			event = name
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		switch {
+		case !ok:
+		case event == "error":
+			x.compare(text.String(), false)
+			if !x.readFailure([]byte(data)) {
+				return errNoOutcome
+			}
+			return nil
+		case data == "[DONE]":
+			return x.streamEnd(text.String(), usage)
+		default:
+			var c chunk
+			if err := json.Unmarshal([]byte(data), &c); err != nil {
+				return err
+			}
+			if c.Usage != nil {
+				usage = c.Usage
+			}
+			if len(c.Choices) == 1 && c.Choices[0].Delta.Content != "" {
+				if tokens == 0 {
+					x.attempt.FirstToken = time.Now()
+				}
+				if tokens == x.item.HangUpAfter {
+					x.compare(text.String(), false)
+					x.attempt.Outcome = evidence.HungUp
+					x.hangUp()
+					return nil
+				}
+				tokens++
+				text.WriteString(c.Choices[0].Delta.Content)
+			}
+		}
+	}
+	x.compare(text.String(), false)
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return io.ErrUnexpectedEOF
+}
+
+// streamEnd takes a stream as whole only if usage came before the end mark.
+func (x *exchange) streamEnd(text string, usage *engine.Usage) error {
+	if usage == nil {
+		x.compare(text, false)
+		return errNoOutcome
+	}
+	x.attempt.Outcome = "done"
+	x.request.Usage = int64(usage.TotalTokens)
+	x.compare(text, true)
+	return nil
+}
--- /dev/null
+++ b/pkg/load/caller/caller.go
@@ -0,0 +1,133 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/lavendershunt/lavendershunt/pkg/load/evidence"
+	"github.com/lavendershunt/lavendershunt/pkg/load/work"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// pauseMin and pauseMax bound the pause before a further round over the addresses.
+	pauseMin = 50 * time.Millisecond
+	pauseMax = 2 * time.Second
+	// maxAttempts bounds the evidence of one request.
+	maxAttempts = 40
+)
+
+// NewHTTPClient returns the client of all callers. Each request has a connection of its own: on a reused one a caller
+// can't tell whether a router that closes it has seen the request, and the HTTP library would repeat requests that
+// carry an idempotency key without counting the attempts.
+func NewHTTPClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true, DisableCompression: true, DialContext: dialer.DialContext,
+		WriteBufferSize: 32 << 10, ReadBufferSize: 8 << 10,
+	}}
+}
+
+// Caller sends requests of one organisation with one copy of the address answer.
+type Caller struct {
+	HTTP *http.Client
+	Book *Book
+	// Key is the bearer key, Budget the budget that pays.
+	Key    string
+	Budget string
+}
+
+// Do sends the request until its outcome is known or its caller's patience is over, and returns the evidence.
+func (c *Caller) Do(ctx context.Context, item work.Item, intended time.Time) *evidence.Request {
+	r := newRequest(item, intended)
+	r.Budget = c.Budget
+	ctx, cancel := context.WithDeadline(ctx, intended.Add(item.Mix.Patience))
+	defer cancel()
+	pause := pauseMin
+	for next := 0; ctx.Err() == nil && len(r.Attempts) < maxAttempts; next++ {
+		addresses := c.Book.Addresses(ctx)
+		if len(addresses) == 0 {
+			sleep(ctx, pause)
+			continue
+		}
+		a := c.attempt(ctx, item, r, addresses[next%len(addresses)])
+		r.Attempts = append(r.Attempts, a)
+		if final(a) {
+			break
+		}
+		if (next+1)%len(addresses) == 0 {
+			c.Book.Forget()
+			sleep(ctx, max(pause, a.RetryAfter))
+			pause = min(2*pause, pauseMax)
+		} else if a.RetryAfter > 0 && a.Reason != "" {
+			sleep(ctx, min(a.RetryAfter, pause))
+		}
+	}
+	conclude(r)
+	r.End = time.Now()
+	return r
+}
+
+func newRequest(item work.Item, intended time.Time) *evidence.Request {
+	m := item.Mix
+	r := &evidence.Request{
+		Mix: m.Name, Class: m.Class, Organisation: m.Organisation, Key: item.Key, Kind: evidence.Chat,
+		Deadline: m.Deadline, Intended: intended, UpperBound: item.UpperBound, Whole: item.Whole, MaxCharge: item.MaxCharge,
+	}
+	if m.Service != "" {
+		r.Kind, r.Once = evidence.Call, m.Once
+	}
+	return r
+}
+
+// final reports whether a caller stops after the attempt: it has the answer, or a refusal that another router would
+// give too.
+func final(a evidence.Attempt) bool {
+	switch a.Outcome {
+	case "done", evidence.HungUp:
+		return true
+	case "not_run":
+		switch a.Reason {
+		case "budget_exhausted", "budget_unknown", "bad_request", "unauthorized", "forbidden", "not_found", "too_large",
+			"idempotency_key_reused", "deadline_cannot_be_met":
+			return true
+		}
+	case "unknown":
+		return a.Reason == "request_crashes_endpoints"
+	}
+	return false
+}
+
+// conclude sets what the caller knows in the end. An attempt without an answer may have run, and a later one that was
+// not run does not change that.
+func conclude(r *evidence.Request) {
+	r.Outcome = "not_run"
+	for _, a := range r.Attempts {
+		switch a.Outcome {
+		case "unknown", evidence.Broken:
+			r.Outcome = "unknown"
+		}
+		if a.Reason != "" {
+			r.Reason = a.Reason
+		}
+	}
+	if n := len(r.Attempts); n > 0 {
+		switch last := r.Attempts[n-1]; last.Outcome {
+		case "done":
+			r.Outcome, r.Reason = "done", ""
+		case evidence.HungUp:
+			r.Outcome, r.Reason = evidence.HungUp, ""
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/load/caller/direct.go
@@ -0,0 +1,35 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/lavendershunt/lavendershunt/pkg/engine"
+	"github.com/lavendershunt/lavendershunt/pkg/load/work"
+)
+
+var directClient = sync.OnceValue(NewHTTPClient)
+
+// Direct runs a chat completion at an engine without a router, and reads the whole answer.
+func Direct(ctx context.Context, item work.Item, address, requestID string) error {
+	ctx, cancel := context.WithTimeout(ctx, item.Mix.Patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+engine.PathChat, bytes.NewReader(item.Body))
+	if err != nil {
+		return fmt.Errorf("direct request: %w", err)
+	}
+	req.Header.Set(engine.HeaderRequestID, requestID)
+	resp, err := directClient().Do(req)
+	if err != nil {
+		return fmt.Errorf("direct request: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("direct request: status %d: %w", resp.StatusCode, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/load/observe/ledger.go
@@ -0,0 +1,155 @@
+package observe
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	ledgerv1 "github.com/lavendershunt/lavendershunt/api/ls/ledger/v1"
+	"github.com/lavendershunt/lavendershunt/pkg/load/evidence"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+const (
+	ledgerPrefix = "ledger/"
+	pollWait     = time.Second
+	retryPause   = 200 * time.Millisecond
+)
+
+type budgetName struct{ organisation, budget string }
+
+// Ledger follows all versions of the ledger's shards at the platform. It decodes the stored form itself, so that the
+// routers' own code for books is not part of the evidence.
+type Ledger struct {
+	store platform.Store
+
+	mu          sync.Mutex
+	budgets     map[budgetName]evidence.Budget
+	settlements []evidence.Settlement
+	topUps      []evidence.TopUp
+	gaps        int
+}
+
+// NewLedger returns a follower.
+func NewLedger(store platform.Store) *Ledger {
+	return &Ledger{store: store, budgets: map[budgetName]evidence.Budget{}}
+}
+
+// Run follows the shards until ctx ends.
+func (l *Ledger) Run(ctx context.Context) {
+	after, listed := uint64(0), false
+	for ctx.Err() == nil {
+		var objects []platform.Object
+		var err error
+		if listed {
+			objects, after, err = l.poll(ctx, after)
+			listed = err == nil || !errors.Is(err, platform.ErrGap)
+		} else {
+			objects, after, err = l.store.List(ctx, ledgerPrefix)
+			listed = err == nil
+		}
+		if err != nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		for _, o := range objects {
+			l.take(o)
+		}
+	}
+}
+
+func (l *Ledger) poll(ctx context.Context, after uint64) ([]platform.Object, uint64, error) {
+	objects, next, err := l.store.Poll(ctx, ledgerPrefix, after, pollWait)
+	if err != nil {
+		if errors.Is(err, platform.ErrGap) {
+			l.mu.Lock()
+			l.gaps++
+			l.mu.Unlock()
+		}
+		return nil, after, err
+	}
+	return objects, next, nil
+}
+
+// take compares a version of a shard with the version before it.
+func (l *Ledger) take(object platform.Object) {
+	state := &ledgerv1.ShardState{}
+	if object.Deleted || proto.Unmarshal(object.Value, state) != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, org := range state.Organisations {
+		for _, b := range org.Budgets {
+			l.takeBudget(org.Id, b)
+		}
+	}
+}
+
+func (l *Ledger) takeBudget(organisation string, b *ledgerv1.BudgetState) {
+	name := budgetName{organisation, b.Name}
+	before := l.budgets[name]
+	now := evidence.Budget{
+		Organisation: organisation, Name: b.Name, ToppedUp: b.ToppedUp, Settled: b.Settled, Holders: len(b.GrantHolders),
+		Bills: before.Bills,
+	}
+	if now.Bills == nil {
+		now.Bills = map[uint64]bool{}
+	}
+	for _, tokens := range b.GrantTokens {
+		now.Granted += tokens
+	}
+	var added []uint64
+	for _, key := range b.BillKeys {
+		if !now.Bills[key] {
+			now.Bills[key] = true
+			added = append(added, key)
+		}
+	}
+	if grown := b.Settled - before.Settled; grown != 0 || len(added) > 0 {
+		l.settlements = append(l.settlements, evidence.Settlement{Organisation: organisation, Budget: b.Name, Tokens: grown, Bills: added})
+	}
+	if b.ToppedUp != before.ToppedUp {
+		l.topUps = append(l.topUps, evidence.TopUp{Organisation: organisation, Budget: b.Name, At: time.Now(), Total: b.ToppedUp})
+	}
+	l.budgets[name] = now
+}
+
+// Billed reports whether the ledger holds a bill of the request.
+func (l *Ledger) Billed(organisation, key string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	hash := evidence.BillKey(organisation, key)
+	for name, b := range l.budgets {
+		if name.organisation == organisation && b.Bills[hash] {
+			return true
+		}
+	}
+	return false
+}
+
+// Fill puts what was seen into the evidence.
+func (l *Ledger) Fill(e *evidence.Evidence) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.budgets {
+		e.Budgets = append(e.Budgets, b)
+	}
+	e.Settlements, e.TopUps = l.settlements, l.topUps
+	if l.gaps > 0 {
+		e.Lost = append(e.Lost, fmt.Sprintf("ledger: %d gaps in the watch; several versions count as one there", l.gaps))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/load/run/run.go
@@ -0,0 +1,201 @@
+// Package run carries out a scenario against a fleet: load, faults, observation and the counts at the end.
+package run
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lavendershunt/lavendershunt/pkg/load/caller"
+	"github.com/lavendershunt/lavendershunt/pkg/load/control"
+	"github.com/lavendershunt/lavendershunt/pkg/load/evidence"
+	"github.com/lavendershunt/lavendershunt/pkg/load/fault"
+	"github.com/lavendershunt/lavendershunt/pkg/load/fleet"
+	"github.com/lavendershunt/lavendershunt/pkg/load/observe"
+	"github.com/lavendershunt/lavendershunt/pkg/load/report"
+	"github.com/lavendershunt/lavendershunt/pkg/load/scenario"
+	"github.com/lavendershunt/lavendershunt/pkg/load/work"
+	"github.com/lavendershunt/lavendershunt/pkg/platform/httpstore"
+)
+
+// maxInFlight bounds the requests in progress. More would measure the tool and not the fleet.
+const maxInFlight = 8000
+
+// Runner is one run. Progress and Run may be called at the same time.
+type Runner struct {
+	fleet    fleet.Fleet
+	scenario scenario.Scenario
+	id       string
+	start    time.Time
+
+	control  *control.Client
+	injector *fault.Injector
+	ledger   *observe.Ledger
+	configs  *observe.Configs
+	engines  []*observe.Records
+	services []*observe.Records
+
+	sent     atomic.Int64
+	inFlight atomic.Int64
+
+	mu        sync.Mutex
+	requests  []*evidence.Request
+	outcomes  map[string]int
+	addresses []caller.AddressAnswer
+	direct    *hdrhistogram.Histogram
+}
+
+// New returns a runner, or an error if the scenario names an organisation without a key.
+func New(f fleet.Fleet, s scenario.Scenario) (*Runner, error) {
+	for i, m := range s.Mixes {
+		if _, ok := f.KeyOf(m.Organisation); !ok {
+			return nil, fmt.Errorf("mixes[%d].organisation: the fleet file has no key of %q", i, m.Organisation)
+		}
+	}
+	for i, fault := range s.Faults {
+		if _, ok := f.Find(fault.VM); fault.VM != "" && !ok {
+			return nil, fmt.Errorf("faults[%d].vm: the fleet file has no VM %q", i, fault.VM)
+		}
+	}
+	admin := control.NewAdmin(f)
+	r := &Runner{
+		fleet: f, scenario: s, id: strconv.FormatInt(time.Now().UnixMilli(), 36), control: control.NewClient(),
+		ledger:  observe.NewLedger(httpstore.New(httpstore.Options{Address: f.Platform.Address, ClientID: "lsload"})),
+		configs: observe.NewConfigs(admin, f), outcomes: map[string]int{}, direct: report.NewHistogram(),
+	}
+	r.injector = fault.New(f, r.control, admin)
+	byVM := map[string]*observe.Records{}
+	for _, p := range f.Engines {
+		byVM[p.VM] = observe.NewRecords(r.control, p, false)
+		r.engines = append(r.engines, byVM[p.VM])
+	}
+	for _, p := range f.Services {
+		byVM[p.VM] = observe.NewRecords(r.control, p, true)
+		r.services = append(r.services, byVM[p.VM])
+	}
+	r.injector.BeforeExit = func(vm string) {
+		if records := byVM[vm]; records != nil {
+			records.Close(context.Background())
+		}
+	}
+	return r, nil
+}
+
+// Run carries out the scenario and returns the summary and the requests. It ends early when ctx ends, undoes the
+// faults and then still counts what was seen.
+func (r *Runner) Run(ctx context.Context) (*report.Summary, []*evidence.Request) {
+	watching, stopWatching := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWatching()
+	var watchers conc.WaitGroup
+	watchers.Go(func() { r.ledger.Run(watching) })
+	watchers.Go(func() { r.configs.Run(watching) })
+	for _, list := range [][]*observe.Records{r.engines, r.services} {
+		for _, records := range list {
+			watchers.Go(func() { records.Run(watching) })
+		}
+	}
+	r.mu.Lock()
+	r.start = time.Now()
+	r.mu.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, r.scenario.Duration+r.scenario.Settle)
+	defer cancel()
+	var faults conc.WaitGroup
+	faults.Go(func() { r.injector.Run(bounded, r.start, r.scenario.Faults) })
+	r.load(bounded)
+	loaded := time.Now()
+	faults.Wait()
+	r.injector.Undo(watching)
+	r.settle(ctx)
+	r.readRecords(watching)
+	stopWatching()
+	watchers.Wait()
+	return r.summary(loaded), r.requests
+}
+
+// load sends all requests and waits for their outcomes.
+func (r *Runner) load(ctx context.Context) {
+	var tasks conc.WaitGroup
+	for i := range r.scenario.Mixes {
+		tasks.Go(func() { r.sendMix(ctx, i) })
+	}
+	tasks.Wait()
+}
+
+func (r *Runner) sendMix(ctx context.Context, index int) {
+	m := &r.scenario.Mixes[index]
+	source := work.NewSource(&r.scenario, index, r.id)
+	callers := r.callers(m, index)
+	var requests conc.WaitGroup
+	defer requests.Wait()
+	for n := 1; ; n++ {
+		item, ok := source.Next()
+		if !ok || !sleepUntil(ctx, r.start.Add(item.At)) {
+			return
+		}
+		r.sent.Add(1)
+		intended := r.start.Add(item.At)
+		if r.inFlight.Add(1) > maxInFlight {
+			r.inFlight.Add(-1)
+			r.add(&evidence.Request{Mix: m.Name, Class: m.Class, Organisation: m.Organisation, Key: item.Key, Kind: evidence.Chat,
+				Outcome: "not_run", Reason: "load_tool_limit", Intended: intended, End: time.Now()})
+			continue
+		}
+		requests.Go(func() {
+			defer r.inFlight.Add(-1)
+			r.add(callers[item.Caller].Do(ctx, item, intended))
+		})
+		if item.Chat != nil && r.scenario.DirectEvery > 0 && n%r.scenario.DirectEvery == 0 {
+			requests.Go(func() { r.sendDirect(ctx, item, intended, n) })
+		}
+	}
+}
+
+func (r *Runner) callers(m *scenario.Mix, index int) []*caller.Caller {
+	key, _ := r.fleet.KeyOf(m.Organisation)
+	budget := m.Budget
+	if budget == "" {
+		budget = key.Budget
+	}
+	client := caller.NewHTTPClient()
+	var bootstrap []string
+	for _, router := range r.fleet.Routers {
+		bootstrap = append(bootstrap, router.Caller)
+	}
+	var callers []*caller.Caller
+	for n := range m.Callers {
+		seed := r.scenario.Seed + uint64(index)<<16 + uint64(n)
+		book := caller.NewBook(client, bootstrap, key.Key, seed, r.addAddresses)
+		callers = append(callers, &caller.Caller{HTTP: client, Book: book, Key: key.Key, Budget: budget})
+	}
+	return callers
+}
+
+func (r *Runner) add(request *evidence.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests = append(r.requests, request)
+	r.outcomes[request.Outcome]++
+}
+
+func (r *Runner) addAddresses(answer caller.AddressAnswer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addresses = append(r.addresses, answer)
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
