--- /dev/null
+++ b/pkg/router/fleet_test.go
@@ -0,0 +1,245 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lavendershunt/lavendershunt/internal/standin"
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/config"
+	"github.com/lavendershunt/lavendershunt/pkg/engine"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/platform/memstore"
+	"github.com/lavendershunt/lavendershunt/pkg/service"
+	"github.com/lavendershunt/lavendershunt/pkg/settings"
+)
+
+const (
+	callerKey = "caller-key"
+	testModel = "demo"
+	// settleTime bounds every wait for the fleet; it is far above what is needed, so that a slow machine passes.
+	settleTime = 20 * time.Second
+)
+
+// fleet is a deployment in one process, with real sockets on loopback addresses of its own.
+type fleet struct {
+	t        *testing.T
+	network  string
+	hosts    int
+	store    *memstore.Store
+	address  string
+	engines  []*engine.Engine
+	services []*service.Service
+	vms      []platform.VM
+	routers  []*running
+}
+
+type running struct {
+	*Router
+	caller string
+	stop   context.CancelFunc
+	ended  chan error
+}
+
+var networks atomic.Int64
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{
+		t: t, store: memstore.New(memstore.Options{}),
+		// The process id keeps test binaries that run at the same time apart.
+		network: fmt.Sprintf("127.%d.%d", 10+os.Getpid()%240, networks.Add(1)),
+	}
+	f.address = f.serve("platform", memstore.NewServer(f.store, -1).Handle)
+	f.put(config.ClassPrefix+"briefing", config.Class{Name: "briefing", Target: config.TargetWhole, MaxOutputTokens: 64})
+	f.put(config.ClassPrefix+"ride", config.Class{Name: "ride", Target: config.TargetWhole, MaxOutputTokens: 1, NonIdempotent: true})
+	f.put(config.OrganisationPrefix+"velocar", config.Organisation{ID: "velocar", DefaultClass: "briefing"})
+	sum := sha256.Sum256([]byte(callerKey))
+	hash := hex.EncodeToString(sum[:])
+	f.put(config.KeyPrefix+hash, config.Key{SHA256: hash, Organisation: "velocar", Budget: "main"})
+	return f
+}
+
+// host returns an address that no other part of the fleet uses.
+func (f *fleet) host() string {
+	f.hosts++
+	return fmt.Sprintf("%s.%d", f.network, f.hosts)
+}
+
+func (f *fleet) serve(name string, handle fasthttp.RequestHandler) string {
+	listener, err := net.Listen("tcp", f.host()+":7000")
+	must.NoError(f.t, err)
+	server := standin.NewServer(name, handle, 4<<20)
+	go func() { _ = server.Serve(listener) }()
+	f.t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+func (f *fleet) put(key string, value any) {
+	data, err := json.Marshal(value)
+	must.NoError(f.t, err)
+	_, err = f.store.Client("test").Put(f.t.Context(), key, data, 0)
+	must.NoError(f.t, err)
+}
+
+func (f *fleet) addVM(vm platform.VM) {
+	vm.Region, vm.State = "r", platform.VMLive
+	f.vms = append(f.vms, vm)
+	f.store.SetVMs(f.vms)
+}
+
+func (f *fleet) startEngine(change func(*engine.Config)) *engine.Engine {
+	c := engine.DefaultConfig(testModel)
+	c.TokenTime, c.PrefillTime = time.Millisecond, 0
+	if change != nil {
+		change(&c)
+	}
+	e, err := engine.New(c)
+	must.NoError(f.t, err)
+	f.t.Cleanup(e.Close)
+	f.engines = append(f.engines, e)
+	name := fmt.Sprintf("engine%d", len(f.engines))
+	f.addVM(platform.VM{
+		Name: name, Zone: "a", Role: platform.RoleEngine, Address: f.serve(name, e.Handle),
+		Models: []string{testModel}, BytesPerToken: 4,
+	})
+	return e
+}
+
+func (f *fleet) startService(c service.Config) *service.Service {
+	s := service.New(c)
+	f.services = append(f.services, s)
+	name := fmt.Sprintf("service%d", len(f.services))
+	f.addVM(platform.VM{Name: name, Zone: "a", Role: platform.RoleService, Address: f.serve(name, s.Handle), Service: "booking"})
+	return s
+}
+
+// startRouters starts n routers in zones a, b and c in turn and waits until all can serve.
+func (f *fleet) startRouters(n int) {
+	for range n {
+		f.startRouter()
+	}
+	for _, r := range f.routers {
+		f.eventually("router is ready", func() bool {
+			_, err := r.books.ledger.ready()
+			return r.Router.config.Loaded() && err == nil && len(r.vms.get().VMs) == len(f.vms)
+		})
+	}
+}
+
+func (f *fleet) startRouter() *running {
+	i := len(f.routers) + 1
+	host := f.host()
+	s := settings.Default()
+	s.VM, s.Region, s.Zone = fmt.Sprintf("entry%d", i), "r", string(rune('a'+(i-1)%3))
+	s.Listen = settings.Listen{Caller: host + ":8080", Peer: host + ":8081", Admin: host + ":8082"}
+	s.Advertise = settings.Advertise{Caller: s.Listen.Caller, Peer: s.Listen.Peer}
+	s.Platform.Address = f.address
+	s.Intervals.VMList = settings.Duration(100 * time.Millisecond)
+	s.Log.Level = "error"
+	f.addVM(platform.VM{Name: s.VM, Zone: s.Zone, Role: platform.RoleEntry, Address: s.Listen.Caller, PeerAddress: s.Listen.Peer})
+	r, err := New(s)
+	must.NoError(f.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	started := &running{Router: r, caller: s.Listen.Caller, stop: stop, ended: make(chan error, 1)}
+	go func() { started.ended <- r.Run(ctx) }()
+	f.t.Cleanup(stop)
+	f.routers = append(f.routers, started)
+	return started
+}
+
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	must.Wait(f.t, wait.InitialSuccess(wait.BoolFunc(ok), wait.Timeout(settleTime), wait.Gap(10*time.Millisecond)), must.Sprint(what))
+}
+
+func (f *fleet) topUp(tokens budget.Tokens) {
+	id := budget.ID{Organisation: "velocar", Budget: "main"}
+	results, err := f.routers[0].books.ledger.Apply(f.t.Context(), id.Organisation, []budget.Op{
+		{ID: "create-main", Kind: budget.OpCreate, Budget: id, Preference: budget.AvoidOverspend},
+		{ID: "top-up-1", Kind: budget.OpTopUp, Budget: id, Tokens: tokens},
+	})
+	must.NoError(f.t, err)
+	for _, r := range results {
+		must.Eq(f.t, budget.CodeOK, r.Code)
+	}
+}
+
+func (f *fleet) status() budget.Status {
+	all, err := f.routers[0].books.ledger.Read(f.t.Context(), "velocar")
+	must.NoError(f.t, err)
+	must.Len(f.t, 1, all)
+	return all[0]
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (a answer) failure(t *testing.T) failureDetail {
+	var body struct {
+		Error failureDetail `json:"error"`
+	}
+	must.NoError(t, json.Unmarshal(a.body, &body))
+	return body.Error
+}
+
+type failureDetail struct {
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+}
+
+func (f *fleet) post(router int, path, class, key, body string) answer {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+f.routers[router].caller+path, bytes.NewReader([]byte(body)))
+	must.NoError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("Content-Type", "application/json")
+	if class != "" {
+		req.Header.Set("X-LS-Class", class)
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	must.NoError(f.t, err)
+	return answer{status: resp.StatusCode, header: resp.Header, body: data}
+}
+
+func chatBody(prompt string, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":32,"messages":[{"role":"user","content":%q}]}`, testModel, stream, prompt)
+}
+
+// wholeText returns the text of a chat completion that was not streamed.
+func (a answer) wholeText(t *testing.T) string {
+	var body struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	must.NoError(t, json.Unmarshal(a.body, &body))
+	must.Len(t, 1, body.Choices)
+	return body.Choices[0].Message.Content
+}
