--- a/cmd/lsplatform/main.go
+++ b/cmd/lsplatform/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"time"
 
@@ -42,6 +43,11 @@
 			return err
 		}
 	}
+	for i, vm := range s.VMs {
+		if err := memstore.CheckVM(vm); err != nil {
+			return fmt.Errorf("settings file %s: vms[%d]: %w", path, i, err)
+		}
+	}
 	if listen != "" {
 		s.Listen = listen
 	}
--- /dev/null
+++ b/pkg/platform/httpstore/fuzz_test.go
@@ -0,0 +1,103 @@
+package httpstore
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"unicode/utf8"
+
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+// FuzzDecodeObject guards against an answer that panics the client or that passes for a version of another object.
+func FuzzDecodeObject(f *testing.F) {
+	f.Add([]byte(`{"key":"k","revision":3,"value":"AP8="}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		object, err := decodeObject(body, "k")
+		if err != nil {
+			checkError(t, err)
+			return
+		}
+		if object.Key != "k" || object.Revision == 0 || object.Deleted || len(object.Value) > platform.MaxValueBytes {
+			t.Fatalf("accepted %+v", object)
+		}
+	})
+}
+
+// FuzzDecodeList guards against lists that panic the client, are unsorted or hold objects of another prefix.
+func FuzzDecodeList(f *testing.F) {
+	f.Add([]byte(`{"objects":[{"key":"a/1","revision":1},{"key":"a/2","revision":4,"value":"eA=="}],"revision":7}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		objects, revision, err := decodeList(body, "a/")
+		if err != nil {
+			checkError(t, err)
+			return
+		}
+		last := ""
+		for _, object := range objects {
+			if !strings.HasPrefix(object.Key, "a/") || object.Key <= last || object.Deleted || object.Revision > revision {
+				t.Fatalf("accepted %+v after %q", object, last)
+			}
+			last = object.Key
+		}
+	})
+}
+
+// FuzzDecodeChanges guards against changes that panic the client or that would take a watcher back.
+func FuzzDecodeChanges(f *testing.F) {
+	f.Add([]byte(`{"objects":[{"key":"a/1","revision":6,"value":"eA=="},{"key":"a/1","revision":8,"deleted":true}],"revision":9}`), uint64(5))
+	f.Fuzz(func(t *testing.T, body []byte, after uint64) {
+		objects, revision, err := decodeChanges(body, "a/", after)
+		if err != nil {
+			checkError(t, err)
+			if revision != after {
+				t.Fatalf("an error moved the watcher from %d to %d", after, revision)
+			}
+			return
+		}
+		last := after
+		for _, object := range objects {
+			if !strings.HasPrefix(object.Key, "a/") || object.Revision <= last || (object.Deleted && len(object.Value) > 0) {
+				t.Fatalf("accepted %+v after revision %d", object, last)
+			}
+			last = object.Revision
+		}
+		if revision < last {
+			t.Fatalf("revision %d of the answer is below %d", revision, last)
+		}
+	})
+}
+
+// FuzzDecodeVMs guards against a VM list that panics the client or holds VMs without a name.
+func FuzzDecodeVMs(f *testing.F) {
+	f.Add([]byte(`{"vms":[{"name":"e1","role":"engine","state":"live","address":"127.0.0.1:1","bytes_per_token":4}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		vms, err := decodeVMs(body)
+		if err != nil {
+			checkError(t, err)
+			return
+		}
+		for _, vm := range vms {
+			if vm.Name == "" || vm.BytesPerToken < 0 || vm.MaxInFlight < 0 {
+				t.Fatalf("accepted %+v", vm)
+			}
+		}
+	})
+}
+
+// FuzzDecodeError guards against error texts without a bound or outside UTF-8 in the router's log.
+func FuzzDecodeError(f *testing.F) {
+	f.Add([]byte(`{"error":"no"}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		text := decodeError(body)
+		if len(text) > maxErrorBytes || !utf8.ValidString(text) {
+			t.Fatalf("error text %q", text)
+		}
+	})
+}
+
+func checkError(t *testing.T, err error) {
+	if !errors.Is(err, errAnswer) || !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatalf("error %v has no type", err)
+	}
+}
--- a/pkg/platform/memstore/control.go
+++ b/pkg/platform/memstore/control.go
@@ -51,8 +51,8 @@
 		if err := decode(ctx, &vm); err != nil {
 			return nil, err
 		}
-		if vm.Name == "" {
-			return nil, badRequest("name: is missing")
+		if err := CheckVM(vm); err != nil {
+			return nil, badRequest(err.Error())
 		}
 		s.store.PutVM(vm)
 		return struct{}{}, nil
--- a/pkg/platform/memstore/vms.go
+++ b/pkg/platform/memstore/vms.go
@@ -38,12 +38,31 @@
 	s.addVMs(vms)
 }
 
-// SetVMState changes the state and the deadline of a VM in the list.
-func (s *Store) SetVMState(name string, state platform.VMState, deadline *time.Time) error {
+// CheckVM returns an error that names the wrong field of a VM.
+func CheckVM(vm platform.VM) error {
+	if vm.Name == "" {
+		return fmt.Errorf("name: is missing")
+	}
+	switch vm.Role {
+	case platform.RoleEntry, platform.RoleEngine, platform.RoleService:
+	default:
+		return fmt.Errorf("role: VM %s has the unknown role %q", vm.Name, vm.Role)
+	}
+	return checkState(vm.State)
+}
+
+func checkState(state platform.VMState) error {
 	switch state {
 	case platform.VMLive, platform.VMLeaving, platform.VMGone:
-	default:
-		return fmt.Errorf("state: unknown VM state %q", state)
+		return nil
+	}
+	return fmt.Errorf("state: unknown VM state %q", state)
+}
+
+// SetVMState changes the state and the deadline of a VM in the list.
+func (s *Store) SetVMState(name string, state platform.VMState, deadline *time.Time) error {
+	if err := checkState(state); err != nil {
+		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
