Move streams away from a leaving endpoint before its deadline

A stream that still runs when its VM is about to be switched off is cancelled there and resumed at another endpoint.

--- a/pkg/gateway/chat.go
+++ b/pkg/gateway/chat.go
@@ -92,8 +92,9 @@
 	if failure != nil {
 		return relay.Chat{}, false, failure
 	}
+	prompt, contentBytes := promptOf(body.Messages)
 	return relay.Chat{
-		Request: request, Budget: budgetOf(c, from), Model: body.Model, Prompt: promptOf(body.Messages),
+		Request: request, Budget: budgetOf(c, from), Model: body.Model, Prompt: prompt, ContentBytes: contentBytes,
 		Messages: len(body.Messages), MaxTokens: limit, Body: append([]byte(nil), c.Body()...),
 	}, body.Stream, nil
 }
@@ -122,15 +123,13 @@
 	return *asked, nil
 }
 
-func promptOf(messages []chatMessage) []byte {
-	var prompt []byte
+// promptOf returns the prompt text and the size of the contents in bytes.
+func promptOf(messages []chatMessage) (prompt []byte, contentBytes int) {
 	for _, m := range messages {
-		prompt = append(prompt, m.Role...)
-		prompt = append(prompt, '\n')
-		prompt = append(prompt, m.Content...)
-		prompt = append(prompt, '\n')
+		prompt = relay.AppendPrompt(prompt, m.Role, string(m.Content))
+		contentBytes += len(m.Content)
 	}
-	return prompt
+	return prompt, contentBytes
 }
 
 // wholeAnswer is a chat completion that is not streamed.
--- a/pkg/relay/chat.go
+++ b/pkg/relay/chat.go
@@ -79,7 +79,7 @@
 		return End{Failure: failure}
 	}
 	c.suspect = suspect
-	upper := int64(PromptBound(len(c.chat.Prompt), c.chat.Messages, c.Selector.BytesPerToken(c.chat.Model)) + c.chat.MaxTokens)
+	upper := int64(PromptBound(c.chat.ContentBytes, c.chat.Messages, c.Selector.BytesPerToken(c.chat.Model)) + c.chat.MaxTokens)
 	release, failure := c.Admitter.Admit(ctx, c.chat.Request, upper)
 	if failure != nil {
 		return End{Failure: failure}
@@ -145,6 +145,9 @@
 	if err == nil {
 		return nil, false
 	}
+	if errors.Is(err, errMoved) && ctx.Err() == nil {
+		return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "the endpoint is being withdrawn"), true
+	}
 	if ctx.Err() != nil {
 		c.client.cancel(target.Address, c.chat.ID)
 		return c.interrupted(ctx), false
@@ -154,7 +157,7 @@
 
 func (c *chatRun) report(ctx context.Context, err error, before int, start time.Time) Report {
 	return Report{
-		Cancelled: err != nil && ctx.Err() != nil,
+		Cancelled: err != nil && (ctx.Err() != nil || errors.Is(err, errMoved)),
 		Failed:    errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent),
 		Refused:   errors.Is(err, ErrRefused),
 		Tokens:    c.delivered - before,
@@ -189,6 +192,9 @@
 		}
 		return outcome.NotRunf(outcome.ReasonNoEndpoint, retryAdvice, "%v", err), true
 	case errors.Is(err, ErrRejected):
+		if c.sent {
+			return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "%v", err), false
+		}
 		return outcome.NotRunf(outcome.ReasonBadRequest, 0, "%v", err), false
 	case !errors.Is(err, ErrCrashed):
 		c.client.cancel(target.Address, c.chat.ID)
@@ -217,9 +223,39 @@
 	defer opened.Close()
 	stop := context.AfterFunc(ctx, func() { c.client.cancel(target.Address, c.chat.ID) })
 	defer stop()
+	moved := c.moveAway(target)
 	reader := newFrameReader(opened.body, c.chat.ID, c.delivered)
-	defer func() { c.Metrics.dropped(reader.dropped) }()
-	return c.copyTokens(ctx, reader, target, start)
+	err = c.copyTokens(ctx, reader, target, start)
+	c.Metrics.dropped(reader.dropped)
+	if moved() && err != nil {
+		return fmt.Errorf("%w: %w", errMoved, err)
+	}
+	return err
+}
+
+// errMoved means that the stream was ended at an endpoint that is about to be switched off.
+var errMoved = errors.New("relay: moved away from a leaving endpoint")
+
+// moveAway cancels the request at the endpoint once its VM is about to be switched off, so that the rest is
+// resumed elsewhere. The returned function ends the watch and reports whether that happened.
+func (c *chatRun) moveAway(target Target) func() bool {
+	if target.Evacuate == nil {
+		return func() bool { return false }
+	}
+	ended, result := make(chan struct{}), make(chan bool, 1)
+	go func() {
+		select {
+		case <-target.Evacuate:
+			c.client.cancel(target.Address, c.chat.ID)
+			result <- true
+		case <-ended:
+			result <- false
+		}
+	}()
+	return func() bool {
+		close(ended)
+		return <-result
+	}
 }
 
 func (c *chatRun) open(ctx context.Context, target Target, body []byte) (*stream, error) {
@@ -272,8 +308,15 @@
 	}
 }
 
-// checkWhole compares the engine's own count with the tokens that arrived.
+// finishCancelled is the engine's finish reason for a request that was cancelled.
+const finishCancelled = "cancelled"
+
+// checkWhole compares the engine's own count with the tokens that arrived. A cancelled answer has an end marker
+// too, but is not whole.
 func (c *chatRun) checkWhole() error {
+	if c.finish == finishCancelled {
+		return fmt.Errorf("%w: the engine cancelled the request", ErrBroken)
+	}
 	if c.usage.CompletionTokens != c.delivered {
 		return fmt.Errorf("%w: engine counted %d tokens, %d arrived", ErrBroken, c.usage.CompletionTokens, c.delivered)
 	}
@@ -301,6 +344,6 @@
 	if c.usage.TotalTokens > 0 {
 		return int64(c.usage.TotalTokens)
 	}
-	prompt := PromptBound(len(c.chat.Prompt), c.chat.Messages, c.Selector.BytesPerToken(c.chat.Model))
+	prompt := PromptBound(c.chat.ContentBytes, c.chat.Messages, c.Selector.BytesPerToken(c.chat.Model))
 	return int64(prompt + c.delivered)
 }
--- a/pkg/relay/chat_test.go
+++ b/pkg/relay/chat_test.go
@@ -160,3 +160,49 @@
 	must.Eq(t, outcome.Unknown, end.Failure.Outcome)
 	must.Eq(t, outcome.ReasonEndpointTimeout, end.Failure.Reason)
 }
+
+// Guards against cutting a stream when its endpoint is switched off at the deadline of its withdrawal: the rest
+// comes from another endpoint.
+func TestChatMovesAwayFromLeavingEngine(t *testing.T) {
+	cancelled := make(chan struct{})
+	evacuate := make(chan struct{})
+	leaving := startEngine(t, func(w io.Writer, f engineFields) bool {
+		writeToken(w, f.RequestID, 0)
+		close(evacuate)
+		<-cancelled
+		return false
+	})
+	leaving.cancelled = func() { close(cancelled) }
+	staying := startEngine(t, whole(10))
+	reports := make(chan Report, 2)
+	r := New(Relay{
+		Purse: &fakePurse{}, Selector: evacuating{listSelector{[]string{leaving.address, staying.address}}, evacuate, reports},
+	})
+	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
+	must.Nil(t, end.Failure)
+	must.Eq(t, tenTokens, indexes)
+	must.False(t, (<-reports).Failed)
+}
+
+// Guards against taking a cancelled answer for a whole one.
+func TestChatResumesCancelledAnswer(t *testing.T) {
+	cancelling := startEngine(t, func(w io.Writer, f engineFields) bool {
+		writeToken(w, f.RequestID, 0)
+		writeFinish(w, f.RequestID, finishCancelled, 1)
+		return true
+	})
+	good := startEngine(t, whole(10))
+	r := New(Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{cancelling.address, good.address}}})
+	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
+	must.Nil(t, end.Failure)
+	must.Eq(t, tenTokens, indexes)
+}
+
+// Guards against a false "not run" when a later engine rejects the rest of a request that an earlier one ran.
+func TestChatRejectedAfterFirstAttempt(t *testing.T) {
+	broken := startEngine(t, breaksAfter(2))
+	rejecting := startEngine(t, nil)
+	r := New(Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{broken.address, rejecting.address}}})
+	_, end := collect(r.Chat(t.Context(), testChat("r1")))
+	must.Eq(t, outcome.Unknown, end.Failure.Outcome)
+}
--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -164,7 +164,7 @@
 	}
 	s.Close()
 	switch {
-	case isRefusal(status):
+	case isEngineRefusal(status):
 		return nil, fmt.Errorf("%w: status %d", ErrRefused, status)
 	case status >= fasthttp.StatusBadRequest && status < fasthttp.StatusInternalServerError:
 		return nil, fmt.Errorf("%w: status %d", ErrRejected, status)
@@ -186,6 +186,12 @@
 	return status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable
 }
 
+// isEngineRefusal also covers a model that is no longer loaded and an order that was overtaken; other engines may
+// run the request.
+func isEngineRefusal(status int) bool {
+	return isRefusal(status) || status == fasthttp.StatusNotFound || status == fasthttp.StatusConflict
+}
+
 // classify maps a transport error. Only a failed dial proves that nothing was sent.
 func classify(err error) error {
 	if errors.Is(err, ErrNotSent) {
--- a/pkg/relay/fakes_test.go
+++ b/pkg/relay/fakes_test.go
@@ -26,6 +26,8 @@
 	mu      sync.Mutex
 	scripts []script
 	bodies  []engineFields
+	// cancelled is called when the engine is told to cancel a request.
+	cancelled func()
 }
 
 // script writes the frames of one answer. It returns false to break the connection.
@@ -43,6 +45,9 @@
 // ServeHTTP uses net/http because its aborted handlers close the connection after all flushed bytes were sent.
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/v1/chat/completions" {
+		if e.cancelled != nil {
+			e.cancelled()
+		}
 		return
 	}
 	var f engineFields
@@ -54,6 +59,10 @@
 	e.bodies = append(e.bodies, f)
 	run := e.scripts[min(len(e.bodies), len(e.scripts))-1]
 	e.mu.Unlock()
+	if run == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	if !run(frameWriter{w}, f) {
 		panic(http.ErrAbortHandler)
 	}
@@ -82,8 +91,10 @@
 	_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"index\":%d,\"choices\":[{\"delta\":{\"content\":\"t%d \"}}]}\n\n", id, index, index)
 }
 
-func writeEnd(w io.Writer, id string, tokens int) {
-	_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":%d,\"total_tokens\":%d}}\n\ndata: [DONE]\n\n", id, tokens, tokens+3)
+func writeEnd(w io.Writer, id string, tokens int) { writeFinish(w, id, "stop", tokens) }
+
+func writeFinish(w io.Writer, id, reason string, tokens int) {
+	_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[{\"delta\":{},\"finish_reason\":%q}],\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":%d,\"total_tokens\":%d}}\n\ndata: [DONE]\n\n", id, reason, tokens, tokens+3)
 }
 
 // whole streams the tokens from resume_from up to n and the end.
@@ -139,6 +150,23 @@
 // listSelector chooses the first address that was not tried.
 type listSelector struct{ addresses []string }
 
+// evacuating closes the channel of the first address's target.
+type evacuating struct {
+	listSelector
+	evacuate chan struct{}
+	reports  chan Report
+}
+
+func (s evacuating) Done(_ Target, r Report) { s.reports <- r }
+
+func (s evacuating) Choose(c Choosing) (Target, *outcome.Failure) {
+	target, failure := s.listSelector.Choose(c)
+	if target.VM == "vm0" {
+		target.Evacuate = s.evacuate
+	}
+	return target, failure
+}
+
 func (s listSelector) Choose(c Choosing) (Target, *outcome.Failure) {
 	for i, address := range s.addresses {
 		if vm := fmt.Sprintf("vm%d", i); !contains(c.Exclude, vm) {
@@ -216,7 +244,7 @@
 func testChat(id string) Chat {
 	return Chat{
 		Request: testRequest(id), Budget: budget.ID{Organisation: "velocar", Budget: "main"}, Model: "m",
-		Prompt: []byte("hello"), Messages: 1, MaxTokens: 100, Body: []byte(`{"model":"m"}`),
+		Prompt: []byte("hello"), ContentBytes: 5, Messages: 1, MaxTokens: 100, Body: []byte(`{"model":"m"}`),
 	}
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -27,9 +27,11 @@
 	Request
 	Budget budget.ID
 	Model  string
-	// Prompt is the text of all messages, used for prefix affinity and the prompt bound.
-	Prompt   []byte
-	Messages int
+	// Prompt is the text of all messages as AppendPrompt builds it, used for prefix affinity.
+	Prompt []byte
+	// ContentBytes is the size of the contents of all messages, used for the prompt bound.
+	ContentBytes int
+	Messages     int
 	// MaxTokens is the output limit in tokens that is passed to the engine.
 	MaxTokens int
 	// Body is the caller's JSON body.
@@ -89,6 +91,8 @@
 	BytesPerToken int
 	// Ticket identifies the choice in calls of Selector.Done.
 	Ticket uint64
+	// Evacuate is closed when streams must be moved away, because the VM is about to be switched off. It may be nil.
+	Evacuate <-chan struct{}
 }
 
 // Report tells the selector how a request at an endpoint ended.
