--- a/cmd/lsengine/main.go
+++ b/cmd/lsengine/main.go
@@ -52,6 +52,5 @@
 	if err != nil {
 		return err
 	}
-	defer e.Close()
 	return standin.Run(standin.NewServer("lsengine", e.Handle, engine.MaxBodyBytes), s.Listen)
 }
