Report a moved stream as cancelled, not as a failure of the endpoint

TestChatMovesAwayFromLeavingEngine had found that the report of a moved stream set both flags. With the move switched off the test fails, as it should.

--- a/pkg/relay/chat.go
+++ b/pkg/relay/chat.go
@@ -156,9 +156,10 @@
 }
 
 func (c *chatRun) report(ctx context.Context, err error, before int, start time.Time) Report {
+	cancelled := err != nil && (ctx.Err() != nil || errors.Is(err, errMoved))
 	return Report{
-		Cancelled: err != nil && (ctx.Err() != nil || errors.Is(err, errMoved)),
-		Failed:    errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent),
+		Cancelled: cancelled,
+		Failed:    !cancelled && (errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent)),
 		Refused:   errors.Is(err, ErrRefused),
 		Tokens:    c.delivered - before,
 		Elapsed:   time.Since(start),
