--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -76,6 +76,7 @@
 	r.peers = newPeerClient()
 	r.selector = selector.New(selector.Options{
 		Here: route.Location{Region: r.self.Region, Zone: r.self.Zone}, Log: r.log, Leaving: r.config.Leaving,
+		Mark: r.config.Mark,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	r.books = newBooks(r.platform, r.members, r.peers)
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/lavendershunt/lavendershunt/pkg/config"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/relay"
@@ -26,6 +27,8 @@
 	Log     log.Interface
 	// Leaving reports operators' marks on VMs.
 	Leaving func(vm string) bool
+	// Mark returns an operator's mark with its deadline; it may be nil.
+	Mark func(vm string) (config.VMMark, bool)
 	// Rand draws the random candidates.
 	Rand *rand.Rand
 }
@@ -41,6 +44,7 @@
 	flights map[uint64]*route.Flight
 	ticket  uint64
 	vms     []platform.VM
+	moves   evacuations
 }
 
 // message is a request to the task; handle runs in the task.
@@ -56,14 +60,19 @@
 		stopped: make(chan struct{}),
 		table:   route.New(options.Here, options.Routing),
 		flights: make(map[uint64]*route.Flight),
+		moves:   newEvacuations(),
 	}
 }
 
 // Run handles messages until ctx ends.
 func (s *Selector) Run(ctx context.Context) {
 	defer close(s.stopped)
+	ticker := time.NewTicker(evacuationCheck)
+	defer ticker.Stop()
 	for {
 		select {
+		case now := <-ticker.C:
+			s.moves.update(now, s.vms, s.deadlineOf)
 		case m := <-s.inbox:
 			m.handle(s, time.Now())
 		case <-ctx.Done():
@@ -118,7 +127,7 @@
 	}
 	s.ticket++
 	s.flights[s.ticket] = s.table.Begin(now, d)
-	target := relay.Target{VM: d.Chosen, Address: d.Address, Ticket: s.ticket}
+	target := relay.Target{VM: d.Chosen, Address: d.Address, Ticket: s.ticket, Evacuate: s.moves.channel(d.Chosen)}
 	m.reply <- chosen{target: target, decision: d}
 }
 
@@ -227,7 +236,13 @@
 
 func (m updateVMs) handle(s *Selector, now time.Time) {
 	s.vms = m.vms
+	s.refresh(now)
+}
+
+// refresh brings the table up to date after a change of the VM list or of the marks.
+func (s *Selector) refresh(now time.Time) {
 	s.table.Update(now, s.vms, s.Leaving)
+	s.moves.update(now, s.vms, s.deadlineOf)
 }
 
 type marksChanged struct{}
@@ -235,4 +250,4 @@
 // MarksChanged applies operators' marks again after a change of configuration.
 func (s *Selector) MarksChanged() { s.send(marksChanged{}) }
 
-func (marksChanged) handle(s *Selector, now time.Time) { s.table.Update(now, s.vms, s.Leaving) }
+func (marksChanged) handle(s *Selector, now time.Time) { s.refresh(now) }
--- /dev/null
+++ b/pkg/selector/selector_test.go
@@ -0,0 +1,107 @@
+package selector
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/pkg/config"
+	"github.com/lavendershunt/lavendershunt/pkg/outcome"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/relay"
+	"github.com/lavendershunt/lavendershunt/pkg/route"
+)
+
+// operator sets marks in a configuration store.
+type operator struct {
+	*config.Store
+	revision uint64
+}
+
+func newOperator() *operator { return &operator{Store: config.NewStore()} }
+
+func (o *operator) set(t *testing.T, m config.VMMark) {
+	value, err := json.Marshal(m)
+	must.NoError(t, err)
+	o.revision++
+	o.Merge([]config.Entry{{Key: config.VMPrefix + m.VM, Revision: o.revision, Value: value}})
+}
+
+func start(ctx context.Context, o *operator) (*Selector, *memory.Handler) {
+	logged := memory.New()
+	s := New(Options{
+		Here: route.Location{Region: "r", Zone: "a"}, Log: &log.Logger{Handler: logged, Level: log.InfoLevel},
+		Leaving: o.Leaving, Mark: o.Mark, Rand: rand.New(rand.NewPCG(1, 2)),
+	})
+	go s.Run(ctx)
+	return s, logged
+}
+
+func engineVM(name string) platform.VM {
+	return platform.VM{Name: name, Region: "r", Zone: "a", Role: platform.RoleEngine, State: platform.VMLive, Address: name, Models: []string{"m"}}
+}
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against new work for a VM that an operator marked, and against a decision without a log line.
+func TestMarkedEndpointGetsNoWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOperator()
+		s, logged := start(t.Context(), o)
+		s.UpdateVMs([]platform.VM{engineVM("e1"), engineVM("e2")})
+		o.set(t, config.VMMark{VM: "e1", Leaving: true})
+		s.MarksChanged()
+		for range 20 {
+			target, failure := s.Choose(relay.Choosing{RequestID: "q", Model: "m"})
+			must.Nil(t, failure)
+			must.Eq(t, "e2", target.VM)
+		}
+		must.Len(t, 20, logged.Entries)
+		must.Eq(t, "e2", logged.Entries[0].Fields["endpoint"])
+		o.set(t, config.VMMark{VM: "e2", Leaving: true})
+		s.MarksChanged()
+		_, failure := s.Choose(relay.Choosing{RequestID: "q", Model: "m"})
+		must.Eq(t, outcome.ReasonNoEndpoint, failure.Reason)
+	})
+}
+
+// Guards against streams that are cut at the deadline of a VM, and against moving them when it is taken back.
+func TestStreamsMoveBeforeTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOperator()
+		s, _ := start(t.Context(), o)
+		s.UpdateVMs([]platform.VM{engineVM("e1")})
+		target, failure := s.Choose(relay.Choosing{RequestID: "q", Model: "m"})
+		must.Nil(t, failure)
+		deadline := time.Now().Add(time.Minute)
+		o.set(t, config.VMMark{VM: "e1", Leaving: true, Deadline: &deadline})
+		s.MarksChanged()
+		time.Sleep(time.Minute - evacuationMargin - 2*evacuationCheck)
+		must.False(t, closed(target.Evacuate))
+		time.Sleep(3 * evacuationCheck)
+		must.True(t, closed(target.Evacuate))
+
+		o.set(t, config.VMMark{VM: "e1"})
+		s.MarksChanged()
+		target, failure = s.Choose(relay.Choosing{RequestID: "q", Model: "m"})
+		must.Nil(t, failure)
+		must.False(t, closed(target.Evacuate))
+		s.UpdateVMs(nil)
+		synctest.Wait()
+		must.True(t, closed(target.Evacuate))
+	})
+}
