Read the VM list from peers when the platform does not answer

A router that is cut off from the platform learns of leaving VMs from other routers. The list is read each second, so that a leaving endpoint gets no more work within 3 s. Add the refusal of new requests by a router that stops.

--- a/pkg/gateway/chat.go
+++ b/pkg/gateway/chat.go
@@ -64,7 +64,10 @@
 	if failure != nil {
 		return writeFailure(c, id, failure)
 	}
-	done := g.inProgress.begin()
+	done, failure := g.enter()
+	if failure != nil {
+		return writeFailure(c, id, failure)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	events := g.Relay.Chat(ctx, chat)
 	if stream {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -36,6 +37,8 @@
 type Gateway struct {
 	Options
 	app *fiber.App
+	// refusing is set when the router is about to stop: new requests are refused, those in progress go on.
+	refusing atomic.Bool
 	// inProgress counts requests from arrival to their last byte.
 	inProgress *tracker
 }
@@ -77,6 +80,20 @@
 // Idle returns a channel that is closed when no request is in progress.
 func (g *Gateway) Idle() <-chan struct{} { return g.inProgress.idle() }
 
+// Refuse makes the gateway refuse new requests. Requests in progress are not affected.
+func (g *Gateway) Refuse() { g.refusing.Store(true) }
+
+// enter counts a request as in progress, or returns a failure if new requests are refused. The request is counted
+// before the check, so that a drain that has begun to refuse waits for every request that passed.
+func (g *Gateway) enter() (func(), *outcome.Failure) {
+	done := g.inProgress.begin()
+	if g.refusing.Load() {
+		done()
+		return nil, outcome.NotRunf(outcome.ReasonLeaving, retryAdvice, "this router is stopping; ask for addresses again")
+	}
+	return done, nil
+}
+
 func (g *Gateway) health(c fiber.Ctx) error {
 	if !g.Config.Loaded() {
 		return c.Status(fiber.StatusServiceUnavailable).SendString("configuration not loaded\n")
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -23,7 +23,10 @@
 	if failure != nil {
 		return writeFailure(c, id, failure)
 	}
-	done := g.inProgress.begin()
+	done, failure := g.enter()
+	if failure != nil {
+		return writeFailure(c, id, failure)
+	}
 	defer done()
 	answer, failure := g.Relay.Call(context.Background(), relay.Call{
 		Request:     request,
--- a/pkg/router/feed.go
+++ b/pkg/router/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/lavendershunt/lavendershunt/pkg/admin"
@@ -12,36 +11,10 @@
 // retryInterval is the pause after a failed platform call.
 const retryInterval = 500 * time.Millisecond
 
-// vmList holds the last received VM list.
-type vmList struct {
-	mu   sync.Mutex
-	list admin.VMList
-}
-
-func (v *vmList) get() admin.VMList {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.list
-}
-
-func (v *vmList) set(list admin.VMList) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.list = list
-}
-
-// pollVMs reads the platform's VM list periodically and passes it to the endpoint table.
-func (r *Router) pollVMs(ctx context.Context) {
-	for ctx.Err() == nil {
-		vms, err := r.platform.VMs(ctx)
-		if err == nil {
-			r.vms.set(admin.VMList{VMs: vms, Read: time.Now()})
-			r.selector.UpdateVMs(vms)
-		} else {
-			r.log.WithError(err).Debug("VM list not read")
-		}
-		sleep(ctx, r.settings.Intervals.VMList.Std())
-	}
+// vmList returns the newest VM list for the admin API.
+func (r *Router) vmList() admin.VMList {
+	list := r.vms.Current()
+	return admin.VMList{VMs: list.VMs, Read: list.Read}
 }
 
 // watchConfig keeps the configuration up to date from the platform.
--- a/pkg/router/fleet_test.go
+++ b/pkg/router/fleet_test.go
@@ -136,7 +136,7 @@
 	for _, r := range f.routers {
 		f.eventually("router is ready", func() bool {
 			_, err := r.books.ledger.ready()
-			return r.Router.config.Loaded() && err == nil && len(r.vms.get().VMs) == len(f.vms)
+			return r.Router.config.Loaded() && err == nil && len(r.vms.Current().VMs) == len(f.vms)
 		})
 	}
 }
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -27,6 +27,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/selector"
 	"github.com/lavendershunt/lavendershunt/pkg/settings"
 	"github.com/lavendershunt/lavendershunt/pkg/telemetry"
+	"github.com/lavendershunt/lavendershunt/pkg/vmlist"
 )
 
 // Router is one router process.
@@ -39,7 +40,7 @@
 	config   *config.Store
 	members  member.View
 	peers    *http.Client
-	vms      vmList
+	vms      *vmlist.Task
 	selector *selector.Selector
 	books    *books
 	gateway  *gateway.Gateway
@@ -79,6 +80,10 @@
 		Mark: r.config.Mark,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
+	r.vms = vmlist.New(vmlist.Options{
+		Platform: r.platform, Members: r.members, Client: r.peers, Interval: r.settings.Intervals.VMList.Std(),
+		OnList: r.selector.UpdateVMs, Log: r.log,
+	})
 	r.books = newBooks(r.platform, r.members, r.peers)
 	relay := relay.New(relay.Relay{
 		Purse: r.books.purse, Claims: r.books.claims, Selector: r.selector, Metrics: relay.NewMetrics(r.metrics.Meter),
@@ -89,7 +94,7 @@
 	})
 	r.admin = admin.NewServer(admin.Deps{
 		Platform: r.platform, Config: r.config, Publish: func([]config.Entry) {}, Ledger: r.books.ledger, Members: r.members,
-		VMs: r.vms.get, OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
+		VMs: r.vmList, OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
 	})
 	return nil
 }
@@ -123,7 +128,7 @@
 	defer stopTasks()
 	var running conc.WaitGroup
 	defer running.Wait()
-	for _, task := range []func(context.Context){r.selector.Run, r.books.run, r.watchConfig, r.pollVMs} {
+	for _, task := range []func(context.Context){r.selector.Run, r.books.run, r.watchConfig, r.vms.Run} {
 		running.Go(func() { task(tasks) })
 	}
 	adminServer := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout}
@@ -190,5 +195,6 @@
 func (r *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	r.books.register(mux)
+	mux.Handle(r.vms.Handler())
 	return mux
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -98,7 +98,7 @@
 			FullSync:       Duration(30 * time.Second),
 			ConfigExchange: Duration(time.Second),
 			Watch:          Duration(20 * time.Second),
-			VMList:         Duration(2 * time.Second),
+			VMList:         Duration(time.Second),
 			AddressTTL:     Duration(5 * time.Second),
 		},
 		Log: Log{Format: "json", Level: "info"},
