--- a/pkg/instance/closer.go
+++ b/pkg/instance/closer.go
@@ -9,10 +9,12 @@
 
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/journal"
-	"github.com/lavendershunt/lavendershunt/pkg/ledger"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
+// maxOps bounds the operations of one call to the ledger.
+const maxOps = 64
+
 // maxAttempts bounds the repeated reads of a record that others change at the same time.
 const maxAttempts = 8
 
@@ -154,33 +156,40 @@
 // closeHolder ends the holder in every shard. The operation has the same id for every closer, and the journals are
 // closed, so every closer sends the same content.
 func (c *Closer) closeHolder(ctx context.Context, instance string, f journal.Final) (reason string, err error) {
-	ops := make([]budget.Op, c.shards)
-	for _, e := range f.Bills {
-		op := &ops[ledger.ShardOf(e.Budget.Organisation, c.shards)]
-		op.Bills = append(op.Bills, budget.Bill{Budget: e.Budget, Key: e.Key, Tokens: e.Tokens})
-	}
-	for _, e := range slices.Concat(f.TransfersIn, f.TransfersOut) {
-		op := &ops[ledger.ShardOf(e.Budget.Organisation, c.shards)]
-		t := budget.Transfer{ID: e.Transfer, Budget: e.Budget, From: instance, To: e.Peer, Tokens: e.Tokens}
-		if e.Kind == journal.TransferIn {
-			t.From, t.To = e.Peer, instance
-		}
-		op.Transfers = append(op.Transfers, t)
-	}
-	for shard := range ops {
-		op := ops[shard]
-		op.ID, op.Kind, op.Holder = "close/"+instance, budget.OpCloseHolder, instance
-		results, err := c.writer.Apply(ctx, shard, []budget.Op{op})
-		if err != nil {
-			return "", fmt.Errorf("instance %s: close in shard %d: %w", instance, shard, err)
-		}
-		if len(results) != 1 || results[0].Code != budget.CodeOK {
-			return fmt.Sprintf("ledger shard %d refuses the closing: %+v", shard, results), nil
+	for shard, ops := range closeOps(instance, f, c.shards) {
+		for batch := range slices.Chunk(ops, maxOps) {
+			results, err := c.writer.Apply(ctx, shard, batch)
+			if err != nil {
+				return "", fmt.Errorf("instance %s: close in shard %d: %w", instance, shard, err)
+			}
+			if reason := refused(batch, results); reason != "" {
+				return fmt.Sprintf("ledger shard %d refuses the closing: %s", shard, reason), nil
+			}
 		}
 	}
 	return "", nil
 }
 
+func refused(ops []budget.Op, results []budget.Result) string {
+	if len(results) != len(ops) {
+		return fmt.Sprintf("%d results for %d operations", len(results), len(ops))
+	}
+	for i, r := range results {
+		if ops[i].Kind == budget.OpTransfer {
+			// The closing itself applies the transfers again and tells if one is missing.
+			continue
+		}
+		switch r.Code {
+		case budget.CodeOK, budget.CodeHolderClosed:
+		case budget.CodeStale:
+			// Settle operations reach the ledger in order, so an outdated one was applied.
+		default:
+			return fmt.Sprintf("%s %s: %s %s", ops[i].Kind, ops[i].ID, r.Code, r.Message)
+		}
+	}
+	return ""
+}
+
 // hold records why the closing does not go on.
 func (c *Closer) hold(ctx context.Context, r Record, reason string) error {
 	held := &HeldError{Instance: r.Instance, Reason: reason}
--- a/pkg/journal/change.go
+++ b/pkg/journal/change.go
@@ -1,12 +1,14 @@
 package journal
 
+import "slices"
+
 // Propose starts a change of the witnesses. It reports false if a change is in progress. The caller records the
 // new set in the instance record once ReadyToRecord reports true, and then calls Recorded.
 func (l *Log) Propose(set []Ref) bool {
 	if l.change != nil || l.closed {
 		return false
 	}
-	l.change = &change{set: set, full: map[string]bool{}}
+	l.change = &change{set: set, full: map[string]bool{}, after: l.number}
 	for _, ref := range set {
 		if l.isRecorded(ref.Router) {
 			continue
@@ -16,11 +18,6 @@
 			l.links[ref.Router] = &link{ref: ref}
 		}
 	}
-	for _, ref := range set {
-		if l.isRecorded(ref.Router) {
-			l.change.full[ref.Router] = true
-		}
-	}
 	return true
 }
 
@@ -33,8 +30,18 @@
 	return false
 }
 
-// ReadyToRecord returns the new set once every new witness has all that is open. From then on the record may
-// change at any time, so Abandon has no effect any more.
+// join records that a witness has all that was open when the change began.
+func (c *change) join(router string) {
+	if _, joining := c.full[router]; joining {
+		c.full[router] = true
+	}
+	c.covered = c.covered || slices.ContainsFunc(c.set, func(r Ref) bool { return r.Router == router })
+}
+
+// ReadyToRecord returns the new set once every new witness has all that is open. If the set has no new witness, one
+// of it must have all that is open, because entries may be known only to a witness that is dropped; and if it is
+// empty, nothing may be open but reservations. From then on the record may change at any time, so Abandon has no
+// effect any more.
 func (l *Log) ReadyToRecord() ([]Ref, bool) {
 	if l.change == nil || l.change.recording || l.closed {
 		return nil, false
@@ -44,10 +51,23 @@
 			return nil, false
 		}
 	}
+	if len(l.change.set) == 0 && l.unsettled() || len(l.change.set) > 0 && !l.change.covered {
+		return nil, false
+	}
 	l.change.recording = true
 	return l.change.set, true
 }
 
+// unsettled reports whether the ledger lacks bills, flushes or transfers.
+func (l *Log) unsettled() bool {
+	for i := range l.lanes {
+		if len(l.lanes[i].unsettled) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Recorded ends a change: the instance record names the new set, or, if ok is false, it is known to name the
 // former one still.
 func (l *Log) Recorded(ok bool) {
--- a/pkg/journal/convert.go
+++ b/pkg/journal/convert.go
@@ -9,7 +9,8 @@
 func toProto(e Entry) *pursev1.Entry {
 	return &pursev1.Entry{
 		Seq: e.Seq, Kind: pursev1.EntryKind(e.Kind), Reservation: e.Reservation, Organisation: e.Budget.Organisation,
-		Budget: e.Budget.Budget, Key: e.Key, Tokens: e.Tokens, Transfer: e.Transfer, Peer: e.Peer,
+		Budget: e.Budget.Budget, Key: e.Key, Tokens: e.Tokens, Op: e.Op, Peer: e.Peer,
+		First: e.First, Last: e.Last,
 	}
 }
 
@@ -17,7 +18,8 @@
 	return Entry{
 		Seq: e.GetSeq(), Kind: Kind(e.GetKind()), Reservation: e.GetReservation(),
 		Budget: budget.ID{Organisation: e.GetOrganisation(), Budget: e.GetBudget()},
-		Key:    e.GetKey(), Tokens: e.GetTokens(), Transfer: e.GetTransfer(), Peer: e.GetPeer(),
+		Key:    e.GetKey(), Tokens: e.GetTokens(), Op: e.GetOp(), Peer: e.GetPeer(),
+		First: e.GetFirst(), Last: e.GetLast(),
 	}
 }
 
--- a/pkg/journal/copies.go
+++ b/pkg/journal/copies.go
@@ -95,7 +95,7 @@
 	case Bill:
 		delete(j.reservations, e.Reservation)
 		j.lane(LaneOf(e.Budget.Organisation)).add(e)
-	case TransferOut, TransferIn:
+	case TransferOut, TransferIn, Flush:
 		j.lane(LaneOf(e.Budget.Organisation)).add(e)
 	}
 }
--- a/pkg/journal/entry.go
+++ b/pkg/journal/entry.go
@@ -22,6 +22,10 @@
 	Cancel      Kind = 3
 	TransferOut Kind = 4
 	TransferIn  Kind = 5
+	// Flush names the ledger operation that settles bills. It is recorded before the operation is sent, so that the
+	// closing of the instance can repeat exactly this operation: the ledger recognises a bill only for a time, but
+	// an operation as long as its holder is open.
+	Flush Kind = 6
 )
 
 // Entry is one record of a journal.
@@ -35,22 +39,25 @@
 	// Key is the idempotency key of Reserve and Bill.
 	Key    string
 	Tokens budget.Tokens
-	// Transfer is the id of a transfer and Peer the other instance.
-	Transfer string
-	Peer     string
+	// Op is the id of the ledger operation of a transfer or flush.
+	Op string
+	// Peer is the other instance of a transfer.
+	Peer string
+	// First and Last are the positions of the first and the last of the budget's bills in a flush.
+	First, Last uint64
 }
 
 // settles reports whether the entry is kept until the ledger has it.
-func (e Entry) settles() bool { return e.Kind == Bill || e.Kind == TransferOut || e.Kind == TransferIn }
+func (e Entry) settles() bool { return e.Kind != Reserve && e.Kind != Cancel }
 
 // Lanes is the number of groups of organisations that have a mark of their own, so that an organisation whose
-// shard can't be written delays few others.
+// shard can't be written keeps the entries of few others.
 const Lanes = 256
 
 // LaneOf returns the lane of an organisation.
 func LaneOf(organisation string) uint32 { return uint32(xxhash.Sum64String(organisation) % Lanes) }
 
-// Mark states that the ledger has all bills and transfers of a lane up to Seq.
+// Mark states that the ledger has all bills, flushes and transfers of a lane up to Seq.
 type Mark struct {
 	Lane uint32
 	Seq  uint64
@@ -94,6 +101,9 @@
 
 // Final is what an instance has left, merged from the copies of all its witnesses.
 type Final struct {
+	// Settles are the operations in which bills may have been sent to the ledger.
+	Settles []Settle
+	// Bills were never sent to the ledger.
 	Bills        []Entry
 	TransfersOut []Entry
 	TransfersIn  []Entry
@@ -101,6 +111,13 @@
 	Open []Entry
 }
 
+// Settle is a settle operation.
+type Settle struct {
+	Op     string
+	Budget budget.ID
+	Bills  []Entry
+}
+
 // Merge combines the copies of all witnesses that the instance record names. A bill that the ledger already had
 // is left out even if a witness that was cut off still has it, because the ledger may no longer recognise it.
 func Merge(copies []Copy) Final {
@@ -130,11 +147,19 @@
 
 func final(entries map[uint64]Entry, ended map[uint64]bool) Final {
 	var f Final
+	settles := map[uint64]*Settle{}
 	for _, seq := range sortedKeys(entries) {
 		e := entries[seq]
 		switch e.Kind {
 		case Bill:
-			f.Bills = append(f.Bills, e)
+			if flush := flushOf(entries, e); flush.Seq == 0 {
+				f.Bills = append(f.Bills, e)
+			} else {
+				if settles[flush.Seq] == nil {
+					settles[flush.Seq] = &Settle{Op: flush.Op, Budget: e.Budget}
+				}
+				settles[flush.Seq].Bills = append(settles[flush.Seq].Bills, e)
+			}
 		case TransferOut:
 			f.TransfersOut = append(f.TransfersOut, e)
 		case TransferIn:
@@ -145,9 +170,23 @@
 			}
 		}
 	}
+	for _, seq := range sortedKeys(settles) {
+		f.Settles = append(f.Settles, *settles[seq])
+	}
 	return f
 }
 
+// flushOf returns the latest flush that contains the bill. Its Seq is 0 if there is none.
+func flushOf(entries map[uint64]Entry, bill Entry) Entry {
+	var latest Entry
+	for _, e := range entries {
+		if e.Kind == Flush && e.Budget == bill.Budget && e.First <= bill.Seq && bill.Seq <= e.Last && e.Seq > latest.Seq {
+			latest = e
+		}
+	}
+	return latest
+}
+
 func sortedKeys[V any](m map[uint64]V) []uint64 {
 	keys := make([]uint64, 0, len(m))
 	for k := range m {
--- a/pkg/journal/lanes.go
+++ b/pkg/journal/lanes.go
@@ -1,13 +1,11 @@
 package journal
 
-// laneLog tracks which bills and transfers of a lane the ledger does not have.
+// laneLog tracks which bills, flushes and transfers of a lane the ledger does not have.
 type laneLog struct {
 	// unsettled holds the positions of the entries that the ledger does not have, and of settled ones behind them.
 	unsettled []position
 	// mark is the last position up to which the ledger has everything.
 	mark uint64
-	// highest is the highest position that the ledger has.
-	highest uint64
 	// recorded is the mark that a witness has.
 	recorded uint64
 }
@@ -23,7 +21,6 @@
 	for i := range l.unsettled {
 		if l.unsettled[i].seq == seq {
 			l.unsettled[i].settled = true
-			l.highest = max(l.highest, seq)
 			break
 		}
 	}
@@ -40,6 +37,3 @@
 
 // due reports whether a witness lacks the mark.
 func (l *laneLog) due() bool { return l.mark > l.recorded }
-
-// blocked reports whether the ledger has entries that no recorded mark covers.
-func (l *laneLog) blocked() bool { return l.highest > l.recorded }
--- a/pkg/journal/log.go
+++ b/pkg/journal/log.go
@@ -52,7 +52,7 @@
 type Log struct {
 	timing   Timing
 	instance string
-	// open returns all open reservations, and all bills and transfers that the ledger does not have.
+	// open returns all open reservations, and all bills, flushes and transfers that the ledger does not have.
 	open func() []Entry
 
 	seq uint64
@@ -101,8 +101,12 @@
 // change is a change of the witnesses in progress.
 type change struct {
 	set []Ref
-	// full lists the new witnesses that have all that was open.
+	// full tells of each new witness whether it has all that was open.
 	full map[string]bool
+	// covered is set once any witness of the new set has all that was open.
+	covered bool
+	// after is the number of the last message before the change.
+	after uint64
 	// recording is set once the instance record may have been changed.
 	recording bool
 }
@@ -153,16 +157,6 @@
 	}
 }
 
-// MaySettle reports whether further bills of the organisation may be sent to the ledger. They may not while the
-// ledger has bills that no witness knows to be settled: once a later bill is settled, the ledger may drop the
-// record of the earlier ones, and a witness that was cut off could bring them up again.
-func (l *Log) MaySettle(organisation string) bool {
-	return !l.Witnessed() && l.change == nil || !l.lanes[LaneOf(organisation)].blocked()
-}
-
-// HasMarks makes marks urgent because a settlement waits for them.
-func (l *Log) HasMarks() { l.urgent = true }
-
 // reliance returns the witnesses that every possible version of the record names.
 func (l *Log) reliance() []Ref {
 	if l.change == nil {
--- a/pkg/journal/send.go
+++ b/pkg/journal/send.go
@@ -48,7 +48,8 @@
 	}
 	for _, ref := range l.change.set {
 		k := l.links[ref.Router]
-		if !l.change.full[ref.Router] && k.ready(now) {
+		full, joining := l.change.full[ref.Router]
+		if !full && (joining || len(l.change.full) == 0 && !l.change.covered) && k.ready(now) {
 			out = append(out, l.send(now, k, l.full()))
 		}
 	}
@@ -156,10 +157,8 @@
 
 func (l *Log) stored(now time.Time, k *link, m *message) []Entry {
 	k.cleared = max(k.cleared, m.append.Through)
-	if l.change != nil && m.full {
-		if _, joining := l.change.full[k.ref.Router]; joining {
-			l.change.full[k.ref.Router] = true
-		}
+	if l.change != nil && m.full && m.append.Number > l.change.after {
+		l.change.join(k.ref.Router)
 	}
 	if !l.relies(k.ref.Router) {
 		return nil
--- a/pkg/purse/bill.go
+++ b/pkg/purse/bill.go
@@ -69,7 +69,7 @@
 		c.callers[call] = caller{bill: b}
 	}
 	b.seq = c.log.Add(now, b.entry(), true).Seq
-	c.awaiting[b.seq] = func(time.Time) { c.durable(b) }
+	c.awaiting[b.seq] = ack{then: func(time.Time) { c.durable(b) }}
 	c.flush(now, a.id.Organisation)
 }
 
@@ -86,10 +86,12 @@
 // settled takes the ledger's answer to a settle operation.
 func (c *core) settled(now time.Time, p *pendingOp, result budget.Result) {
 	a := p.account
+	c.log.Settled(now, a.id.Organisation, p.flush.Seq)
+	delete(c.flushing, p.op.ID)
+	c.flushOf(a.id.Organisation).settling--
 	switch result.Code {
 	case budget.CodeOK:
-	case budget.CodeFull, budget.CodeStale:
-		// Nothing is lost: the ledger recognises bills that it has.
+	case budget.CodeFull:
 		c.unsettled(now, a, p.bills)
 		return
 	default:
--- a/pkg/purse/core.go
+++ b/pkg/purse/core.go
@@ -58,8 +58,10 @@
 	flushes      map[string]*flush
 	busy         []*flush
 	moves        map[string]*move
+	// flushing holds the journal entries of settle operations that the ledger has not confirmed.
+	flushing map[string]journal.Entry
 	// awaiting maps positions in the journal to what waits for their acknowledgement.
-	awaiting map[uint64]func(now time.Time)
+	awaiting map[uint64]ack
 	// unrecorded lists reservations that wait for a witness, the oldest first.
 	unrecorded []*reservation
 	callers    map[uint64]caller
@@ -71,6 +73,13 @@
 	excess budget.Tokens
 }
 
+// ack is what happens once a witness has recorded an entry.
+type ack struct {
+	then func(now time.Time)
+	// plain tells that it also happens if the instance has no witnesses any more.
+	plain bool
+}
+
 // caller is what a call waits for; one field is set.
 type caller struct {
 	waiter      *waiter
@@ -82,8 +91,8 @@
 	c := &core{
 		settings: settings.withDefaults(), instance: instance,
 		accounts: map[budget.ID]*account{}, reservations: map[uint64]*reservation{},
-		bills: map[billKey]*bill{}, flushes: map[string]*flush{}, moves: map[string]*move{},
-		awaiting: map[uint64]func(time.Time){}, callers: map[uint64]caller{},
+		bills: map[billKey]*bill{}, flushes: map[string]*flush{}, moves: map[string]*move{}, flushing: map[string]journal.Entry{},
+		awaiting: map[uint64]ack{}, callers: map[uint64]caller{},
 	}
 	c.log = journal.NewLog(instance, witnesses, settings.Journal, c.openEntries)
 	return c
@@ -178,7 +187,7 @@
 		c.recorded(r)
 		return
 	}
-	c.awaiting[r.seq] = func(time.Time) { c.recorded(r) }
+	c.awaiting[r.seq] = ack{then: func(time.Time) { c.recorded(r) }, plain: true}
 	c.unrecorded = append(c.unrecorded, r)
 }
 
@@ -280,7 +289,9 @@
 	return outcome.Unknownf(outcome.ReasonNotBilled, retryAdvice, "%s", cause)
 }
 
-func (c *core) opID() string {
+// opID returns an id for an operation. Organisations and kinds have issuers of their own: the operations of an
+// issuer reach the ledger in order, so the ledger can't take one that was delayed for outdated.
+func (c *core) opID(organisation, kind string) string {
 	c.lastOp++
-	return fmt.Sprintf("%s/%d", c.instance, c.lastOp)
+	return fmt.Sprintf("%s/%s/%s/%d", c.instance, organisation, kind, c.lastOp)
 }
--- a/pkg/purse/entries.go
+++ b/pkg/purse/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -48,6 +49,9 @@
 	for _, b := range c.bills {
 		out = append(out, b.entry())
 	}
+	for _, e := range c.flushing {
+		out = append(out, e)
+	}
 	for _, m := range c.moves {
 		if m.seq > 0 {
 			out = append(out, m.entry())
@@ -80,7 +84,7 @@
 	for _, e := range acked {
 		if done, ok := c.awaiting[e.Seq]; ok {
 			delete(c.awaiting, e.Seq)
-			done(now)
+			done.then(now)
 		}
 	}
 	for _, f := range c.busy {
@@ -96,8 +100,11 @@
 	}
 	c.log.Recorded(ok)
 	if !c.log.Witnessed() {
-		for _, r := range c.sortedReservations() {
-			c.recorded(r)
+		for _, seq := range slices.Sorted(maps.Keys(c.awaiting)) {
+			if done, ok := c.awaiting[seq]; ok && done.plain {
+				delete(c.awaiting, seq)
+				done.then(now)
+			}
 		}
 	}
 	for _, f := range c.busy {
--- a/pkg/purse/flush.go
+++ b/pkg/purse/flush.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/journal"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
@@ -25,7 +26,9 @@
 	op      budget.Op
 	account *account
 	bills   []*bill
-	move    *move
+	// flush is the journal entry of a settle operation.
+	flush journal.Entry
+	move  *move
 	// probe marks a grant operation that only asks for the holders.
 	probe bool
 	// calls are recalls that wait for a return.
@@ -42,6 +45,10 @@
 	bills     int
 	firstBill time.Time
 
+	// settling is the number of settle operations that the ledger has not confirmed. Further ones wait, so that
+	// they reach the ledger in order.
+	settling int
+
 	queue      []*pendingOp
 	sent       []*pendingOp
 	inProgress bool
@@ -90,7 +97,7 @@
 }
 
 func (f *flush) pending() bool {
-	return f.inProgress || len(f.queue) > 0 || len(f.sent) > 0 || len(f.billed) > 0
+	return f.inProgress || f.settling > 0 || len(f.queue) > 0 || len(f.sent) > 0 || len(f.billed) > 0
 }
 
 // away reports whether the platform can't be reached at present.
@@ -98,7 +105,7 @@
 
 func (c *core) enqueue(p *pendingOp) {
 	if p.op.ID == "" {
-		p.op.ID = c.opID()
+		p.op.ID = c.opID(p.account.id.Organisation, string(p.op.Kind))
 	}
 	if p.op.Holder == "" {
 		p.op.Holder = c.instance
@@ -153,11 +160,7 @@
 func (c *core) settleDue(now time.Time, f *flush) bool {
 	due := !c.log.Witnessed() || c.draining || len(f.queue) > 0 || f.bills >= c.settings.FlushBills ||
 		now.Sub(f.firstBill) >= c.settings.FlushInterval
-	if due && !c.log.MaySettle(f.organisation) {
-		c.log.HasMarks()
-		return false
-	}
-	return due
+	return due && f.settling == 0
 }
 
 func (c *core) enqueueBills(now time.Time, f *flush) {
@@ -169,7 +172,7 @@
 			op.Bills[i] = b.record()
 		}
 		op.FlushedMS = f.flushedUntil(now, bills).UnixMilli()
-		c.enqueue(&pendingOp{op: op, account: a, bills: bills})
+		c.journalFlush(now, f, &pendingOp{op: op, account: a, bills: bills})
 		a.unflushed = a.unflushed[n:]
 		f.bills -= n
 	}
@@ -177,6 +180,24 @@
 	f.firstBill = now
 }
 
+// journalFlush records which operation settles the bills, and then queues the operation.
+func (c *core) journalFlush(now time.Time, f *flush, p *pendingOp) {
+	f.settling++
+	p.op.ID = c.opID(f.organisation, string(p.op.Kind))
+	p.flush = c.log.Add(now, journal.Entry{
+		Kind: journal.Flush, Budget: p.account.id, Op: p.op.ID, First: p.bills[0].seq, Last: p.bills[len(p.bills)-1].seq,
+	}, true)
+	c.flushing[p.op.ID] = p.flush
+	if !c.log.Witnessed() {
+		c.enqueue(p)
+		return
+	}
+	c.awaiting[p.flush.Seq] = ack{plain: true, then: func(now time.Time) {
+		c.enqueue(p)
+		c.flush(now, f.organisation)
+	}}
+}
+
 func order(k budget.OpKind) int {
 	switch k {
 	case budget.OpTransfer:
--- a/pkg/purse/transfer.go
+++ b/pkg/purse/transfer.go
@@ -52,7 +52,7 @@
 		kind = journal.TransferOut
 	}
 	return journal.Entry{
-		Seq: m.seq, Kind: kind, Budget: m.account.id, Tokens: m.tokens, Transfer: m.id, Peer: m.peer,
+		Seq: m.seq, Kind: kind, Budget: m.account.id, Tokens: m.tokens, Op: m.id, Peer: m.peer,
 	}
 }
 
@@ -107,7 +107,7 @@
 	m.account.moving++
 	m.seq = c.log.Add(now, m.entry(), true).Seq
 	if c.log.Witnessed() {
-		c.awaiting[m.seq] = then
+		c.awaiting[m.seq] = ack{then: then, plain: true}
 		return
 	}
 	then(now)
