--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -37,6 +37,8 @@
 type Gateway struct {
 	Options
 	app *fiber.App
+	// leaving is set when the router has been announced as leaving.
+	leaving atomic.Bool
 	// refusing is set when the router is about to stop: new requests are refused, those in progress go on.
 	refusing atomic.Bool
 	// inProgress counts requests from arrival to their last byte.
@@ -53,6 +55,7 @@
 		ReadTimeout: 30 * time.Second,
 		IdleTimeout: 2 * time.Minute,
 	})
+	g.app.Use(g.closeConnections)
 	g.app.Get("/healthz", g.health)
 	g.app.Get("/v1/addresses", g.addresses)
 	g.app.Post("/v1/chat/completions", g.chat)
@@ -80,6 +83,17 @@
 // Idle returns a channel that is closed when no request is in progress.
 func (g *Gateway) Idle() <-chan struct{} { return g.inProgress.idle() }
 
+// Leave makes the gateway close each connection after its next answer, so that callers ask for addresses again and
+// no request meets a closed connection when the router stops.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+func (g *Gateway) closeConnections(c fiber.Ctx) error {
+	if g.leaving.Load() {
+		c.Response().SetConnectionClose()
+	}
+	return c.Next()
+}
+
 // Refuse makes the gateway refuse new requests. Requests in progress are not affected.
 func (g *Gateway) Refuse() { g.refusing.Store(true) }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -135,6 +135,16 @@
 	<-g.Idle()
 }
 
+// Guards against callers that keep a connection to a router that is about to stop.
+func TestLeavingRouterClosesConnections(t *testing.T) {
+	g := newGateway(configuration(t))
+	g.Leave()
+	resp, err := g.app.Test(httptest.NewRequest(http.MethodGet, "/healthz", nil))
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	must.True(t, resp.Close)
+}
+
 // Guards against addresses of VMs that are leaving or don't answer.
 func TestAddressesOmitLeavingVMs(t *testing.T) {
 	status, data := newGateway(configuration(t)).do(t, http.MethodGet, "/v1/addresses", callerText, "")
