--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -36,6 +36,10 @@
 
 zone_of() { echo "${zones[$((($1 - 1) % ${#zones[@]}))]}"; }
 
+# An engine with the number in slow_engine serves another model with 1 s for each token.
+model_of() { [[ $1 == "${slow_engine:-}" ]] && echo slow || echo demo; }
+token_time_of() { [[ $1 == "${slow_engine:-}" ]] && echo 1s || echo "${token_time:-4ms}"; }
+
 write_platform() {
 	local i
 	{
@@ -45,7 +49,7 @@
 			echo "  - {name: e$i, region: r1, zone: $(zone_of $i), role: entry, state: live, address: \"$net.$i:8080\", peer_address: \"$net.$i:8081\"}"
 		done
 		for ((i = 1; i <= engines; i++)); do
-			echo "  - {name: g$i, region: r1, zone: $(zone_of $i), role: engine, state: live, address: \"$net.$((20 + i)):7100\", models: [demo], bytes_per_token: 4}"
+			echo "  - {name: g$i, region: r1, zone: $(zone_of $i), role: engine, state: live, address: \"$net.$((20 + i)):7100\", models: [$(model_of $i)], bytes_per_token: 4}"
 		done
 		for ((i = 1; i <= services; i++)); do
 			echo "  - {name: s$i, region: r1, zone: $(zone_of $i), role: service, state: live, address: \"$net.$((60 + i)):7200\", service: booking}"
@@ -85,7 +89,7 @@
 	for ((i = 1; i <= engines; i++)); do
 		cat >"$dir/g$i.yaml" <<-END
 			listen: $net.$((20 + i)):7100
-			engine: {models: [demo], slots: ${engine_slots:-16}, queue_limit: 64, token_time: ${token_time:-4ms}, prefill_time: ${prefill_time:-20us}, speed: 1, cache_blocks: 4096, event_lag: 200ms, load_lag: 300ms, fencing: enforced, poison_marker: "POISON ", model_bytes: 67108864, adapter_bytes: 1048576, seed: $i}
+			engine: {models: [$(model_of $i)], slots: ${engine_slots:-16}, queue_limit: 64, token_time: $(token_time_of $i), prefill_time: ${prefill_time:-20us}, speed: 1, cache_blocks: 4096, event_lag: 200ms, load_lag: 300ms, fencing: enforced, poison_marker: "POISON ", model_bytes: 67108864, adapter_bytes: 1048576, seed: $i}
 		END
 		start "g$i" "$bin/lsengine" -settings "$dir/g$i.yaml"
 		echo "  - {vm: g$i, address: \"$net.$((20 + i)):7100\", pid: $pid}" >>"$fleet"
--- a/pkg/load/cli/cli.go
+++ b/pkg/load/cli/cli.go
@@ -50,6 +50,10 @@
 		return runScenario(ctx, args[1:], stdout, stderr)
 	case "wait":
 		return waitReady(ctx, args[1:], stderr)
+	case "compare":
+		return compare(args[1:], stdout, stderr)
+	case "router-bench":
+		return routerBench(ctx, args[1:], stdout, stderr)
 	case "check":
 		return checkScenario(args[1:], stdout, stderr)
 	case "-h", "-help", "--help", "help":
