--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -120,10 +120,23 @@
 	fi
 }
 
+# check_started fails if a process has ended, such as on an address that another fleet uses.
+check_started() {
+	local p
+	for p in "${pids[@]}"; do
+		if ! kill -0 "$p" 2>/dev/null; then
+			echo "a process ended at its start; see the logs in $dir:" >&2
+			grep -l -i "error\|in use" "$dir"/*.log >&2
+			exit 3
+		fi
+	done
+}
+
 # await_router waits until the first router accepts operators' changes.
 await_router() {
 	local n
 	for ((n = 0; n < 100; n++)); do
+		check_started
 		ctl class list >>"$dir/setup.log" 2>&1 && return
 		sleep 0.1
 	done
--- /dev/null
+++ b/pkg/load/count/count_test.go
@@ -0,0 +1,237 @@
+package count_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/pkg/load/count"
+	"github.com/lavendershunt/lavendershunt/pkg/load/evidence"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// chat returns a completion that was done in one attempt and cost 100 tokens.
+func chat(key string) *evidence.Request {
+	return &evidence.Request{
+		Class: "briefing", Organisation: "velocar", Budget: "main", Key: key, Kind: evidence.Chat, Intended: at(1), End: at(2),
+		Outcome: "done", UpperBound: 150, Whole: 100, MaxCharge: 110, Usage: 100, Match: evidence.MatchWhole,
+		Attempts: []evidence.Attempt{{RequestID: "r-" + key, Address: "127.0.1.1:8080", Start: at(1), End: at(2), Outcome: "done"}},
+	}
+}
+
+// call returns a ride assignment that was done in one attempt.
+func call(key string) *evidence.Request {
+	r := chat(key)
+	r.Kind, r.Once, r.UpperBound, r.Whole, r.MaxCharge = evidence.Call, true, 0, 0, 0
+	return r
+}
+
+func ended(r *evidence.Request, outcome, reason string) *evidence.Request {
+	r.Outcome, r.Reason = outcome, reason
+	r.Attempts[0].Outcome, r.Attempts[0].Reason = outcome, reason
+	return r
+}
+
+// books returns the ledger's evidence for a budget with 1,000 topped-up tokens that was billed for the requests.
+func books(settled int64, keys ...string) *evidence.Evidence {
+	b := evidence.Budget{Organisation: "velocar", Name: "main", ToppedUp: 1000, Settled: settled, Bills: map[uint64]bool{}}
+	s := evidence.Settlement{Organisation: "velocar", Budget: "main", Tokens: settled}
+	for _, key := range keys {
+		hash := evidence.BillKey("velocar", key)
+		b.Bills[hash] = true
+		s.Bills = append(s.Bills, hash)
+	}
+	return &evidence.Evidence{
+		Budgets: []evidence.Budget{b}, Settlements: []evidence.Settlement{s}, ServiceCounts: map[string]int{}, End: at(100),
+		TopUps: []evidence.TopUp{{Organisation: "velocar", Budget: "main", At: at(0), Total: 1000}},
+	}
+}
+
+func run(key, vm string, queued float64) evidence.Run {
+	return evidence.Run{
+		VM: vm, RequestID: "r-" + key, Organisation: "velocar", Key: key,
+		Queued: at(queued), Started: at(queued), Ended: at(queued + 1), End: "done",
+	}
+}
+
+// A counter that does not rise hides a broken invariant, and one that rises without cause makes the demo fail for
+// nothing. Each counter has a case of both.
+func TestCounters(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		raised func() *evidence.Evidence
+		kept   func() *evidence.Evidence
+		value  func(count.Counts) int64
+		want   int64
+	}{
+		{"done_unbilled", func() *evidence.Evidence {
+			e := books(100, "a")
+			e.Requests = []*evidence.Request{chat("a"), chat("b")}
+			return e
+		}, func() *evidence.Evidence {
+			e := books(200, "a", "b")
+			e.Requests = []*evidence.Request{chat("a"), chat("b"), call("c"), ended(chat("d"), "unknown", "endpoint_failed")}
+			return e
+		}, func(c count.Counts) int64 { return int64(c.DoneUnbilled) }, 1},
+
+		{"billed_twice", func() *evidence.Evidence {
+			e := books(100, "a")
+			e.Requests = []*evidence.Request{chat("a")}
+			e.Settlements = append(e.Settlements, evidence.Settlement{Organisation: "velocar", Budget: "main", Tokens: 100})
+			return e
+		}, func() *evidence.Evidence {
+			e := books(210, "a", "b")
+			hungUp := ended(chat("b"), evidence.HungUp, "")
+			e.Requests = []*evidence.Request{chat("a"), hungUp}
+			e.Settlements = append(e.Settlements, evidence.Settlement{Organisation: "velocar", Budget: "main", Tokens: 500, Bills: []uint64{7}})
+			return e
+		}, func(c count.Counts) int64 { return int64(c.BilledTwice) }, 1},
+
+		{"billed_twice with a bill beyond the whole answer", func() *evidence.Evidence {
+			e := books(101, "a")
+			e.Requests = []*evidence.Request{chat("a")}
+			return e
+		}, func() *evidence.Evidence {
+			e := books(110, "a")
+			e.Requests = []*evidence.Request{chat("a")}
+			e.Requests[0].Attempts = append(e.Requests[0].Attempts, e.Requests[0].Attempts[0])
+			return e
+		}, func(c count.Counts) int64 { return int64(c.BilledTwice) }, 1},
+
+		{"overspend_tokens in the books", func() *evidence.Evidence {
+			e := books(900)
+			e.Budgets[0].Granted = 150
+			return e
+		}, func() *evidence.Evidence {
+			e := books(900)
+			e.Budgets[0].Granted = 100
+			return e
+		}, func(c count.Counts) int64 { return c.OverspendTokens }, 50},
+
+		{"overspend_tokens delivered to callers", func() *evidence.Evidence {
+			e := books(100, "a")
+			e.Budgets[0].ToppedUp = 150
+			e.Requests = []*evidence.Request{chat("a"), chat("b")}
+			return e
+		}, func() *evidence.Evidence {
+			e := books(100, "a")
+			e.Budgets[0].ToppedUp = 150
+			e.Requests = []*evidence.Request{chat("a"), ended(chat("b"), "unknown", "")}
+			return e
+		}, func(c count.Counts) int64 { return c.OverspendTokens }, 50},
+
+		{"ran_twice", func() *evidence.Evidence {
+			e := books(0)
+			e.Requests = []*evidence.Request{call("a"), call("b")}
+			e.ServiceCounts = map[string]int{"velocar/a": 2, "velocar/b": 1}
+			return e
+		}, func() *evidence.Evidence {
+			e := books(0)
+			repeatable := call("a")
+			repeatable.Once = false
+			e.Requests = []*evidence.Request{repeatable, call("b")}
+			e.ServiceCounts = map[string]int{"velocar/a": 2, "velocar/b": 1}
+			return e
+		}, func(c count.Counts) int64 { return int64(c.RanTwice) }, 1},
+
+		{"not_run_but_ran", func() *evidence.Evidence {
+			e := books(0)
+			e.Requests = []*evidence.Request{ended(chat("a"), "not_run", "no_endpoint")}
+			e.EngineRuns = []evidence.Run{run("a", "g1", 1)}
+			return e
+		}, func() *evidence.Evidence {
+			e := books(0)
+			e.Requests = []*evidence.Request{ended(chat("a"), "not_run", "no_endpoint"), ended(chat("b"), "unknown", "")}
+			queuedOnly := run("a", "g1", 1)
+			queuedOnly.Started = time.Time{}
+			e.EngineRuns = []evidence.Run{queuedOnly, run("b", "g1", 1)}
+			return e
+		}, func(c count.Counts) int64 { return int64(c.NotRunButRan) }, 1},
+
+		{"not_run_but_ran under another request id", func() *evidence.Evidence {
+			e := books(0)
+			e.Requests = []*evidence.Request{ended(call("a"), "not_run", "claim_not_obtainable_now")}
+			other := run("a", "s1", 1)
+			other.RequestID = "r-other"
+			e.ServiceRuns = []evidence.Run{other}
+			return e
+		}, func() *evidence.Evidence {
+			e := books(0)
+			e.Requests = []*evidence.Request{ended(call("a"), "not_run", "claim_not_obtainable_now")}
+			e.ServiceRuns = []evidence.Run{run("b", "s1", 1)}
+			return e
+		}, func(c count.Counts) int64 { return int64(c.NotRunButRan) }, 1},
+
+		{"retry_not_run_but_ran", func() *evidence.Evidence {
+			e := books(0)
+			e.Requests = []*evidence.Request{retried("unknown", "not_run")}
+			e.ServiceRuns = []evidence.Run{run("a", "s1", 1)}
+			return e
+		}, func() *evidence.Evidence {
+			e := books(0)
+			e.Requests = []*evidence.Request{retried("unknown", "unknown")}
+			e.ServiceRuns = []evidence.Run{run("a", "s1", 1)}
+			return e
+		}, func(c count.Counts) int64 { return int64(c.RetryNotRunButRan) }, 1},
+
+		{"crossed_answers", func() *evidence.Evidence {
+			e := books(100, "a")
+			e.Requests = []*evidence.Request{chat("a")}
+			e.Requests[0].Crossed = true
+			return e
+		}, func() *evidence.Evidence {
+			e := books(100, "a")
+			e.Requests = []*evidence.Request{chat("a")}
+			return e
+		}, func(c count.Counts) int64 { return int64(c.CrossedAnswers) }, 1},
+
+		{"truncated_answers", func() *evidence.Evidence {
+			e := books(100, "a")
+			e.Requests = []*evidence.Request{chat("a")}
+			e.Requests[0].Truncated = true
+			return e
+		}, func() *evidence.Evidence {
+			e := books(0)
+			e.Requests = []*evidence.Request{ended(chat("a"), "unknown", "endpoint_failed")}
+			e.Requests[0].Match = evidence.MatchPart
+			return e
+		}, func(c count.Counts) int64 { return int64(c.TruncatedAnswers) }, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			raised, examples := count.Count(c.raised())
+			must.Eq(t, c.want, c.value(raised))
+			must.SliceNotEmpty(t, examples)
+			kept, _ := count.Count(c.kept())
+			must.Eq(t, 0, c.value(kept))
+		})
+	}
+}
+
+// retried returns a ride assignment with two attempts that ended unknown.
+func retried(first, second string) *evidence.Request {
+	r := ended(call("a"), first, "")
+	r.Attempts = append(r.Attempts, evidence.Attempt{RequestID: "r-second", Start: at(2), End: at(3), Outcome: second})
+	r.Outcome = "unknown"
+	return r
+}
+
+// The demo exits with 1 only for broken invariants: a refusal or an unknown outcome is not one.
+func TestBrokenNamesOnlyInvariants(t *testing.T) {
+	must.SliceEmpty(t, count.Counts{Unknown: 3, NotRun: 2, RefusedBudget: 4, FalseRefusals: 1, RetryNotRunButRan: 1}.Broken())
+	must.Eq(t, []string{"overspend_tokens", "config_late"}, count.Counts{OverspendTokens: 1, ConfigLate: 1}.Broken())
+}
+
+func TestOutcomesAreCountedOnce(t *testing.T) {
+	e := books(100, "a")
+	e.Requests = []*evidence.Request{
+		chat("a"), ended(chat("b"), "not_run", "overload"), ended(chat("c"), "unknown", "endpoint_failed"),
+		ended(chat("d"), evidence.HungUp, ""),
+	}
+	c, _ := count.Count(e)
+	must.Eq(t, []int{4, 1, 1, 1, 1}, []int{c.Requests, c.Done, c.NotRun, c.Unknown, c.HungUp})
+	must.Eq(t, map[string]int{"overload": 1, "endpoint_failed": 1}, c.Reasons)
+}
