Test ledger and writers as a state machine; keep bills for all holders of an organisation

The state machine test found a double bill: bills were kept until every holder of the bill's budget had flushed, but a key belongs to the organisation, so a holder of another budget of the same organisation could bring it later ("key velocar7889053-1 was billed 2 times").

--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -127,6 +127,18 @@
 	must.Eq(t, 30, b.status().Grants[0].Tokens)
 }
 
+// Guards I1: a settlement that the holder's grant does not cover changes nothing, not even for its other bills.
+func TestSettleIsCoveredByGrant(t *testing.T) {
+	b := newBooks(t, 1000)
+	b.grant("a", 15)
+	b.grant("b", 100)
+	b.code(budget.CodeInvalid, budget.Op{Kind: budget.OpSettle, Holder: "a", Bills: []budget.Bill{
+		{Budget: acct, Key: "x", Tokens: 10}, {Budget: acct, Key: "y", Tokens: 10},
+	}})
+	must.Eq(t, 0, b.status().Settled)
+	must.SliceEmpty(t, b.settleAt("a", b.now, "x").Duplicates)
+}
+
 // Guards the grant sizes of the design: need at least, half of the rest divided by the holders at most.
 func TestGrantSize(t *testing.T) {
 	b := newBooks(t, 1000)
@@ -167,6 +179,23 @@
 	must.Eq(t, 10, b.status().Settled)
 }
 
+// Guards I2 when a request is repeated on another budget of the organisation: a holder of that budget alone also
+// keeps the bill.
+func TestBillKeptForHoldersOfOtherBudgets(t *testing.T) {
+	b := newBooks(t, 1000)
+	other := budget.ID{Organisation: acct.Organisation, Budget: "other"}
+	b.ok(budget.Op{ID: "create2", Kind: budget.OpCreate, Budget: other})
+	b.ok(budget.Op{ID: "top2", Kind: budget.OpTopUp, Budget: other, Tokens: 100})
+	b.grant("b", 100)
+	b.ok(budget.Op{Kind: budget.OpGrant, Holder: "a", Need: 50, Budget: other})
+	b.settleAt("b", b.now, "k")
+	b.now = b.now.Add(time.Hour)
+	b.settleAt("b", b.now)
+	b.s.Prune(b.now)
+	r := b.ok(budget.Op{Kind: budget.OpSettle, Holder: "a", Bills: []budget.Bill{{Budget: other, Key: "k", Tokens: 10}}})
+	must.Eq(t, []string{"k"}, r.Duplicates)
+}
+
 // Guards against the loss of bills of requests that run long: a flush before the request ends must not count.
 func TestFlushWithoutTimeCountsFromLongestRequest(t *testing.T) {
 	b := newBooks(t, 1000)
--- a/pkg/ledger/settle.go
+++ b/pkg/ledger/settle.go
@@ -155,14 +155,12 @@
 }
 
 // Prune drops records whose retention has ended. A bill is kept for budget.RetentionTime, and until every present
-// holder of its budget has flushed all requests that it began within retryWindow of the bill: such a request can
-// carry the same key, and must still meet the bill.
+// holder of its organisation has flushed all requests that it began within retryWindow of the bill: such a request
+// can carry the same key, also on another budget of the organisation, and must still meet the bill.
 func (s *Shard) Prune(now time.Time) {
 	s.clock = max(s.clock, now.Unix())
 	for _, org := range s.organisations {
-		for _, a := range org {
-			s.pruneBills(a)
-		}
+		s.pruneBills(org)
 	}
 	prune(s, s.operators, OperatorRetention, func(e operatorEntry) int64 { return e.at })
 	prune(s, s.closed, ClosedRetention, func(at int64) int64 { return at })
@@ -174,18 +172,22 @@
 // ends within the retention time.
 const retryWindow = budget.RetentionTime - budget.LongestRequest
 
-func (s *Shard) pruneBills(a *account) {
+func (s *Shard) pruneBills(org map[string]*account) {
 	before := s.clock - int64(budget.RetentionTime.Seconds())
-	for _, g := range a.grants {
-		before = min(before, g.flushed-int64(retryWindow.Seconds()))
-	}
-	n := 0
-	for n < len(a.bills) && a.bills[n].at < before {
-		delete(s.bills, a.bills[n].key)
-		n++
+	for _, a := range org {
+		for _, g := range a.grants {
+			before = min(before, g.flushed-int64(retryWindow.Seconds()))
+		}
 	}
-	if n > 0 {
-		a.bills = append([]billEntry(nil), a.bills[n:]...)
+	for _, a := range org {
+		n := 0
+		for n < len(a.bills) && a.bills[n].at < before {
+			delete(s.bills, a.bills[n].key)
+			n++
+		}
+		if n > 0 {
+			a.bills = append([]billEntry(nil), a.bills[n:]...)
+		}
 	}
 }
 
--- /dev/null
+++ b/pkg/ledgerwriter/machine_test.go
@@ -0,0 +1,242 @@
+package ledgerwriter
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/ledger"
+)
+
+// machine runs holders, operators and writers against a faulty store and compares the stored books with a reference
+// model. The model adds up the results of the operations, which does not depend on their order.
+type machine struct {
+	store   *fakeStore
+	writers []*Writer
+	rng     *rand.Rand
+	mu      sync.Mutex
+	model   model
+	holders []*holder
+	sent    []sentOp
+	// pending holds transfers that two holders agreed on and the ledger does not have.
+	pending []budget.Op
+	nextID  int
+	// attempted holds the keys of all requests that ran.
+	attempted map[string]bool
+	// closedBills are the bills of the holder that was closed in this step.
+	closedBills []budget.Bill
+	failure     string
+}
+
+// model is what the books must be when all operations are answered.
+type model struct {
+	toppedUp, settled map[budget.ID]int64
+	held              map[budget.ID]map[string]int64
+	// charged counts how often each key was billed; dispatched counts the dispatches of each claimed call.
+	charged, dispatched map[string]int
+}
+
+// holder is a router as the ledger sees it: what it may spend and the bills that it has not flushed.
+type holder struct {
+	name     string
+	sequence int
+	purse    map[budget.ID]int64
+	bills    []budget.Bill
+	since    []time.Time
+}
+
+type sentOp struct {
+	op     budget.Op
+	result budget.Result
+}
+
+var accounts = []budget.ID{acct, {Organisation: "velocar", Budget: "night"}, {Organisation: "svaz", Budget: "main"}}
+
+func newMachine(seed uint64) *machine {
+	m := &machine{store: newStore(), rng: rand.New(rand.NewPCG(seed, 1)), attempted: map[string]bool{}}
+	m.store.latency = 5 * time.Millisecond
+	m.store.check = m.checkStored
+	m.model = model{
+		toppedUp: map[budget.ID]int64{}, settled: map[budget.ID]int64{}, held: map[budget.ID]map[string]int64{},
+		charged: map[string]int{}, dispatched: map[string]int{},
+	}
+	for range 3 {
+		m.writers = append(m.writers, New(Options{Store: m.store, Rate: func() float64 { return 100 }, Burst: 10}))
+	}
+	for range 4 {
+		m.holders = append(m.holders, m.newHolder())
+	}
+	for _, id := range accounts {
+		m.model.held[id] = map[string]int64{}
+		m.apply(budget.Op{ID: m.id("op"), Kind: budget.OpCreate, Budget: id})
+		m.topUp(id, 1000)
+	}
+	return m
+}
+
+func (m *machine) close() {
+	for _, w := range m.writers {
+		w.Close()
+	}
+}
+
+func (m *machine) id(prefix string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nextID++
+	return fmt.Sprintf("%s/%d", prefix, m.nextID)
+}
+
+func (m *machine) newHolder() *holder {
+	return &holder{name: "router" + m.id("h")[2:], purse: map[budget.ID]int64{}}
+}
+
+func (m *machine) fail(format string, args ...any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failure == "" {
+		m.failure = fmt.Sprintf(format, args...)
+	}
+}
+
+func (m *machine) random(n int) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rng.IntN(n)
+}
+
+// apply sends one operation through any writer until its result is known, at times through two at once.
+func (m *machine) apply(op budget.Op) budget.Result {
+	for {
+		if m.random(4) == 0 {
+			w := m.writers[m.random(len(m.writers))]
+			go func() { _, _ = w.Apply(context.Background(), 0, []budget.Op{op}) }()
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		results, err := m.writers[m.random(len(m.writers))].Apply(ctx, 0, []budget.Op{op})
+		cancel()
+		if err == nil {
+			m.mu.Lock()
+			m.sent = append(m.sent, sentOp{op, results[0]})
+			m.mu.Unlock()
+			return results[0]
+		}
+		time.Sleep(time.Duration(10+m.random(200)) * time.Millisecond)
+	}
+}
+
+// resend delivers an old operation again. It must give the same result or be refused.
+func (m *machine) resend() {
+	m.mu.Lock()
+	old := m.sent[m.rng.IntN(len(m.sent))]
+	w := m.writers[m.rng.IntN(len(m.writers))]
+	m.mu.Unlock()
+	results, err := w.Apply(context.Background(), 0, []budget.Op{old.op})
+	if err != nil {
+		return
+	}
+	r := results[0]
+	if r.Code == budget.CodeStale || r.Code == budget.CodeHolderClosed || old.op.Kind == budget.OpTransfer {
+		return
+	}
+	if r.Code != old.result.Code || r.Granted != old.result.Granted {
+		m.fail("duplicate of %s %s gave %s %d instead of %s %d", old.op.Kind, old.op.ID, r.Code, r.Granted,
+			old.result.Code, old.result.Granted)
+	}
+}
+
+// checkStored checks each stored version.
+func (m *machine) checkStored(_ string, value []byte) {
+	s, err := ledger.Decode(value)
+	if err != nil {
+		m.fail("stored shard: %v", err)
+		return
+	}
+	for _, id := range accounts {
+		for _, b := range s.Read(id.Organisation) {
+			if sum(b) > b.ToppedUp {
+				m.fail("%s: settled %d and grants %v exceed %d", b.ID, b.Settled, b.Grants, b.ToppedUp)
+			}
+		}
+	}
+}
+
+func sum(b budget.Status) int64 {
+	n := b.Settled
+	for _, g := range b.Grants {
+		n += g.Tokens
+	}
+	return n
+}
+
+// checkModel compares the stored books with the model. It is called when all operations are answered.
+func (m *machine) checkModel() {
+	s := m.store.shard(0)
+	books := map[budget.ID]budget.Status{}
+	for _, id := range accounts {
+		for _, b := range s.Read(id.Organisation) {
+			books[b.ID] = b
+		}
+	}
+	for _, id := range accounts {
+		b := books[id]
+		if b.ToppedUp != m.model.toppedUp[id] || b.Settled != m.model.settled[id] {
+			m.fail("%s: books %d/%d, model %d/%d", id, b.Settled, b.ToppedUp, m.model.settled[id], m.model.toppedUp[id])
+		}
+		var held int64
+		for _, g := range b.Grants {
+			held += g.Tokens
+			if g.Tokens != m.model.held[id][g.Instance] {
+				m.fail("%s: holder %s has %d, model %d", id, g.Instance, g.Tokens, m.model.held[id][g.Instance])
+			}
+		}
+		var want int64
+		for _, n := range m.model.held[id] {
+			want += n
+		}
+		if held != want {
+			m.fail("%s: grants %d, model %d", id, held, want)
+		}
+	}
+	for key, n := range m.model.charged {
+		if n > 1 {
+			m.fail("key %s was billed %d times", key, n)
+		}
+	}
+	for key, n := range m.model.dispatched {
+		if n > 1 {
+			m.fail("call %s was dispatched %d times", key, n)
+		}
+	}
+}
+
+// Guards I1, I2 and I5 at the ledger: any mix of operations, faults, duplicates, closures and outages.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		steps := rapid.SliceOfN(rapid.IntRange(0, stepKinds-1), 5, 30).Draw(rt, "steps")
+		var failure string
+		synctest.Test(t, func(*testing.T) {
+			m := newMachine(seed)
+			defer m.close()
+			for _, s := range steps {
+				m.step(s)
+				if failure = m.failure; failure != "" {
+					return
+				}
+			}
+			m.settleAll()
+			failure = m.failure
+		})
+		if failure != "" {
+			rt.Fatal(failure)
+		}
+	})
+}
