--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,7 @@
 
 clean:
 	rm -rf $(BIN) out
+
+# A whole fleet on loopback with faults; writes out/summary.json and fails if an invariant was broken.
+demo: build
+	bash demo/run.sh
