Make the stored shard smaller and keep bills that wait for a transfer applicable

Issuers' names are stored by their parts, claim ids without their owner's name, and ids of operators' operations other than top-ups for 24 h instead of 30 days.

--- a/pkg/ledger/claims.go
+++ b/pkg/ledger/claims.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 )
@@ -23,7 +24,24 @@
 }
 
 // bytes returns a bound on the encoded size. It includes room for a result without body and content type.
-func (c *claim) bytes() int { return claimBytes + len(c.id) + len(c.owner) + c.bodyBytes() }
+// The owner's name is stored once for all its claims and not counted.
+func (c *claim) bytes() int { return claimBytes + len(c.shortID()) + c.bodyBytes() }
+
+// shortID returns the id without the owner's name, which nearly all ids begin with. The first byte of the stored id
+// tells whether it was left out.
+func (c *claim) shortID() string {
+	if rest, ok := strings.CutPrefix(c.id, c.owner+"/"); ok {
+		return "/" + rest
+	}
+	return "=" + c.id
+}
+
+func longID(short, owner string) string {
+	if rest, ok := strings.CutPrefix(short, "/"); ok {
+		return owner + "/" + rest
+	}
+	return strings.TrimPrefix(short, "=")
+}
 
 func (c *claim) bodyBytes() int {
 	if c.result == nil {
@@ -43,7 +61,7 @@
 		return budget.Result{Code: code, Claim: c.record(op.Claim.Key)}
 	}
 	c := &claim{id: op.Claim.ID, owner: op.Claim.Owner, bodyHash: op.Claim.BodyHash, at: s.clock}
-	if s.claimBytes-s.resultBytes+c.bytes() > claimsSize-resultsSize || s.Size() > growthSize {
+	if s.claimBytes-s.resultBytes+c.bytes() > claimsSize || s.Size() > claimGrowthSize {
 		return budget.Result{Code: budget.CodeFull, Message: "shard has no room for another claim"}
 	}
 	s.claims[key] = c
@@ -54,7 +72,7 @@
 func (s *Shard) addClaimSize(c *claim) {
 	s.claimBytes += c.bytes()
 	s.resultBytes += c.bodyBytes()
-	s.size += c.bytes()
+	s.size += c.bytes() + len(c.owner)
 }
 
 // claimResult stores the result of a claim. The first result stays.
--- a/pkg/ledger/codec.go
+++ b/pkg/ledger/codec.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -23,7 +24,7 @@
 	issuerBytes   = 48
 	entryBytes    = 24
 	operatorBytes = 16
-	claimBytes    = 80
+	claimBytes    = 56
 	// ageBytes is how much longer one stored age can become.
 	ageBytes = 4
 )
@@ -84,7 +85,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.operators)) {
 		e.out.OperatorIds = append(e.out.OperatorIds, id)
-		e.out.OperatorAges = append(e.out.OperatorAges, e.age(s.operators[id].at))
+		e.out.OperatorKeeps = append(e.out.OperatorKeeps, uint32(max(0, s.operators[id].until-s.clock)))
 		e.out.OperatorCodes = append(e.out.OperatorCodes, codeNumber(s.operators[id].code))
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.closed)) {
@@ -127,8 +128,9 @@
 }
 
 func (e *encoder) issuer(key issuerKey, h *history) *ledgerv1.IssuerState {
-	out := &ledgerv1.IssuerState{
-		Issuer: e.name(key.issuer), Organisation: e.name(key.organisation), Floor: h.floor,
+	out := &ledgerv1.IssuerState{Organisation: e.name(key.organisation), Floor: h.floor}
+	for part := range strings.SplitSeq(key.issuer, "/") {
+		out.Issuer = append(out.Issuer, e.name(part))
 	}
 	last := h.floor
 	for i, entry := range h.entries {
@@ -146,7 +148,7 @@
 
 func (e *encoder) claim(key uint64, c *claim) *ledgerv1.ClaimState {
 	out := &ledgerv1.ClaimState{
-		Key: key, Id: c.id, Owner: e.name(c.owner), BodyHash: c.bodyHash, Age: e.age(c.at),
+		Key: key, Id: c.shortID(), Owner: e.name(c.owner), BodyHash: c.bodyHash, Age: e.age(c.at),
 	}
 	if r := c.result; r != nil {
 		out.Result = &ledgerv1.ResultState{
--- a/pkg/ledger/decode.go
+++ b/pkg/ledger/decode.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -30,10 +31,14 @@
 		}
 	}
 	for _, i := range in.Issuers {
-		s.issuers[issuerKey{in.Names[i.Issuer], in.Names[i.Organisation]}] = s.decodeIssuer(i)
+		parts := make([]string, len(i.Issuer))
+		for n, position := range i.Issuer {
+			parts[n] = in.Names[position]
+		}
+		s.issuers[issuerKey{strings.Join(parts, "/"), in.Names[i.Organisation]}] = s.decodeIssuer(i)
 	}
 	for i, id := range in.OperatorIds {
-		s.operators[id] = operatorEntry{at: s.clock - int64(in.OperatorAges[i]), code: codes[in.OperatorCodes[i]]}
+		s.operators[id] = operatorEntry{until: s.clock + int64(in.OperatorKeeps[i]), code: codes[in.OperatorCodes[i]]}
 	}
 	for i, id := range in.Closed {
 		s.closed[id] = s.clock - int64(in.ClosedAges[i])
@@ -47,7 +52,7 @@
 
 // consistent checks the lengths of parallel lists and the positions in them.
 func consistent(in *ledgerv1.ShardState) bool {
-	ok := len(in.OperatorIds) == len(in.OperatorAges) && len(in.OperatorIds) == len(in.OperatorCodes) &&
+	ok := len(in.OperatorIds) == len(in.OperatorKeeps) && len(in.OperatorIds) == len(in.OperatorCodes) &&
 		len(in.Closed) == len(in.ClosedAges) && knownCodes(in.OperatorCodes)
 	for _, org := range in.Organisations {
 		for _, b := range org.Budgets {
@@ -61,7 +66,10 @@
 	for _, i := range in.Issuers {
 		n := len(i.Sequences)
 		ok = ok && n == len(i.Ages) && n == len(i.Codes) && n == len(i.Granted) && len(i.Duplicates)%2 == 0 &&
-			knownCodes(i.Codes) && int(i.Issuer) < len(in.Names) && int(i.Organisation) < len(in.Names)
+			knownCodes(i.Codes) && int(i.Organisation) < len(in.Names)
+		for _, position := range i.Issuer {
+			ok = ok && int(position) < len(in.Names)
+		}
 		for d := 0; d < len(i.Duplicates); d += 2 {
 			ok = ok && int(i.Duplicates[d]) < n
 		}
@@ -126,7 +134,7 @@
 
 func (s *Shard) decodeClaim(in *ledgerv1.ClaimState, names []string) {
 	c := &claim{
-		id: in.Id, owner: names[in.Owner], bodyHash: in.BodyHash, at: s.clock - int64(in.Age),
+		id: longID(in.Id, names[in.Owner]), owner: names[in.Owner], bodyHash: in.BodyHash, at: s.clock - int64(in.Age),
 	}
 	if r := in.Result; r != nil {
 		c.result = &budget.StoredResult{
--- a/pkg/ledger/doc.go
+++ b/pkg/ledger/doc.go
@@ -6,7 +6,8 @@
 //
 // Duplicates. Operations of routers have ids "<issuer>/<sequence>". Per issuer and organisation the shard keeps the
 // results of the latest operations and a floor; an operation at or below the floor is refused as stale, so a
-// duplicate never takes effect however late it arrives. Operators' operations are recognised by a hash of their id for OperatorRetention.
+// duplicate never takes effect however late it arrives. Operators' operations are recognised by a hash of their id for
+// TopUpRetention or OperatorRetention; CodeFull refuses further ones rather than forget an id early.
 package ledger
 
 import (
@@ -21,12 +22,17 @@
 	// HistoryRetention is how long the result of a router's operation is kept at least, unless the issuer has
 	// more than historyMax later ones. It covers reordering between the paths of a router's operations.
 	HistoryRetention = time.Minute
-	// OperatorRetention is how long the id of an operator's operation is recognised.
-	OperatorRetention = 30 * 24 * time.Hour
+	// TopUpRetention is how long the id of a top-up is recognised. A top-up must count once, so its id is kept
+	// longer than any caller's retries.
+	TopUpRetention = 30 * 24 * time.Hour
+	// OperatorRetention is how long the ids of operators' other operations are recognised.
+	OperatorRetention = 24 * time.Hour
 	// ClosedRetention is how long a closed holder is recognised. A holder that is forgotten after that has no
 	// grant, so its settlements, returns and transfers are refused; a late grant to it would stay unspent,
 	// because its witnesses refuse its journal.
 	ClosedRetention = 24 * time.Hour
+	// idleHistory is the time without operations after which only the last result of an issuer is kept.
+	idleHistory = time.Hour
 	// IssuerRetention is how long the history of an issuer without grants is kept after its last operation.
 	IssuerRetention = 24 * time.Hour
 	// ClaimRetention is how long claims are kept.
@@ -38,7 +44,7 @@
 	historyMin = 8
 	// historyMax is twice the largest number of operations of one issuer in one write.
 	historyMax  = 512
-	operatorMax = 8192
+	operatorMax = 16384
 	// maxTokens bounds amounts so that sums can't overflow.
 	maxTokens = int64(1) << 53
 	// maxName bounds the length of names and ids in bytes.
@@ -50,10 +56,12 @@
 	// growthSize is the size above which operations that lead to new records are refused; the rest up to
 	// MaxSize is left for settlements.
 	growthSize = MaxSize * 3 / 4
-	// claimsSize bounds the size of all claims with their results. The part beyond resultsSize is for the claims.
-	claimsSize = MaxSize / 4
-	// resultsSize bounds the bodies of results; beyond it the oldest bodies are dropped, never the claims.
-	resultsSize = claimsSize / 2
+	// claimsSize bounds the claims without the bodies of their results, and resultsSize those bodies; beyond it the
+	// oldest bodies are dropped, never the claims.
+	claimsSize  = MaxSize * 3 / 8
+	resultsSize = MaxSize / 8
+	// claimGrowthSize is the size above which claims are refused, so that claims can't crowd out grants.
+	claimGrowthSize = MaxSize * 5 / 8
 )
 
 // ShardOf returns the shard of an organisation.
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -137,6 +137,12 @@
 	}})
 	must.Eq(t, 0, b.status().Settled)
 	must.SliceEmpty(t, b.settleAt("a", b.now, "x").Duplicates)
+	// The same operation takes effect once a transfer covers it.
+	op := budget.Op{ID: "a/77", Kind: budget.OpSettle, Holder: "a", Bills: []budget.Bill{{Budget: acct, Key: "y", Tokens: 10}}}
+	b.code(budget.CodeInvalid, op)
+	b.ok(budget.Op{Kind: budget.OpTransfer, Holder: "b", To: "a", Tokens: 50})
+	b.ok(op)
+	must.Eq(t, 20, b.status().Settled)
 }
 
 // Guards the grant sizes of the design: need at least, half of the rest divided by the holders at most.
--- a/pkg/ledger/settle.go
+++ b/pkg/ledger/settle.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"strings"
 	"time"
 
@@ -162,8 +163,8 @@
 	for _, org := range s.organisations {
 		s.pruneBills(org)
 	}
-	prune(s, s.operators, OperatorRetention, func(e operatorEntry) int64 { return e.at })
-	prune(s, s.closed, ClosedRetention, func(at int64) int64 { return at })
+	maps.DeleteFunc(s.operators, func(_ uint64, e operatorEntry) bool { return s.clock > e.until })
+	maps.DeleteFunc(s.closed, func(_ uint64, at int64) bool { return s.clock-at > int64(ClosedRetention.Seconds()) })
 	s.pruneClaims()
 	s.pruneIssuers()
 }
@@ -191,19 +192,20 @@
 	}
 }
 
-func prune[K comparable, V any](s *Shard, m map[K]V, keep time.Duration, at func(V) int64) {
-	for k, v := range m {
-		if s.clock-at(v) > int64(keep.Seconds()) {
-			delete(m, k)
-		}
-	}
-}
-
-// pruneIssuers drops histories without recent operations. It keeps those of present holders.
+// pruneIssuers shortens histories without recent operations, and drops those of issuers that hold nothing.
 func (s *Shard) pruneIssuers() {
 	var present map[string]bool
 	for key, h := range s.issuers {
-		if n := len(h.entries); n > 0 && s.clock-h.entries[n-1].at <= int64(IssuerRetention.Seconds()) {
+		n := len(h.entries)
+		if n == 0 {
+			continue
+		}
+		idle := time.Duration(s.clock-h.entries[n-1].at) * time.Second
+		if idle > idleHistory && n > 1 {
+			h.floor = h.entries[n-2].sequence
+			h.entries = h.entries[n-1:]
+		}
+		if idle <= IssuerRetention {
 			continue
 		}
 		if present == nil {
