--- a/pkg/ledger/settle.go
+++ b/pkg/ledger/settle.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"strings"
 	"time"
 
@@ -155,17 +156,15 @@
 }
 
 // Prune drops records whose retention has ended. A bill is kept for budget.RetentionTime, and until every present
-// holder of its budget has flushed all requests that it began within retryWindow of the bill: such a request can
-// carry the same key, and must still meet the bill.
+// holder of its organisation has flushed all requests that it began within retryWindow of the bill: such a request
+// can carry the same key, also on another budget of the organisation, and must still meet the bill.
 func (s *Shard) Prune(now time.Time) {
 	s.clock = max(s.clock, now.Unix())
 	for _, org := range s.organisations {
-		for _, a := range org {
-			s.pruneBills(a)
-		}
+		s.pruneBills(org)
 	}
-	prune(s, s.operators, OperatorRetention, func(e operatorEntry) int64 { return e.at })
-	prune(s, s.closed, ClosedRetention, func(at int64) int64 { return at })
+	maps.DeleteFunc(s.operators, func(_ uint64, e operatorEntry) bool { return s.clock > e.until })
+	maps.DeleteFunc(s.closed, func(_ uint64, at int64) bool { return s.clock-at > int64(ClosedRetention.Seconds()) })
 	s.pruneClaims()
 	s.pruneIssuers()
 }
@@ -174,34 +173,39 @@
 // ends within the retention time.
 const retryWindow = budget.RetentionTime - budget.LongestRequest
 
-func (s *Shard) pruneBills(a *account) {
+func (s *Shard) pruneBills(org map[string]*account) {
 	before := s.clock - int64(budget.RetentionTime.Seconds())
-	for _, g := range a.grants {
-		before = min(before, g.flushed-int64(retryWindow.Seconds()))
-	}
-	n := 0
-	for n < len(a.bills) && a.bills[n].at < before {
-		delete(s.bills, a.bills[n].key)
-		n++
-	}
-	if n > 0 {
-		a.bills = append([]billEntry(nil), a.bills[n:]...)
+	for _, a := range org {
+		for _, g := range a.grants {
+			before = min(before, g.flushed-int64(retryWindow.Seconds()))
+		}
 	}
-}
-
-func prune[K comparable, V any](s *Shard, m map[K]V, keep time.Duration, at func(V) int64) {
-	for k, v := range m {
-		if s.clock-at(v) > int64(keep.Seconds()) {
-			delete(m, k)
+	for _, a := range org {
+		n := 0
+		for n < len(a.bills) && a.bills[n].at < before {
+			delete(s.bills, a.bills[n].key)
+			n++
+		}
+		if n > 0 {
+			a.bills = append([]billEntry(nil), a.bills[n:]...)
 		}
 	}
 }
 
-// pruneIssuers drops histories without recent operations. It keeps those of present holders.
+// pruneIssuers shortens histories without recent operations, and drops those of issuers that hold nothing.
 func (s *Shard) pruneIssuers() {
 	var present map[string]bool
 	for key, h := range s.issuers {
-		if n := len(h.entries); n > 0 && s.clock-h.entries[n-1].at <= int64(IssuerRetention.Seconds()) {
+		n := len(h.entries)
+		if n == 0 {
+			continue
+		}
+		idle := time.Duration(s.clock-h.entries[n-1].at) * time.Second
+		if idle > idleHistory && n > 1 {
+			h.floor = h.entries[n-2].sequence
+			h.entries = h.entries[n-1:]
+		}
+		if idle <= IssuerRetention {
 			continue
 		}
 		if present == nil {
