Let requests wait in the admission queue while endpoints are full

The retry budget covers full and silent endpoints. Streams of an endpoint that died are resumed without it: a crash with 16 running streams needs 16 resumes at once, and the budget's burst of 10 would have cut six answers.

--- a/pkg/relay/chat.go
+++ b/pkg/relay/chat.go
@@ -46,6 +46,13 @@
 	sent    bool
 	suspect bool
 	tried   []string
+	// failures counts the endpoints that failed, and refused is set if one was full since the last wait.
+	failures int
+	refused  bool
+	place    admission
+	// dispatched and firstToken are the times of the first dispatch and of the first token.
+	dispatched time.Time
+	firstToken time.Time
 }
 
 // Chat runs a chat completion. The channel ends with one Event whose End is set. Cancelling ctx means that the
@@ -80,11 +87,10 @@
 	}
 	c.suspect = suspect
 	upper := int64(PromptBound(c.chat.ContentBytes, c.chat.Messages, c.Selector.BytesPerToken(c.chat.Model)) + c.chat.MaxTokens)
-	release, failure := c.Admitter.Admit(ctx, c.chat.Request, upper)
-	if failure != nil {
+	if failure = c.enter(ctx, upper); failure != nil {
 		return End{Failure: failure}
 	}
-	defer release()
+	defer func() { c.place.leave(c.admitUsage()) }()
 	if failure = c.reserve(ctx, upper); failure != nil {
 		return End{Failure: failure}
 	}
@@ -112,45 +118,72 @@
 	return outcome.NotRunf(reason, retryAdvice, "%v", err)
 }
 
+// next tells what to do after an attempt.
+type next int
+
+const (
+	// stop means that the request has ended.
+	stop next = iota
+	// failover means that another endpoint is tried.
+	failover
+	// requeue means that the endpoints are full and the request has to wait.
+	requeue
+)
+
 // attempts sends the request to endpoints until the answer is whole, or no further attempt is allowed.
 func (c *chatRun) attempts(ctx context.Context) *outcome.Failure {
-	for attempt := 1; ; attempt++ {
-		failure, again := c.attempt(ctx)
-		if failure == nil || !again {
-			return failure
-		}
-		if ctx.Err() != nil || attempt == maxAttempts || !c.AllowRetry() {
+	for {
+		failure, next := c.attempt(ctx)
+		switch next {
+		case stop:
 			return failure
+		case failover:
+			if ctx.Err() != nil || c.failures >= maxAttempts {
+				return failure
+			}
+		case requeue:
+			if full := c.place.requeue(ctx); full != nil {
+				return c.truthful(full)
+			}
+			c.tried, c.refused = nil, false
 		}
 	}
 }
 
-// AllowRetry takes one retry from the retry budget.
-func (r *Relay) AllowRetry() bool { return r.Admitter.AllowRetry() }
+// truthful turns a NotRun failure into an Unknown one if an earlier attempt may have run the request.
+func (c *chatRun) truthful(failure *outcome.Failure) *outcome.Failure {
+	if !c.sent || failure.Outcome != outcome.NotRun {
+		return failure
+	}
+	return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "an endpoint failed and no other is available: %s", failure.Message)
+}
 
-// attempt runs the rest of the request at one endpoint. again reports whether another attempt makes sense.
-func (c *chatRun) attempt(ctx context.Context) (failure *outcome.Failure, again bool) {
+// attempt runs the rest of the request at one endpoint.
+func (c *chatRun) attempt(ctx context.Context) (*outcome.Failure, next) {
 	target, failure := c.Selector.Choose(Choosing{
 		RequestID: c.chat.ID, Organisation: c.chat.Organisation.ID, Class: c.chat.Class, Model: c.chat.Model,
 		Prompt: c.chat.Prompt, OutputTokens: c.chat.MaxTokens - c.delivered, Suspect: c.suspect, Exclude: c.tried,
 	})
 	if failure != nil {
-		return c.withoutEndpoint(failure), false
+		return c.withoutEndpoint(failure)
 	}
 	c.tried = append(c.tried, target.VM)
 	start := time.Now()
+	if c.dispatched.IsZero() {
+		c.dispatched = start
+	}
 	before := c.delivered
 	err := c.exchange(ctx, target, start)
 	c.Selector.Done(target, c.report(ctx, err, before, start))
 	if err == nil {
-		return nil, false
+		return nil, stop
 	}
 	if errors.Is(err, errMoved) && ctx.Err() == nil {
-		return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "the endpoint is being withdrawn"), true
+		return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "the endpoint is being withdrawn"), failover
 	}
 	if ctx.Err() != nil {
 		c.client.cancel(target.Address, c.chat.ID)
-		return c.interrupted(ctx), false
+		return c.interrupted(ctx), stop
 	}
 	return c.failedAttempt(ctx, target, err)
 }
@@ -166,12 +199,12 @@
 	}
 }
 
-// withoutEndpoint keeps the truth about earlier attempts when no further endpoint can be chosen.
-func (c *chatRun) withoutEndpoint(failure *outcome.Failure) *outcome.Failure {
-	if !c.sent {
-		return failure
+// withoutEndpoint decides what to do when no endpoint can be chosen.
+func (c *chatRun) withoutEndpoint(failure *outcome.Failure) (*outcome.Failure, next) {
+	if failure.Reason == outcome.ReasonOverload || c.refused || c.suspect && len(c.tried) == 0 {
+		return c.truthful(failure), requeue
 	}
-	return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "the endpoint failed and no other is available: %s", failure.Message)
+	return c.truthful(failure), stop
 }
 
 func (c *chatRun) interrupted(ctx context.Context) *outcome.Failure {
@@ -184,31 +217,41 @@
 	return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "the caller disconnected")
 }
 
-// failedAttempt records the failure and decides whether another endpoint may be tried.
-func (c *chatRun) failedAttempt(ctx context.Context, target Target, err error) (*outcome.Failure, bool) {
+// failedAttempt records the failure and decides whether another endpoint may be tried. The retry budget covers full
+// and silent endpoints, where retries would multiply an overload. An endpoint that died does not take part in it,
+// and all its streams must be resumed at once.
+func (c *chatRun) failedAttempt(ctx context.Context, target Target, err error) (*outcome.Failure, next) {
+	failed := outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "%v", err)
 	switch {
-	case errors.Is(err, ErrNotSent), errors.Is(err, ErrRefused):
-		if c.sent {
-			return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "%v", err), true
-		}
-		return outcome.NotRunf(outcome.ReasonNoEndpoint, retryAdvice, "%v", err), true
+	case errors.Is(err, ErrRefused):
+		c.refused = true
+		return c.truthful(outcome.NotRunf(outcome.ReasonOverload, retryAdvice, "%v", err)), c.ifRetryAllowed(requeue)
 	case errors.Is(err, ErrRejected):
-		if c.sent {
-			return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "%v", err), false
-		}
-		return outcome.NotRunf(outcome.ReasonBadRequest, 0, "%v", err), false
+		return c.truthful(outcome.NotRunf(outcome.ReasonBadRequest, 0, "%v", err)), stop
+	}
+	c.failures++
+	switch {
+	case errors.Is(err, ErrNotSent):
+		return c.truthful(outcome.NotRunf(outcome.ReasonNoEndpoint, retryAdvice, "%v", err)), failover
 	case !errors.Is(err, ErrCrashed):
 		c.client.cancel(target.Address, c.chat.ID)
-		return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "%v", err), true
-	default:
-		c.client.streams.CloseIdleConnections()
-		suspect, stop := c.Crashes.Crashed(ctx, c.chat.Organisation.ID, c.chat.Fingerprint, c.chat.ID+"@"+target.VM)
-		c.suspect = suspect
-		if stop != nil {
-			return stop, false
-		}
-		return outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "%v", err), true
+		return failed, c.ifRetryAllowed(stop)
+	}
+	c.client.streams.CloseIdleConnections()
+	suspect, crashes := c.Crashes.Crashed(ctx, c.chat.Organisation.ID, c.chat.Fingerprint, c.chat.ID+"@"+target.VM)
+	c.suspect = suspect
+	if crashes != nil {
+		return crashes, stop
+	}
+	return failed, failover
+}
+
+// ifRetryAllowed returns failover if the retry budget allows it, and the alternative otherwise.
+func (c *chatRun) ifRetryAllowed(otherwise next) next {
+	if c.Admitter.AllowRetry() {
+		return failover
 	}
+	return otherwise
 }
 
 // exchange streams from one endpoint, beginning with the first token that was not delivered yet.
@@ -286,6 +329,7 @@
 		if p.token != nil {
 			if first {
 				first = false
+				c.noteFirstToken()
 				c.Selector.FirstToken(target)
 				c.Metrics.firstToken(c.chat.Class.Name, time.Since(start))
 			}
--- a/pkg/relay/chat_test.go
+++ b/pkg/relay/chat_test.go
@@ -206,3 +206,26 @@
 	_, end := collect(r.Chat(t.Context(), testChat("r1")))
 	must.Eq(t, outcome.Unknown, end.Failure.Outcome)
 }
+
+// Guards against failing a request, or losing its place in the queue, because engines are full for a moment.
+func TestChatWaitsForFullEngine(t *testing.T) {
+	engine := startEngine(t, full, full, whole(10))
+	admitter := &strictAdmission{}
+	r := New(Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{engine.address}}, Admitter: admitter})
+	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
+	must.Nil(t, end.Failure)
+	must.Eq(t, tenTokens, indexes)
+	must.Eq(t, 2, admitter.requeued)
+	must.Eq(t, 1, admitter.ended)
+}
+
+// Guards against cutting the streams of a dead engine because the retry budget is used up: all of them fail at once.
+func TestChatResumesWithoutRetryBudget(t *testing.T) {
+	first, second := startEngine(t, breaksAfter(4)), startEngine(t, whole(10))
+	r := New(Relay{
+		Purse: &fakePurse{}, Selector: listSelector{[]string{first.address, second.address}}, Admitter: &strictAdmission{},
+	})
+	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
+	must.Nil(t, end.Failure)
+	must.Eq(t, tenTokens, indexes)
+}
--- a/pkg/relay/fakes_test.go
+++ b/pkg/relay/fakes_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lavendershunt/lavendershunt/pkg/admit"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
@@ -97,6 +98,20 @@
 	_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[{\"delta\":{},\"finish_reason\":%q}],\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":%d,\"total_tokens\":%d}}\n\ndata: [DONE]\n\n", id, reason, tokens, tokens+3)
 }
 
+// full answers that the engine's queue is full.
+func full(w io.Writer, _ engineFields) bool {
+	w.(frameWriter).w.WriteHeader(http.StatusTooManyRequests)
+	return true
+}
+
+// strictAdmission admits every request and allows no retry.
+type strictAdmission struct{ requeued, ended int }
+
+func (a *strictAdmission) Enter(context.Context, admit.Request) (Place, error) { return a, nil }
+func (a *strictAdmission) AllowRetry() bool                                    { return false }
+func (a *strictAdmission) Requeue(context.Context) error                       { a.requeued++; return nil }
+func (a *strictAdmission) Done(admit.Usage)                                    { a.ended++ }
+
 // whole streams the tokens from resume_from up to n and the end.
 func whole(n int) script {
 	return func(w io.Writer, f engineFields) bool {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/lavendershunt/lavendershunt/pkg/admit"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
@@ -122,12 +123,31 @@
 
 // Admitter bounds queues and shares capacity between organisations.
 type Admitter interface {
-	// Admit waits until the request may be dispatched. The returned function must be called when it has ended.
-	Admit(ctx context.Context, r Request, tokens int64) (release func(), failure *outcome.Failure)
+	// Enter waits until the request may be dispatched. It returns an *outcome.Failure, or ctx.Err() if ctx ends.
+	Enter(ctx context.Context, r admit.Request) (Place, error)
 	// AllowRetry takes one retry from the retry budget, or reports that none is left.
 	AllowRetry() bool
 }
 
+// Place is the admission of one request.
+type Place interface {
+	// Requeue gives the place back because all endpoints are full, and waits for the next one. The errors are those
+	// of Enter; after an error the place is gone.
+	Requeue(ctx context.Context) error
+	// Done gives the place back.
+	Done(u admit.Usage)
+}
+
+// Admission returns an Admitter that uses the gate.
+func Admission(gate *admit.Gate) Admitter { return gateAdmitter{gate} }
+
+type gateAdmitter struct{ *admit.Gate }
+
+func (g gateAdmitter) Enter(ctx context.Context, r admit.Request) (Place, error) {
+	ticket, err := g.Gate.Enter(ctx, r)
+	return ticket, err
+}
+
 // CrashRecords stops requests that crash endpoints.
 type CrashRecords interface {
 	// Check returns a failure if the fingerprint has crashed too many endpoints, and whether it is a suspect.
@@ -181,12 +201,24 @@
 	DefaultIdleTimeout      = 5 * time.Second
 )
 
+// openAdmission admits every request.
 type openAdmission struct{}
 
-func (openAdmission) Admit(context.Context, Request, int64) (func(), *outcome.Failure) {
-	return func() {}, nil
+func (openAdmission) Enter(context.Context, admit.Request) (Place, error) { return openPlace{}, nil }
+func (openAdmission) AllowRetry() bool                                    { return true }
+
+type openPlace struct{}
+
+func (openPlace) Requeue(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(requeuePause):
+		return nil
+	}
 }
-func (openAdmission) AllowRetry() bool { return true }
+
+func (openPlace) Done(admit.Usage) {}
 
 type noCrashRecords struct{}
 
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -8,9 +8,11 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/lavendershunt/lavendershunt/pkg/admit"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
+	"github.com/lavendershunt/lavendershunt/pkg/route"
 )
 
 // Call is a request to a plain service. All its byte slices are owned by the relay.
@@ -61,11 +63,12 @@
 }
 
 func (r *Relay) call(ctx context.Context, call Call) (Answer, *outcome.Failure) {
-	release, failure := r.Admitter.Admit(ctx, call.Request, 1)
-	if failure != nil {
-		return Answer{}, failure
+	place, err := r.Admitter.Enter(ctx, admissionRequest(call.Request, route.Service(call.Service), 1, 0))
+	if err != nil {
+		return Answer{}, admissionFailure(ctx, err)
 	}
-	defer release()
+	start := time.Now()
+	defer func() { place.Done(admit.Usage{FirstToken: time.Since(start), Total: time.Since(start)}) }()
 	if call.Class.NonIdempotent {
 		return r.callOnce(ctx, call)
 	}
@@ -83,7 +86,7 @@
 		}
 		sent = sent || errors.Is(err, ErrBroken)
 		tried = append(tried, vm)
-		if vm == "" || ctx.Err() != nil || attempt == maxAttempts || !r.AllowRetry() {
+		if vm == "" || ctx.Err() != nil || attempt == maxAttempts || !r.Admitter.AllowRetry() {
 			return Answer{}, callFailure(err, sent)
 		}
 	}
