--- a/pkg/purse/refill.go
+++ b/pkg/purse/refill.go
@@ -23,7 +23,8 @@
 	}
 	scarce := now.Before(a.scarceUntil)
 	var need, want budget.Tokens
-	if !scarce && !c.draining {
+	// Tokens that would soon be returned as idle are not asked for.
+	if quiet := now.Sub(a.lastUse) >= c.settings.idleTime(a.preference)/2; !scarce && !c.draining && !quiet {
 		want = c.expected(now, a)
 	}
 	switch {
--- a/pkg/purse/world_test.go
+++ b/pkg/purse/world_test.go
@@ -55,6 +55,7 @@
 // flight is a message on its way.
 type flight struct {
 	from, to string
+	sent     time.Time
 	deliver  func()
 	timeout  func()
 }
@@ -147,13 +148,13 @@
 		}
 	}
 	timeout := func() { finish(lost) }
-	w.flights = append(w.flights, &flight{from: n.vm, to: to, timeout: timeout, deliver: func() {
+	w.flights = append(w.flights, &flight{from: n.vm, to: to, sent: w.now, timeout: timeout, deliver: func() {
 		if to != platformVM && w.nodes[to].dead {
 			timeout()
 			return
 		}
 		exec(func(result func()) {
-			w.flights = append(w.flights, &flight{from: to, to: n.vm, timeout: timeout, deliver: func() { finish(result) }})
+			w.flights = append(w.flights, &flight{from: to, to: n.vm, sent: w.now, timeout: timeout, deliver: func() { finish(result) }})
 		})
 	}})
 }
