Stop requests that crash endpoints

A request is identified by organisation and body hash. After two crashes the fingerprint is stopped. A suspect that completes is cleared.

--- /dev/null
+++ b/pkg/poison/book_test.go
@@ -0,0 +1,83 @@
+package poison
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const seed = 20261204
+
+var start = time.Unix(1_800_000_000, 0)
+
+// Guards against counts that depend on the order or the repetition of messages.
+func TestMergeIsMonotone(t *testing.T) {
+	f := Fingerprint{Organisation: "o", BodyHash: 1}
+	var parts []Record
+	for i := range 6 {
+		parts = append(parts, Record{Fingerprint: f, Crashes: []Crash{{
+			VM: fmt.Sprintf("e%d", i%3), Observer: fmt.Sprintf("r%d", i), At: start.Add(time.Duration(i) * time.Second),
+		}}})
+	}
+	parts = append(parts, Record{Fingerprint: f, Cleared: start.Add(3500 * time.Millisecond)})
+	rng := rand.New(rand.NewPCG(seed, 1))
+	for range 200 {
+		// A router has the crash before it learns that the request was cleared.
+		book := NewBook()
+		book.Merge(start, parts[0])
+		for range 3 {
+			rng.Shuffle(len(parts)-1, func(i, j int) { parts[1+i], parts[1+j] = parts[1+j], parts[1+i] })
+			for _, p := range parts {
+				book.Merge(start.Add(time.Minute), p)
+			}
+		}
+		records := book.Records()
+		must.Len(t, 1, records)
+		must.Len(t, 6, records[0].Crashes)
+		must.Eq(t, 2, records[0].count(start.Add(time.Minute)))
+	}
+}
+
+// Guards against one crash that several routers report and that counts more than once.
+func TestOneCrashCountsOnce(t *testing.T) {
+	f := Fingerprint{Organisation: "o", BodyHash: 1}
+	book := NewBook()
+	report := func(vm, observer string, at time.Duration) Status {
+		book.Merge(start.Add(at), Record{Fingerprint: f, Crashes: []Crash{{VM: vm, Observer: observer, At: start.Add(at)}}})
+		return book.Status(start.Add(at), f)
+	}
+	must.Eq(t, Suspect, report("e0", "r0", 0))
+	must.Eq(t, Suspect, report("e0", "r0", 0))
+	must.Eq(t, Suspect, report("e0", "r1", 2*time.Second))
+	must.Eq(t, Stopped, report("e1", "r1", 3*time.Second))
+
+	f.BodyHash = 2
+	must.Eq(t, Suspect, report("e0", "r0", 0))
+	must.Eq(t, Stopped, report("e0", "r0", 2*time.Second))
+}
+
+// Guards against memory without bound and against records that never expire.
+func TestBookIsBounded(t *testing.T) {
+	book := NewBook()
+	book.limit = 100
+	for i := range 1000 {
+		at := start.Add(time.Duration(i) * time.Second)
+		for j := range 30 {
+			crash := Crash{VM: fmt.Sprintf("e%d", j), Observer: "r", At: at}
+			book.Merge(at, Record{Fingerprint: Fingerprint{BodyHash: uint64(i)}, Crashes: []Crash{crash}})
+		}
+	}
+	must.Eq(t, 100, book.order.Len())
+	must.MapLen(t, 100, book.records)
+	must.Eq(t, Stopped, book.Status(start.Add(1000*time.Second), Fingerprint{BodyHash: 999}))
+	for _, r := range book.Records() {
+		must.LessEq(t, maxCrashes, len(r.Crashes))
+	}
+	late := start.Add(1000*time.Second + Retention)
+	must.Eq(t, Clear, book.Status(late, Fingerprint{BodyHash: 999}))
+	book.Expire(late)
+	must.MapEmpty(t, book.records)
+}
