--- /dev/null
+++ b/pkg/load/caller/caller_test.go
@@ -0,0 +1,172 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/pkg/load/evidence"
+	"github.com/lavendershunt/lavendershunt/pkg/load/scenario"
+	"github.com/lavendershunt/lavendershunt/pkg/load/work"
+)
+
+// router answers the n-th request for an answer, from 0, with the script's n-th entry.
+type router struct {
+	lookups  atomic.Int64
+	requests atomic.Int64
+	keys     []string
+	script   []func(http.ResponseWriter)
+}
+
+func (s *router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/addresses" {
+		s.lookups.Add(1)
+		fmt.Fprintf(w, `{"ttl_ms":60000,"addresses":[{"address":%q,"zone":"a"}]}`, r.Host)
+		return
+	}
+	n := s.requests.Add(1) - 1
+	s.keys = append(s.keys, r.Header.Get("Idempotency-Key"))
+	s.script[min(int(n), len(s.script)-1)](w)
+}
+
+func chatItem(t *testing.T, stream bool) work.Item {
+	s := &scenario.Scenario{Seed: 1, Duration: time.Hour, Rate: 1, Model: "demo", BytesPerToken: 4, Mixes: []scenario.Mix{{
+		Name: "chats", Organisation: "velocar", Class: "briefing", Rate: 1000, Burst: 1, Callers: 1, Stream: stream,
+		Patience: 20 * time.Second, Silence: 10 * time.Second,
+		PromptTokens: scenario.Range{Min: 5, Max: 5}, OutputTokens: scenario.Range{Min: 10, Max: 10},
+	}}}
+	item, ok := work.NewSource(s, 0, "test").Next()
+	must.True(t, ok)
+	return item
+}
+
+func do(t *testing.T, item work.Item, script ...func(http.ResponseWriter)) (*evidence.Request, *router) {
+	s := &router{script: script}
+	server := httptest.NewServer(s)
+	defer server.Close()
+	client := NewHTTPClient()
+	address := strings.TrimPrefix(server.URL, "http://")
+	c := &Caller{HTTP: client, Book: NewBook(client, []string{address}, "key", 1, func(AddressAnswer) {}), Key: "key", Budget: "main"}
+	return c.Do(context.Background(), item, time.Now()), s
+}
+
+// answer sends a whole answer with the text.
+func answer(text string) func(http.ResponseWriter) {
+	return func(w http.ResponseWriter) {
+		w.Header().Set("X-LS-Request-Id", "r1")
+		fmt.Fprintf(w, `{"choices":[{"message":{"role":"assistant","content":%q},"finish_reason":"stop"}],"usage":{"total_tokens":30}}`, text)
+	}
+}
+
+func failure(status int, outcome, reason string) func(http.ResponseWriter) {
+	return func(w http.ResponseWriter) {
+		w.WriteHeader(status)
+		fmt.Fprintf(w, `{"error":{"outcome":%q,"reason":%q,"request_id":"r2","retry_after_ms":0,"message":"m"}}`, outcome, reason)
+	}
+}
+
+// stream sends the text word by word, and then the ending.
+func stream(text, ending string) func(http.ResponseWriter) {
+	return func(w http.ResponseWriter) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, word := range strings.SplitAfter(text, " ") {
+			if word != "" {
+				fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n: keep-alive\n\n", word)
+			}
+		}
+		fmt.Fprint(w, ending)
+	}
+}
+
+const streamEnd = "data: {\"choices\":[{\"delta\":{}}],\"usage\":{\"total_tokens\":30}}\n\ndata: [DONE]\n\n"
+
+// Crossed and truncated answers must be found in both forms, and whole ones must not be taken for such.
+func TestAnswersAreCompared(t *testing.T) {
+	item, streamed := chatItem(t, false), chatItem(t, true)
+	half := item.Expected[:strings.Index(item.Expected, " ")+1]
+	for _, c := range []struct {
+		name               string
+		item               work.Item
+		send               func(http.ResponseWriter)
+		outcome            string
+		crossed, truncated bool
+	}{
+		{"whole", item, answer(item.Expected), "done", false, false},
+		{"part", item, answer(half), "done", false, true},
+		{"empty", item, answer(""), "done", false, true},
+		{"other", item, answer("other"), "done", true, false},
+		{"stream", streamed, stream(streamed.Expected, streamEnd), "done", false, false},
+		{"part of a stream", streamed, stream(half, streamEnd), "done", false, true},
+		{"other stream", streamed, stream("other ", streamEnd), "done", true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, _ := do(t, c.item, c.send)
+			must.Eq(t, c.outcome, r.Outcome)
+			must.Eq(t, c.crossed, r.Crossed)
+			must.Eq(t, c.truncated, r.Truncated)
+			must.Eq(t, 30, r.Usage)
+		})
+	}
+}
+
+// An attempt without an end is retried under the same key, and is not taken for a done one.
+func TestRetriesUseTheSameKey(t *testing.T) {
+	item := chatItem(t, true)
+	half := item.Expected[:strings.Index(item.Expected, " ")+1]
+	r, s := do(t, item,
+		stream(half, ""), stream(half, "data: [DONE]\n\n"),
+		stream(half, "event: error\ndata: {\"error\":{\"outcome\":\"unknown\",\"reason\":\"endpoint_failed\",\"request_id\":\"r3\"}}\n\n"),
+		failure(http.StatusServiceUnavailable, "not_run", "no_endpoint"), stream(item.Expected, streamEnd))
+	var outcomes []string
+	for _, a := range r.Attempts {
+		outcomes = append(outcomes, a.Outcome)
+	}
+	must.Eq(t, []string{evidence.Broken, evidence.Broken, "unknown", "not_run", "done"}, outcomes)
+	must.Eq(t, "r3", r.Attempts[2].RequestID)
+	must.Eq(t, "r2", r.Attempts[3].RequestID)
+	must.Eq(t, "done", r.Outcome)
+	must.False(t, r.Crossed || r.Truncated)
+	for _, key := range s.keys {
+		must.Eq(t, item.Key, key)
+	}
+}
+
+// A refusal after an attempt without an answer does not tell that the request did not run.
+func TestOutcomeStaysUnknown(t *testing.T) {
+	r, _ := do(t, chatItem(t, false), failure(http.StatusBadGateway, "unknown", "endpoint_failed"), failure(http.StatusPaymentRequired, "not_run", "budget_exhausted"))
+	must.Eq(t, "unknown", r.Outcome)
+	must.Len(t, 2, r.Attempts)
+	r, _ = do(t, chatItem(t, false), failure(http.StatusPaymentRequired, "not_run", "budget_exhausted"))
+	must.Eq(t, "not_run", r.Outcome)
+}
+
+func TestHangUp(t *testing.T) {
+	item := chatItem(t, true)
+	item.HangUpAfter = 2
+	r, _ := do(t, item, stream(item.Expected, streamEnd))
+	must.Eq(t, evidence.HungUp, r.Outcome)
+	must.Eq(t, evidence.MatchPart, r.Match)
+}
+
+// The address answer is kept for its time to live, so that a caller does not ask for each request.
+func TestAddressesAreKept(t *testing.T) {
+	s := &router{}
+	server := httptest.NewServer(s)
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	book := NewBook(NewHTTPClient(), []string{"127.0.0.1:1", address}, "key", 1, func(AddressAnswer) {})
+	for range 5 {
+		must.Eq(t, []string{address}, book.Addresses(context.Background()))
+	}
+	must.Eq(t, 1, s.lookups.Load())
+	book.Forget()
+	must.Eq(t, []string{address}, book.Addresses(context.Background()))
+	must.Eq(t, 2, s.lookups.Load())
+}
--- /dev/null
+++ b/pkg/load/observe/observe_test.go
@@ -0,0 +1,91 @@
+package observe
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	ledgerv1 "github.com/lavendershunt/lavendershunt/api/ls/ledger/v1"
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/engine"
+	"github.com/lavendershunt/lavendershunt/pkg/ledger"
+	"github.com/lavendershunt/lavendershunt/pkg/load/control"
+	"github.com/lavendershunt/lavendershunt/pkg/load/evidence"
+	"github.com/lavendershunt/lavendershunt/pkg/load/fleet"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/platform/memstore"
+)
+
+// A run that is still open when it is read must be read again, or its end would be missing from the counts.
+func TestRecordsReadOpenRunsAgain(t *testing.T) {
+	r := NewRecords(control.NewClient(), fleet.Process{VM: "g1"}, false)
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	r.takeEngine(engine.Records{Records: []engine.Record{{N: 1, RequestID: "a", EndedAt: now}, {N: 2, RequestID: "b"}, {N: 3, RequestID: "c", EndedAt: now}}})
+	must.Eq(t, 2, r.open)
+	r.takeEngine(engine.Records{Records: []engine.Record{{N: 2, RequestID: "b", EndedAt: now, End: "crashed"}, {N: 3, RequestID: "c", EndedAt: now}, {N: 4, RequestID: "d"}}})
+	runs, _, lost := r.Result()
+	must.Eq(t, "", lost)
+	must.Len(t, 4, runs)
+	must.Eq(t, "crashed", runs[1].End)
+	must.Eq(t, 4, r.open)
+}
+
+// The follower decodes the stored form on its own; a change of the format or of the hash of bills must be noticed.
+func TestLedgerFollowsRealShards(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	client := store.Client("test")
+	shard := ledger.New()
+	id := budget.ID{Organisation: "velocar", Budget: "main"}
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	for n, op := range []budget.Op{
+		{ID: "create", Kind: budget.OpCreate, Budget: id},
+		{ID: "top-up", Kind: budget.OpTopUp, Budget: id, Tokens: 1000},
+		{ID: "e1@1.1/1", Kind: budget.OpGrant, Budget: id, Holder: "e1@1.1", Need: 300, Want: 300},
+		{ID: "e1@1.1/2", Kind: budget.OpSettle, Budget: id, Holder: "e1@1.1", Bills: []budget.Bill{{Budget: id, Key: "k", Tokens: 120}}},
+	} {
+		must.Eq(t, budget.CodeOK, shard.Apply(now.Add(time.Duration(n)*time.Second), op).Code)
+	}
+	value, err := shard.Encode()
+	must.NoError(t, err)
+	_, err = client.Put(context.Background(), ledger.Key(0), value, 0)
+	must.NoError(t, err)
+
+	l := NewLedger(client)
+	objects, _, err := client.List(context.Background(), ledgerPrefix)
+	must.NoError(t, err)
+	for _, o := range objects {
+		l.take(o)
+	}
+	var e evidence.Evidence
+	l.Fill(&e)
+	must.Len(t, 1, e.Budgets)
+	must.Eq(t, []int64{1000, 120, 180}, []int64{e.Budgets[0].ToppedUp, e.Budgets[0].Settled, e.Budgets[0].Granted})
+	must.True(t, l.Billed("velocar", "k"))
+	must.False(t, l.Billed("velocar", "other"))
+	must.False(t, l.Billed("svaz", "k"))
+}
+
+// The ledger drops old bills. A bill that was seen once must not become a new one or go missing.
+func TestLedgerRemembersBills(t *testing.T) {
+	l := NewLedger(nil)
+	hash := evidence.BillKey("velocar", "k")
+	for _, state := range []*ledgerv1.BudgetState{
+		{Name: "main", ToppedUp: 100}, {Name: "main", ToppedUp: 100, Settled: 40, BillKeys: []uint64{hash}},
+		{Name: "main", ToppedUp: 100, Settled: 40}, {Name: "main", ToppedUp: 100, Settled: 60},
+	} {
+		value, err := proto.Marshal(&ledgerv1.ShardState{Organisations: []*ledgerv1.OrganisationState{{Id: "velocar", Budgets: []*ledgerv1.BudgetState{state}}}})
+		must.NoError(t, err)
+		l.take(platform.Object{Value: value})
+	}
+	var e evidence.Evidence
+	l.Fill(&e)
+	must.True(t, l.Billed("velocar", "k"))
+	must.Eq(t, []evidence.Settlement{
+		{Organisation: "velocar", Budget: "main", Tokens: 40, Bills: []uint64{hash}},
+		{Organisation: "velocar", Budget: "main", Tokens: 20},
+	}, e.Settlements)
+	must.Len(t, 1, e.TopUps)
+}
--- /dev/null
+++ b/pkg/load/work/work_test.go
@@ -0,0 +1,53 @@
+package work_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/pkg/engine"
+	"github.com/lavendershunt/lavendershunt/pkg/load/scenario"
+	"github.com/lavendershunt/lavendershunt/pkg/load/work"
+)
+
+func items(seed uint64, run string) []work.Item {
+	s := &scenario.Scenario{Seed: seed, Duration: 20 * time.Second, Rate: 2, Model: "demo", BytesPerToken: 4, Mixes: []scenario.Mix{{
+		Name: "m", Organisation: "o", Class: "c", Rate: 25, Burst: 5, Callers: 3, HangUp: 0.5, Prefixes: 2, PrefixTokens: 64,
+		PromptTokens: scenario.Range{Min: 5, Max: 50}, OutputTokens: scenario.Range{Min: 1, Max: 40},
+	}}}
+	var all []work.Item
+	for source := work.NewSource(s, 0, run); ; {
+		item, ok := source.Next()
+		if !ok {
+			return all
+		}
+		all = append(all, item)
+	}
+}
+
+// The same seed must give the same load, or two runs can't be compared.
+func TestSameSeedSameItems(t *testing.T) {
+	a, b := items(7, "run"), items(7, "run")
+	must.Eq(t, len(a), len(b))
+	for i := range a {
+		must.Eq(t, string(a[i].Body), string(b[i].Body))
+		must.Eq(t, a[i].At, b[i].At)
+	}
+	must.NotEq(t, string(a[0].Body), string(items(8, "run")[0].Body))
+}
+
+// The expected charges bound what a router may bill, and the arrivals have the mean rate.
+func TestItems(t *testing.T) {
+	all := items(7, "run")
+	must.Between(t, 700, len(all), 1300)
+	keys := map[string]bool{}
+	for _, item := range all {
+		keys[item.Key] = true
+		must.Eq(t, engine.AnswerTo(*item.Chat).Text(0), item.Expected)
+		must.LessEq(t, item.MaxCharge, item.Whole)
+		must.LessEq(t, item.UpperBound, item.MaxCharge)
+		must.Less(t, item.Tokens, item.HangUpAfter)
+	}
+	must.Eq(t, len(all), len(keys))
+}
