--- a/pkg/load/report/plot.go
+++ b/pkg/load/report/plot.go
@@ -99,6 +99,8 @@
 			return fmt.Errorf("plot: %w", err)
 		}
 		line.Color = plotutil.Color(i)
+		// The colours repeat, so further lines are dashed.
+		line.Dashes = plotutil.Dashes(i / len(plotutil.DefaultColors))
 		p.Add(line)
 		p.Legend.Add(name, line)
 	}
