Store ledger shards as a base and deltas

A write carried the whole shard: 100 MB of state written about once a second by 370 routers is far above their 30 KB/s. A head object now holds the changes since a base, and the base is stored in objects of its own when the head has grown. Writing a 1.3 MB shard takes a tenth of its size or less per write (TestWritesCarryChanges), and a shard may exceed one object's 1 MB, which limited one organisation to about 110 bills/s.

--- a/pkg/ledger/books.go
+++ b/pkg/ledger/books.go
@@ -13,6 +13,7 @@
 	if a == nil {
 		return budget.Result{Code: budget.CodeBudgetUnknown}
 	}
+	s.changes.account(a)
 	switch op.Kind {
 	case budget.OpTopUp:
 		if a.toppedUp > maxTokens-op.Tokens {
@@ -40,14 +41,20 @@
 }
 
 func (s *Shard) open(a *account) {
-	org := s.organisations[a.id.Organisation]
+	a.org = s.organisation(a.id.Organisation)
+	a.org.accounts[a.id.Budget] = a
+	s.size += accountBytes + len(a.id.Budget)
+	s.changes.account(a)
+}
+
+func (s *Shard) organisation(id string) *organisation {
+	org := s.organisations[id]
 	if org == nil {
-		org = map[string]*account{}
-		s.organisations[a.id.Organisation] = org
-		s.size += accountBytes + len(a.id.Organisation)
+		org = &organisation{id: id, accounts: map[string]*account{}, holders: map[string]*presence{}}
+		s.organisations[id] = org
+		s.size += accountBytes + len(id)
 	}
-	org[a.id.Budget] = a
-	s.size += accountBytes + len(a.id.Budget)
+	return org
 }
 
 func preferenceOf(p budget.Preference) budget.Preference {
@@ -82,9 +89,7 @@
 		holders++
 	}
 	granted := max(op.Need, min(op.Want, rest/2/holders))
-	if granted > 0 {
-		s.add(a, op.Holder, granted, s.clock)
-	}
+	s.add(a, op.Holder, granted, s.clock)
 	a.check(op)
 	r := a.result(budget.CodeOK)
 	r.Granted = granted
@@ -119,7 +124,7 @@
 		return invalid("holder %s has %d tokens of %s and can't transfer %d", op.Holder, a.held(op.Holder), a.id, op.Tokens)
 	}
 	if op.Tokens > 0 {
-		s.add(a, op.To, op.Tokens, a.find(op.Holder).flushed)
+		s.add(a, op.To, op.Tokens, a.org.holders[op.Holder].flushed)
 		s.take(a, op.Holder, op.Tokens)
 	}
 	a.check(op)
--- a/pkg/ledger/claims.go
+++ b/pkg/ledger/claims.go
@@ -65,6 +65,7 @@
 		return budget.Result{Code: budget.CodeFull, Message: "shard has no room for another claim"}
 	}
 	s.claims[key] = c
+	s.changes.claims[key] = struct{}{}
 	s.addClaimSize(c)
 	return budget.Result{Code: budget.CodeOK, Claim: c.record(op.Claim.Key)}
 }
@@ -77,11 +78,13 @@
 
 // claimResult stores the result of a claim. The first result stays.
 func (s *Shard) claimResult(op budget.Op) budget.Result {
-	c := s.claims[recordKey(op.Budget.Organisation, op.Claim.Key)]
+	key := recordKey(op.Budget.Organisation, op.Claim.Key)
+	c := s.claims[key]
 	if c == nil || c.id != op.Claim.ID {
 		return invalid("claim %s does not exist", op.Claim.ID)
 	}
 	if c.result == nil {
+		s.changes.claims[key] = struct{}{}
 		s.claimBytes -= c.bytes()
 		result := *op.Claim.Result
 		c.result = &result
@@ -104,6 +107,7 @@
 		return r
 	}
 	s.dropClaim(key, c)
+	s.changes.claims[key] = struct{}{}
 	return budget.Result{Code: budget.CodeOK}
 }
 
--- a/pkg/ledger/codec.go
+++ b/pkg/ledger/codec.go
@@ -13,9 +13,6 @@
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 )
 
-// format is the version of the stored format.
-const format = 1
-
 // Bounds on the encoded size of one record, in bytes, without its strings.
 const (
 	accountBytes  = 48
@@ -38,7 +35,7 @@
 // Size returns an upper bound of the encoded size in bytes.
 func (s *Shard) Size() int { return s.size }
 
-// Encode returns the stored form of the shard.
+// Encode returns the stored form of the whole shard.
 func (s *Shard) Encode() ([]byte, error) {
 	e := encoder{shard: s, positions: map[string]uint32{}}
 	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(e.encode())
@@ -46,6 +43,7 @@
 		return nil, fmt.Errorf("ledger: encode shard: %w", err)
 	}
 	s.size = s.bound(len(value))
+	s.changes = newChanges()
 	return value, nil
 }
 
@@ -53,9 +51,7 @@
 func (s *Shard) bound(n int) int {
 	ages := len(s.operators) + len(s.closed) + len(s.claims)
 	for _, org := range s.organisations {
-		for _, a := range org {
-			ages += 1 + len(a.grants)
-		}
+		ages += len(org.accounts) + len(org.holders)
 	}
 	for _, h := range s.issuers {
 		ages += len(h.entries)
@@ -71,56 +67,84 @@
 
 func (e *encoder) encode() *ledgerv1.ShardState {
 	s := e.shard
-	e.out.Format = format
 	e.out.Clock = s.clock
 	for _, name := range slices.Sorted(maps.Keys(s.organisations)) {
-		org := &ledgerv1.OrganisationState{Id: name}
-		for _, b := range slices.Sorted(maps.Keys(s.organisations[name])) {
-			org.Budgets = append(org.Budgets, e.account(s.organisations[name][b]))
+		org := s.organisations[name]
+		out := &ledgerv1.OrganisationState{Id: name}
+		e.holders(out, org, slices.Sorted(maps.Keys(org.holders)))
+		for _, b := range slices.Sorted(maps.Keys(org.accounts)) {
+			out.Budgets = append(out.Budgets, e.account(org.accounts[b]))
 		}
-		e.out.Organisations = append(e.out.Organisations, org)
+		e.out.Organisations = append(e.out.Organisations, out)
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(s.issuers), compareIssuers) {
 		e.out.Issuers = append(e.out.Issuers, e.issuer(key, s.issuers[key]))
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.operators)) {
+	e.operators(slices.Sorted(maps.Keys(s.operators)))
+	e.closed(slices.Sorted(maps.Keys(s.closed)))
+	for _, key := range slices.Sorted(maps.Keys(s.claims)) {
+		e.out.Claims = append(e.out.Claims, e.claim(key, s.claims[key]))
+	}
+	return &e.out
+}
+
+func (e *encoder) operators(ids []uint64) {
+	for _, id := range ids {
+		entry := e.shard.operators[id]
 		e.out.OperatorIds = append(e.out.OperatorIds, id)
-		e.out.OperatorKeeps = append(e.out.OperatorKeeps, uint32(max(0, s.operators[id].until-s.clock)))
-		e.out.OperatorCodes = append(e.out.OperatorCodes, codeNumber(s.operators[id].code))
+		e.out.OperatorKeeps = append(e.out.OperatorKeeps, uint32(max(0, entry.until-e.shard.clock)))
+		e.out.OperatorCodes = append(e.out.OperatorCodes, codeNumber(entry.code))
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.closed)) {
+}
+
+func (e *encoder) closed(ids []uint64) {
+	for _, id := range ids {
 		e.out.Closed = append(e.out.Closed, id)
-		e.out.ClosedAges = append(e.out.ClosedAges, e.age(s.closed[id]))
+		e.out.ClosedAges = append(e.out.ClosedAges, e.age(e.shard.closed[id]))
 	}
-	for _, key := range slices.Sorted(maps.Keys(s.claims)) {
-		e.out.Claims = append(e.out.Claims, e.claim(key, s.claims[key]))
+}
+
+// holders adds the flush times of those holders that are present.
+func (e *encoder) holders(out *ledgerv1.OrganisationState, org *organisation, names []string) {
+	for _, name := range names {
+		if p := org.holders[name]; p != nil {
+			out.Holders = append(out.Holders, e.name(name))
+			out.FlushAges = append(out.FlushAges, e.shard.clock-p.flushed)
+		}
 	}
-	return &e.out
 }
 
-func (e *encoder) account(a *account) *ledgerv1.BudgetState {
-	out := &ledgerv1.BudgetState{
+// head returns the state of the account without grants and bills.
+func (e *encoder) head(a *account) *ledgerv1.BudgetState {
+	return &ledgerv1.BudgetState{
 		Name: a.id.Budget, AvoidRefusal: a.preference == budget.AvoidRefusal, ToppedUp: a.toppedUp, Settled: a.settled,
 	}
+}
+
+func (e *encoder) account(a *account) *ledgerv1.BudgetState {
+	out := e.head(a)
 	for _, g := range a.grants {
 		out.GrantHolders = append(out.GrantHolders, e.name(g.holder))
 		out.GrantTokens = append(out.GrantTokens, g.tokens)
-		out.GrantFlushAges = append(out.GrantFlushAges, int32(e.shard.clock-g.flushed))
 	}
-	if len(a.bills) == 0 {
-		return out
+	e.bills(out, a.bills)
+	return out
+}
+
+func (e *encoder) bills(out *ledgerv1.BudgetState, bills []billEntry) {
+	if len(bills) == 0 {
+		return
 	}
-	out.BillKeys = make([]uint64, len(a.bills))
-	out.BillDeltas = make([]uint32, len(a.bills))
-	for i, b := range a.bills {
+	out.BillKeys = make([]uint64, len(bills))
+	out.BillDeltas = make([]uint32, len(bills))
+	for i, b := range bills {
 		out.BillKeys[i] = b.key
 		if i == 0 {
 			out.BillDeltas[i] = e.age(b.at)
 		} else {
-			out.BillDeltas[i] = uint32(b.at - a.bills[i-1].at)
+			out.BillDeltas[i] = uint32(b.at - bills[i-1].at)
 		}
 	}
-	return out
 }
 
 func compareIssuers(a, b issuerKey) int {
--- a/pkg/ledger/history.go
+++ b/pkg/ledger/history.go
@@ -52,6 +52,7 @@
 			keep = TopUpRetention
 		}
 		s.operators[id] = operatorEntry{until: s.clock + int64(keep.Seconds()), code: r.Code}
+		s.changes.operators = append(s.changes.operators, id)
 		s.size += operatorBytes
 	}
 	return r
@@ -75,7 +76,11 @@
 		return budget.Result{Code: budget.CodeHolderClosed}
 	}
 	issuer, sequence, _ := splitID(op.ID)
-	h := s.issuer(issuerKey{issuer, op.Budget.Organisation})
+	key := issuerKey{issuer, op.Budget.Organisation}
+	h := s.issuers[key]
+	if h == nil {
+		h = &history{}
+	}
 	i, found := h.find(sequence)
 	if found {
 		return s.replay(op, h.entries[i])
@@ -90,22 +95,22 @@
 		// apply later under the same id.
 		return r
 	}
+	s.remember(key, h)
 	h.entries = slices.Insert(h.entries, i, historyEntry{
 		sequence: sequence, at: s.clock, code: r.Code, granted: r.Granted, duplicates: duplicates,
 	})
+	s.changes.issuers[key] = append(s.changes.issuers[key], sequence)
 	s.size += entryBytes + entryBytes*len(duplicates)
 	s.trim(h)
 	return r
 }
 
-func (s *Shard) issuer(key issuerKey) *history {
-	h := s.issuers[key]
-	if h == nil {
-		h = &history{}
+// remember adds the history to the shard unless it is there.
+func (s *Shard) remember(key issuerKey, h *history) {
+	if s.issuers[key] == nil {
 		s.issuers[key] = h
 		s.size += issuerBytes + len(key.issuer) + len(key.organisation)
 	}
-	return h
 }
 
 func (h *history) find(sequence uint64) (int, bool) {
--- a/pkg/ledger/settle.go
+++ b/pkg/ledger/settle.go
@@ -67,11 +67,12 @@
 	if _, ok := s.bills[key]; ok {
 		return false
 	}
-	s.bills[key] = struct{}{}
+	s.bills[key] = s.clock
 	a.bills = append(a.bills, billEntry{key: key, at: s.clock})
 	s.size += billBytes
 	s.take(a, holder, b.Tokens)
 	a.settled += b.Tokens
+	s.changes.bill(a)
 	return true
 }
 
@@ -81,10 +82,13 @@
 	if at == 0 {
 		at = s.clock - int64(budget.LongestRequest.Seconds())
 	}
-	for _, a := range s.organisations[op.Budget.Organisation] {
-		if g := a.find(op.Holder); g != nil {
-			g.flushed = max(g.flushed, min(at, s.clock))
-		}
+	org := s.organisations[op.Budget.Organisation]
+	if org == nil {
+		return
+	}
+	if p := org.holders[op.Holder]; p != nil {
+		p.flushed = max(p.flushed, min(at, s.clock))
+		s.changes.flush(org, op.Holder)
 	}
 }
 
@@ -110,6 +114,7 @@
 	}
 	s.forget(op)
 	s.closed[xxhash.Sum64String(op.Holder)] = s.clock
+	s.changes.closed = append(s.changes.closed, xxhash.Sum64String(op.Holder))
 	s.size += operatorBytes
 	return r
 }
@@ -138,7 +143,10 @@
 // forget returns the holder's grants and drops its history; the closed mark replaces both.
 func (s *Shard) forget(op budget.Op) {
 	for _, org := range s.organisations {
-		for _, a := range org {
+		if org.holders[op.Holder] == nil {
+			continue
+		}
+		for _, a := range org.accounts {
 			s.take(a, op.Holder, a.held(op.Holder))
 			a.check(op)
 		}
@@ -173,17 +181,18 @@
 // ends within the retention time.
 const retryWindow = budget.RetentionTime - budget.LongestRequest
 
-func (s *Shard) pruneBills(org map[string]*account) {
+func (s *Shard) pruneBills(org *organisation) {
 	before := s.clock - int64(budget.RetentionTime.Seconds())
-	for _, a := range org {
-		for _, g := range a.grants {
-			before = min(before, g.flushed-int64(retryWindow.Seconds()))
-		}
+	for _, p := range org.holders {
+		before = min(before, p.flushed-int64(retryWindow.Seconds()))
 	}
-	for _, a := range org {
+	for _, a := range org.accounts {
 		n := 0
 		for n < len(a.bills) && a.bills[n].at < before {
-			delete(s.bills, a.bills[n].key)
+			// A delta may hold a newer bill with the same key, stored after this one was dropped.
+			if old := a.bills[n]; s.bills[old.key] == old.at {
+				delete(s.bills, old.key)
+			}
 			n++
 		}
 		if n > 0 {
@@ -222,10 +231,8 @@
 func (s *Shard) present() map[string]bool {
 	present := map[string]bool{}
 	for _, org := range s.organisations {
-		for _, a := range org {
-			for _, g := range a.grants {
-				present[g.holder] = true
-			}
+		for holder := range org.holders {
+			present[holder] = true
 		}
 	}
 	return present
--- a/pkg/ledger/shard.go
+++ b/pkg/ledger/shard.go
@@ -13,23 +13,40 @@
 type Shard struct {
 	// clock is the latest time seen, in seconds since 1970.
 	clock         int64
-	organisations map[string]map[string]*account
+	organisations map[string]*organisation
 	issuers       map[issuerKey]*history
 	operators     map[uint64]operatorEntry
 	// closed maps the hash of a closed instance to the time of the closure.
 	closed map[uint64]int64
-	// bills holds the keys of all bills of all accounts.
-	bills  map[uint64]struct{}
+	// bills maps the keys of all bills of all accounts to their times.
+	bills  map[uint64]int64
 	claims map[uint64]*claim
 	// claimBytes and resultBytes are the sizes of all claims and of the bodies of their results.
 	claimBytes, resultBytes int
 	// size is the encoded size at the last Encode or Decode plus a bound on what was added since.
-	size int
+	size    int
+	changes changes
+}
+
+// organisation holds the budgets of one organisation, and the holders that have a grant on any of them.
+type organisation struct {
+	id       string
+	accounts map[string]*account
+	holders  map[string]*presence
+}
+
+// presence is what the shard knows about a holder of grants on an organisation's budgets.
+type presence struct {
+	// grants is the number of budgets on which the holder has a grant.
+	grants int
+	// flushed is the time before which every request of the holder is flushed, in seconds since 1970.
+	flushed int64
 }
 
 // account is the books of one budget.
 type account struct {
 	id         budget.ID
+	org        *organisation
 	preference budget.Preference
 	toppedUp   int64
 	settled    int64
@@ -41,8 +58,6 @@
 type grant struct {
 	holder string
 	tokens int64
-	// flushed is the time before which every request of the holder is flushed, in seconds since 1970.
-	flushed int64
 }
 
 type billEntry struct {
@@ -53,12 +68,13 @@
 // New returns an empty shard.
 func New() *Shard {
 	return &Shard{
-		organisations: map[string]map[string]*account{},
+		organisations: map[string]*organisation{},
 		issuers:       map[issuerKey]*history{},
 		operators:     map[uint64]operatorEntry{},
 		closed:        map[uint64]int64{},
-		bills:         map[uint64]struct{}{},
+		bills:         map[uint64]int64{},
 		claims:        map[uint64]*claim{},
+		changes:       newChanges(),
 	}
 }
 
@@ -81,8 +97,12 @@
 
 // Read returns the status of the organisation's budgets, sorted by name.
 func (s *Shard) Read(organisation string) []budget.Status {
-	statuses := make([]budget.Status, 0, len(s.organisations[organisation]))
-	for _, a := range s.organisations[organisation] {
+	org := s.organisations[organisation]
+	if org == nil {
+		return nil
+	}
+	statuses := make([]budget.Status, 0, len(org.accounts))
+	for _, a := range org.accounts {
 		statuses = append(statuses, budget.Status{
 			ID: a.id, Preference: a.preference, ToppedUp: a.toppedUp, Settled: a.settled, Grants: a.holders(),
 		})
@@ -91,20 +111,13 @@
 	return statuses
 }
 
-// Active reports whether the holder has a grant in the shard.
-func (s *Shard) Active(holder string) bool {
-	for _, org := range s.organisations {
-		for _, a := range org {
-			if a.find(holder) != nil {
-				return true
-			}
-		}
+func (s *Shard) account(id budget.ID) *account {
+	if org := s.organisations[id.Organisation]; org != nil {
+		return org.accounts[id.Budget]
 	}
-	return false
+	return nil
 }
 
-func (s *Shard) account(id budget.ID) *account { return s.organisations[id.Organisation][id.Budget] }
-
 func (a *account) find(holder string) *grant {
 	for i := range a.grants {
 		if a.grants[i].holder == holder {
@@ -139,28 +152,46 @@
 	return holders
 }
 
-// add gives tokens to a holder. flushed is used if the holder is new; a present holder keeps the earlier time.
+// add gives tokens to a holder. flushed is used if the holder is new in the organisation; a present one keeps the
+// earlier time.
 func (s *Shard) add(a *account, holder string, tokens, flushed int64) {
-	if g := a.find(holder); g != nil {
-		g.tokens += tokens
-		g.flushed = min(g.flushed, flushed)
+	if tokens == 0 {
 		return
 	}
-	if tokens > 0 {
-		a.grants = append(a.grants, grant{holder: holder, tokens: tokens, flushed: flushed})
+	if p := a.org.holders[holder]; p != nil {
+		p.flushed = min(p.flushed, flushed)
+	} else {
+		a.org.holders[holder] = &presence{flushed: flushed}
 		s.size += grantBytes + len(holder)
 	}
+	s.setGrant(a, holder, a.held(holder)+tokens)
+	s.changes.flush(a.org, holder)
 }
 
 // take removes tokens from a holder; the caller has checked that it holds them.
 func (s *Shard) take(a *account, holder string, tokens int64) {
-	g := a.find(holder)
-	if g == nil {
-		return
+	if tokens != 0 {
+		s.setGrant(a, holder, a.held(holder)-tokens)
 	}
-	g.tokens -= tokens
-	if g.tokens == 0 {
+}
+
+// setGrant sets a holder's grant and keeps the holder's presence in the organisation.
+func (s *Shard) setGrant(a *account, holder string, tokens int64) {
+	s.changes.grant(a, holder)
+	g := a.find(holder)
+	switch {
+	case g != nil && tokens != 0:
+		g.tokens = tokens
+	case g != nil:
 		a.grants = slices.DeleteFunc(a.grants, func(g grant) bool { return g.holder == holder })
+		p := a.org.holders[holder]
+		if p.grants--; p.grants == 0 {
+			delete(a.org.holders, holder)
+		}
+	case tokens != 0:
+		a.grants = append(a.grants, grant{holder: holder, tokens: tokens})
+		a.org.holders[holder].grants++
+		s.size += grantBytes
 	}
 }
 
--- a/pkg/ledgerwriter/calls.go
+++ b/pkg/ledgerwriter/calls.go
@@ -11,13 +11,15 @@
 
 // calls counts calls to the platform and their failures.
 type calls struct {
-	gets, puts, ops, conflicts, uncertain, throttled, unavailable atomic.Uint64
+	gets, puts, deletes, bytes, ops, conflicts, uncertain, throttled, unavailable atomic.Uint64
 }
 
 // Counts is a snapshot of a writer's calls to the platform.
 type Counts struct {
-	// Gets and Puts are calls by kind; Ops are the operations stored by this writer's puts.
-	Gets, Puts, Ops uint64
+	// Gets, Puts and Deletes are calls by kind; Bytes is the size of the values of all puts.
+	Gets, Puts, Deletes, Bytes uint64
+	// Ops are the operations stored by this writer's puts.
+	Ops uint64
 	// Failures by cause.
 	Conflicts, Uncertain, Throttled, Unavailable uint64
 }
@@ -26,7 +28,7 @@
 func (w *Writer) Counts() Counts {
 	c := &w.calls
 	return Counts{
-		Gets: c.gets.Load(), Puts: c.puts.Load(), Ops: c.ops.Load(), Conflicts: c.conflicts.Load(),
+		Gets: c.gets.Load(), Puts: c.puts.Load(), Deletes: c.deletes.Load(), Bytes: c.bytes.Load(), Ops: c.ops.Load(), Conflicts: c.conflicts.Load(),
 		Uncertain: c.uncertain.Load(), Throttled: c.throttled.Load(), Unavailable: c.unavailable.Load(),
 	}
 }
@@ -45,6 +47,7 @@
 
 func (w *Writer) put(ctx context.Context, key string, value []byte, ifRevision uint64) (platform.Object, error) {
 	w.calls.puts.Add(1)
+	w.calls.bytes.Add(uint64(len(value)))
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	object, err := w.store.Put(ctx, key, value, ifRevision)
--- a/pkg/ledgerwriter/limiter.go
+++ b/pkg/ledgerwriter/limiter.go
@@ -55,6 +55,16 @@
 	}
 }
 
+// charge takes a token without waiting; later calls wait for it.
+func (l *limiter) charge() {
+	if l.rate == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tokens--
+}
+
 // abandon removes a waiter. A token that it was just given is lost, which only delays others.
 func (l *limiter) abandon(turn chan struct{}, c class) {
 	l.mu.Lock()
@@ -125,7 +135,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.slowed = time.Now()
-	l.tokens = min(l.tokens, 0)
+	l.tokens = min(0, l.tokens)
 }
 
 func (l *limiter) tick() {
--- a/pkg/ledgerwriter/task.go
+++ b/pkg/ledgerwriter/task.go
@@ -21,10 +21,12 @@
 	// queues is guarded by w.mu.
 	queues [classes][]*submission
 
-	// state is nil if the next attempt must read the shard. It may contain operations of the current batch that
+	// stored is nil if the next attempt must read the shard. It may contain operations of the current batch that
 	// are not stored yet; it is dropped if the batch fails.
-	state    *ledger.Shard
-	revision uint64
+	stored *stored
+	// unused maps the keys of objects that no head refers to, or that a head refers to which may not be written,
+	// to their revisions; 0 means that the revision is not known.
+	unused map[string]uint64
 }
 
 // push adds a submission; the caller holds w.mu.
@@ -61,7 +63,7 @@
 	}
 }
 
-// retire removes the task if nothing waits.
+// retire drops the cached state and removes the task if nothing waits.
 func (t *task) retire() bool {
 	t.w.mu.Lock()
 	defer t.w.mu.Unlock()
@@ -70,6 +72,11 @@
 			return false
 		}
 	}
+	t.stored = nil
+	if len(t.unused) > 0 {
+		// The objects are deleted after the next write.
+		return false
+	}
 	delete(t.w.shards, t.shard)
 	return true
 }
@@ -143,6 +150,7 @@
 			t.w.answered()
 			t.w.calls.ops.Add(uint64(b.ops))
 			b.answer()
+			t.sweep(t.w.ctx)
 			return
 		}
 		if !t.again(retry, err) {
@@ -193,33 +201,36 @@
 
 // abort fails the batch and drops the cached state, which may contain its operations.
 func (t *task) abort(b *batch, err error) {
-	t.state = nil
+	t.stored = nil
 	b.fail(err)
 }
 
 // attempt writes the batch once.
 func (t *task) attempt(b *batch) error {
 	ctx := t.w.ctx
-	if t.state == nil {
-		state, object, err := t.w.load(ctx, t.shard)
+	if t.stored == nil {
+		s, err := t.w.load(ctx, t.shard)
 		if err != nil {
 			return err
 		}
-		t.adopt(b, state, object.Revision)
+		t.adopt(b, s)
 	}
 	now := time.Now()
-	b.apply(t.state, now)
-	t.state.Prune(now)
-	value, err := t.state.Encode()
+	b.apply(t.stored.state, now)
+	t.stored.state.Prune(now)
+	if err := t.extend(ctx); err != nil {
+		return err
+	}
+	value, err := t.stored.head.Encode()
 	if err != nil {
 		return err
 	}
-	object, err := t.w.put(ctx, ledger.Key(t.shard), value, t.revision)
+	object, err := t.w.put(ctx, ledger.Key(t.shard), value, t.stored.revision)
 	switch {
 	case err == nil:
-		t.revision = object.Revision
+		t.stored.revision, t.stored.value = object.Revision, value
 	case errors.Is(err, platform.ErrConflict):
-		t.state = nil
+		t.stored = nil
 	case errors.Is(err, platform.ErrUncertain):
 		return t.readBack(ctx, b, value, err)
 	}
@@ -227,23 +238,23 @@
 }
 
 // adopt replaces the cached state by a stored one, to which the whole batch is applied again.
-func (t *task) adopt(b *batch, state *ledger.Shard, revision uint64) {
-	t.state, t.revision = state, revision
+func (t *task) adopt(b *batch, s *stored) {
+	t.stored = s
 	b.applied = 0
 }
 
 // readBack finds out whether a write whose response was lost took effect. If the stored value is another one, the
 // batch is applied to it again; the operation ids in it show what took effect.
 func (t *task) readBack(ctx context.Context, b *batch, value []byte, lost error) error {
-	t.state = nil
-	state, object, err := t.w.load(ctx, t.shard)
+	t.stored = nil
+	s, err := t.w.load(ctx, t.shard)
 	if err != nil {
 		return err
 	}
-	if bytes.Equal(object.Value, value) {
-		t.state, t.revision = state, object.Revision
+	if bytes.Equal(s.value, value) {
+		t.stored = s
 		return nil
 	}
-	t.adopt(b, state, object.Revision)
+	t.adopt(b, s)
 	return lost
 }
--- a/pkg/ledgerwriter/writer_test.go
+++ b/pkg/ledgerwriter/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -203,6 +204,40 @@
 	})
 }
 
+// Guards the bytes written: a write of a large shard carries its changes and not the whole shard, and a shard may
+// be larger than one object.
+func TestWritesCarryChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		w := New(Options{Store: store})
+		defer w.Close()
+		var ops []budget.Op
+		for i := range 6000 {
+			ops = append(ops, budget.Op{
+				ID: fmt.Sprintf("c%d", i), Kind: budget.OpCreate,
+				Budget: budget.ID{Organisation: acct.Organisation, Budget: fmt.Sprintf("%0200d", i)},
+			})
+		}
+		for batch := range slices.Chunk(append(ops, create()...), MaxOps) {
+			r, err := w.Apply(t.Context(), 0, batch)
+			applied(t, r, err)
+		}
+		before := w.Counts()
+		for i := range 1000 {
+			r, err := w.Apply(t.Context(), 0, []budget.Op{grantOp("a", i+1, 1)})
+			applied(t, r, err)
+		}
+		after := w.Counts()
+		whole, err := store.shard(0).Encode()
+		must.NoError(t, err)
+		perWrite := (after.Bytes - before.Bytes) / (after.Puts - before.Puts)
+		t.Logf("shard of %d bytes: %d bytes per write, %d writes for 1,000 batches", len(whole), perWrite, after.Puts-before.Puts)
+		must.Greater(t, platform.MaxValueBytes, len(whole))
+		must.Less(t, uint64(len(whole)/10), perWrite)
+		must.LessEq(t, 1+2, len(store.objects))
+	})
+}
+
 // Guards the layout: it is created once, also after a lost response, and never changes.
 func TestLayout(t *testing.T) {
 	store := newStore()
