--- a/pkg/instance/closer.go
+++ b/pkg/instance/closer.go
@@ -71,29 +71,47 @@
 	return c.close(ctx, instance, true)
 }
 
-func (c *Closer) close(ctx context.Context, instance string, force bool) error {
+// closeDrained closes an instance that has stopped and whose bills and transfers the ledger has. It needs no witness.
+func (c *Closer) closeDrained(ctx context.Context, instance string) error {
 	r, err := c.update(ctx, instance, func(r *Record) { c.setClosing(r) })
+	if err != nil {
+		return ignoreNotFound(err)
+	}
+	return c.finish(ctx, r, nil, "", false)
+}
+
+func ignoreNotFound(err error) error {
 	if errors.Is(err, platform.ErrNotFound) {
 		return nil
 	}
+	return err
+}
+
+func (c *Closer) close(ctx context.Context, instance string, force bool) error {
+	r, err := c.update(ctx, instance, func(r *Record) { c.setClosing(r) })
 	if err != nil {
-		return err
+		return ignoreNotFound(err)
 	}
 	copies, reason := c.collect(ctx, r)
+	return c.finish(ctx, r, copies, reason, force)
+}
+
+func (c *Closer) finish(ctx context.Context, r Record, copies []journal.Copy, reason string, force bool) error {
+	var err error
 	if reason == "" || force {
-		if reason, err = c.closeHolder(ctx, instance, journal.Merge(copies)); err != nil {
+		if reason, err = c.closeHolder(ctx, r.Instance, journal.Merge(copies)); err != nil {
 			return err
 		}
 	}
 	if reason != "" {
 		return c.hold(ctx, r, reason)
 	}
-	if err := c.remove(ctx, instance); err != nil {
+	if err := c.remove(ctx, r.Instance); err != nil {
 		return err
 	}
 	for _, w := range r.Witnesses {
 		// What is not dropped now is dropped by Prune.
-		_ = c.witnesses.Forget(ctx, w, instance)
+		_ = c.witnesses.Forget(ctx, w, r.Instance)
 	}
 	return nil
 }
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -189,6 +189,7 @@
 func (p *fakePurse) Rewitness(_ string, set []journal.Ref)               { p.proposed = append(p.proposed, set) }
 func (p *fakePurse) Abandon()                                            { p.abandons++ }
 func (p *fakePurse) Drain(context.Context) error                         { return nil }
+func (p *fakePurse) Close(string)                                        {}
 
 type noCopies struct{}
 
--- a/pkg/instance/manager.go
+++ b/pkg/instance/manager.go
@@ -21,6 +21,7 @@
 	Rewitness(instance string, set []journal.Ref)
 	Abandon()
 	Drain(ctx context.Context) error
+	Close(instance string)
 }
 
 // Copies are the journal copies that this router keeps.
@@ -277,12 +278,14 @@
 }
 
 // Stop ends the instance at a graceful stop: it waits until the purse is drained or ctx ends, and then closes the
-// instance like a failed one, which also returns what the purse does not know of.
+// instance, which also returns what the purse does not know of. The witnesses are not needed, because the ledger has
+// everything and the purse spends no more.
 func (m *Manager) Stop(ctx context.Context) error {
 	err := m.purse.Drain(ctx)
 	w, ok := m.purse.Witnessing(m.intervals.Failing)
 	if err != nil || !ok || w.Closed {
 		return err
 	}
-	return m.closer.Close(ctx, w.Instance)
+	m.purse.Close(w.Instance)
+	return m.closer.closeDrained(ctx, w.Instance)
 }
--- a/pkg/journal/log.go
+++ b/pkg/journal/log.go
@@ -185,8 +185,16 @@
 	return marks
 }
 
-// Failing returns the recorded witnesses that have not answered since the given time, or have restarted.
-func (l *Log) Failing(since time.Time) []Ref {
+// urgency divides the time after which a witness counts as failing if no witness answers.
+const urgency = 3
+
+// Failing returns the recorded witnesses that have restarted or have not answered for the given time, or for a part
+// of it if none answers.
+func (l *Log) Failing(now time.Time, d time.Duration) []Ref {
+	if l.allSuspect() {
+		d /= urgency
+	}
+	since := now.Add(-d)
 	var out []Ref
 	for _, ref := range l.set {
 		k := l.links[ref.Router]
--- /dev/null
+++ b/pkg/purse/bench_test.go
@@ -0,0 +1,137 @@
+package purse
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/journal"
+)
+
+var benchStart = time.Unix(1_800_000_000, 0)
+
+// benchCore is a purse with a witness that acknowledges everything and a ledger that grants everything.
+type benchCore struct {
+	*core
+	now      time.Time
+	bytes    int
+	open     []budget.Reservation
+	lastCall uint64
+	copies   *journal.Copies
+}
+
+func newBenchCore() *benchCore {
+	return &benchCore{
+		core: newCore("router-0001.1", []journal.Ref{{Router: "router-0002"}}, Settings{}), now: benchStart,
+		copies: journal.NewCopies("router-0002"),
+	}
+}
+
+func (b *benchCore) pump() {
+	for {
+		out := b.take(b.now)
+		if len(out.applies)+len(out.appends)+len(out.completions) == 0 {
+			return
+		}
+		for _, a := range out.appends {
+			b.bytes += proto.Size(a.Request())
+			b.appended(b.now, a, b.copies.Append(a), nil)
+		}
+		for _, call := range out.applies {
+			results := make([]budget.Result, len(call.ops))
+			for i, op := range call.ops {
+				results[i] = budget.Result{Code: budget.CodeOK, Granted: op.Want}
+			}
+			b.applied(b.now, call.organisation, results, nil)
+		}
+		for _, done := range out.completions {
+			if done.reservation.ID != 0 {
+				b.open = append(b.open, done.reservation)
+			}
+		}
+	}
+}
+
+func (b *benchCore) begin(i int) {
+	b.lastCall++
+	b.reserve(b.now, b.lastCall, budget.Request{
+		Budget:         budget.ID{Organisation: fmt.Sprintf("organisation-%05d", i%1000), Budget: fmt.Sprintf("budget-%06d", i)},
+		IdempotencyKey: fmt.Sprintf("3f0b6c1e-9a52-4d7e-8c11-%012d", b.lastCall), UpperBound: 1000,
+	})
+}
+
+func (b *benchCore) finish() {
+	for _, r := range b.open {
+		b.lastCall++
+		b.settle(b.now, b.lastCall, r.ID, 600)
+	}
+	b.open = b.open[:0]
+	b.pump()
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkActiveBudgets reports the memory of a purse per active budget, and the CPU time that an active budget
+// without requests costs per second.
+func BenchmarkActiveBudgets(b *testing.B) {
+	for _, budgets := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(budgets), func(b *testing.B) {
+			before := heapBytes()
+			c := newBenchCore()
+			for i := range budgets {
+				c.begin(i)
+			}
+			c.pump()
+			c.finish()
+			c.now = c.now.Add(2 * time.Second)
+			c.tick(c.now)
+			c.pump()
+			perBudget := float64(heapBytes()-before) / float64(budgets)
+			b.ResetTimer()
+			for b.Loop() {
+				for range time.Second / tickInterval {
+					c.now = c.now.Add(tickInterval / 1000)
+					c.tick(c.now)
+					c.take(c.now)
+				}
+				c.scan(c.now)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(budgets), "ns/budget/s")
+			b.ReportMetric(perBudget, "B/budget")
+			runtime.KeepAlive(c)
+		})
+	}
+}
+
+// BenchmarkRequests reports the CPU time and the journal bytes of a request, by the number of requests that share
+// an append.
+func BenchmarkRequests(b *testing.B) {
+	for _, batch := range []int{1, 16, 256} {
+		b.Run(fmt.Sprint(batch), func(b *testing.B) {
+			c := newBenchCore()
+			requests := 0
+			for b.Loop() {
+				for i := range batch {
+					c.begin(i % 10)
+				}
+				c.pump()
+				c.finish()
+				c.now = c.now.Add(10 * time.Millisecond)
+				c.tick(c.now)
+				c.pump()
+				requests += batch
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(requests), "ns/request")
+			b.ReportMetric(float64(c.bytes)/float64(requests), "journal-B/request")
+		})
+	}
+}
--- a/pkg/purse/control.go
+++ b/pkg/purse/control.go
@@ -18,7 +18,7 @@
 	var w journal.Witnessing
 	ok := p.ask(func(now time.Time, c *core) {
 		w = journal.Witnessing{
-			Instance: c.instance, Witnesses: c.log.Witnesses(), Failing: c.log.Failing(now.Add(-failing)),
+			Instance: c.instance, Witnesses: c.log.Witnesses(), Failing: c.log.Failing(now, failing),
 			Changing: c.log.Changing(), Closed: c.closed,
 		}
 	})
@@ -40,9 +40,9 @@
 	p.send(func(_ time.Time, c *core) { c.log.Abandon() })
 }
 
-// Close ends the instance, for example because its record shows that it is being closed.
+// Close ends the instance. A purse that is not being drained registers a new one.
 func (p *Purse) Close(instance string) {
-	p.send(func(_ time.Time, c *core) {
+	p.ask(func(_ time.Time, c *core) {
 		if c.instance == instance {
 			c.close()
 		}
--- a/pkg/purse/failures_test.go
+++ b/pkg/purse/failures_test.go
@@ -171,7 +171,7 @@
 	s.run(200 * time.Millisecond)
 	must.Positive(t, bill.call)
 	must.Nil(t, bill.failure)
-	must.SliceNotEmpty(t, n.core.log.Failing(s.now))
+	must.SliceNotEmpty(t, n.core.log.Failing(s.now, 0))
 	must.True(t, n.core.log.Propose([]journal.Ref{n.core.log.Witnesses()[1], s.ref2(s.vms[3])}))
 	s.pump(n)
 	s.run(time.Second)
--- a/pkg/purse/flush.go
+++ b/pkg/purse/flush.go
@@ -29,6 +29,8 @@
 	// flush is the journal entry of a settle operation.
 	flush journal.Entry
 	move  *move
+	// urgent is set if somebody waits for the result.
+	urgent bool
 	// probe marks a grant operation that only asks for the holders.
 	probe bool
 	// calls are recalls that wait for a return.
@@ -48,6 +50,8 @@
 	// settling is the number of settle operations that the ledger has not confirmed. Further ones wait, so that
 	// they reach the ledger in order.
 	settling int
+	// recording is the number of settle operations that a witness has not recorded yet.
+	recording int
 
 	queue      []*pendingOp
 	sent       []*pendingOp
@@ -100,6 +104,10 @@
 	return f.inProgress || f.settling > 0 || len(f.queue) > 0 || len(f.sent) > 0 || len(f.billed) > 0
 }
 
+func (f *flush) urgent() bool {
+	return slices.ContainsFunc(f.queue, func(p *pendingOp) bool { return p.urgent })
+}
+
 // away reports whether the platform can't be reached at present.
 func (f *flush) away() bool { return f.lastError != nil }
 
@@ -145,7 +153,8 @@
 	if f.bills > 0 && c.settleDue(now, f) {
 		c.enqueueBills(now, f)
 	}
-	if len(f.queue) == 0 {
+	if len(f.queue) == 0 || f.recording > 0 && !f.urgent() {
+		// What nobody waits for is sent together with the bills that are being recorded.
 		return nil
 	}
 	slices.SortStableFunc(f.queue, func(a, b *pendingOp) int { return cmp.Compare(order(a.op.Kind), order(b.op.Kind)) })
@@ -192,7 +201,9 @@
 		c.enqueue(p)
 		return
 	}
+	f.recording++
 	c.awaiting[p.flush.Seq] = ack{plain: true, then: func(now time.Time) {
+		f.recording--
 		c.enqueue(p)
 		c.flush(now, f.organisation)
 	}}
--- a/pkg/purse/purse.go
+++ b/pkg/purse/purse.go
@@ -120,7 +120,7 @@
 	if out.recordSet {
 		p.rewitness(ctx, out.record)
 	}
-	if out.closed && p.config.Registrar != nil {
+	if out.closed && !p.core.draining && p.config.Registrar != nil {
 		p.register(ctx)
 	}
 }
--- a/pkg/purse/refill.go
+++ b/pkg/purse/refill.go
@@ -43,7 +43,7 @@
 	}
 	a.refilling = true
 	op := budget.Op{Kind: budget.OpGrant, Need: need, Want: max(need, want-a.free)}
-	c.enqueue(&pendingOp{op: op, account: a})
+	c.enqueue(&pendingOp{op: op, account: a, urgent: len(a.waiting) > 0})
 	c.flush(now, a.id.Organisation)
 }
 
@@ -122,7 +122,7 @@
 	}
 	a.free -= tokens
 	a.away += tokens
-	c.enqueue(&pendingOp{op: budget.Op{Kind: budget.OpReturn, Tokens: tokens}, account: a, calls: calls})
+	c.enqueue(&pendingOp{op: budget.Op{Kind: budget.OpReturn, Tokens: tokens}, account: a, calls: calls, urgent: len(calls) > 0})
 	c.flush(now, a.id.Organisation)
 }
 
--- a/pkg/purse/settings.go
+++ b/pkg/purse/settings.go
@@ -41,7 +41,7 @@
 
 func (s Settings) withDefaults() Settings {
 	setDuration(&s.ReserveWait, 2*time.Second)
-	setDuration(&s.FlushInterval, 500*time.Millisecond)
+	setDuration(&s.FlushInterval, 2*time.Second)
 	setDuration(&s.RetryInterval, 100*time.Millisecond)
 	setDuration(&s.RecallInterval, 250*time.Millisecond)
 	setDuration(&s.ScarceTime, time.Second)
--- a/pkg/purse/transfer.go
+++ b/pkg/purse/transfer.go
@@ -125,7 +125,7 @@
 	if !m.out {
 		op.Holder, op.To = m.peer, c.instance
 	}
-	c.enqueue(&pendingOp{op: op, account: m.account, move: m})
+	c.enqueue(&pendingOp{op: op, account: m.account, move: m, urgent: true})
 	c.flush(now, m.account.id.Organisation)
 }
 
--- a/pkg/purse/world_test.go
+++ b/pkg/purse/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -21,21 +22,26 @@
 // world is a fleet of purses, witnesses and closers over one ledger shard. All messages are held back until the
 // test delivers, loses or duplicates them.
 type world struct {
-	log      func(format string, args ...any)
-	failure  string
-	now      time.Time
-	shard    *ledger.Shard
-	ref      *reference
-	store    *testStore
-	vms      []string
-	nodes    map[string]*node // by VM
-	former   []*node
-	flights  []*flight
+	log     func(format string, args ...any)
+	failure string
+	now     time.Time
+	shard   *ledger.Shard
+	ref     *reference
+	store   *testStore
+	vms     []string
+	nodes   map[string]*node // by VM
+	former  []*node
+	flights []*flight
+	// post takes the place of flights, and write runs the operations of a call, in the experiment.
+	post     func(*flight)
+	write    func(run func())
 	cut      map[string]bool
 	closers  []*closing
 	settings Settings
 	starts   int
-	applies  int
+	// zoned names a neighbour and a VM of the other half as witnesses, instead of the next two VMs.
+	zoned   bool
+	applies int
 }
 
 // node is one router process.
@@ -60,10 +66,11 @@
 	timeout  func()
 }
 
-func newWorld(log func(string, ...any), vms int, settings Settings) *world {
+func newWorld(log func(string, ...any), vms int, settings Settings, zoned ...bool) *world {
 	w := &world{
 		log: log, now: time.Unix(1_800_000_000, 0), shard: ledger.New(), store: &testStore{objects: map[string]platform.Object{}},
 		nodes: map[string]*node{}, cut: map[string]bool{}, settings: settings,
+		zoned: len(zoned) > 0,
 	}
 	w.ref = newReference(w)
 	for i := range vms {
@@ -105,12 +112,8 @@
 	n.last++
 	id := fmt.Sprintf("%s.%d", n.router, n.last)
 	var witnesses []journal.Ref
-	for i, vm := range w.vms {
-		if vm == n.vm {
-			for k := 1; k <= min(2, len(w.vms)-1); k++ {
-				witnesses = append(witnesses, w.ref2(w.vms[(i+k)%len(w.vms)]))
-			}
-		}
+	for _, i := range w.witnesses(slices.Index(w.vms, n.vm)) {
+		witnesses = append(witnesses, w.ref2(w.vms[i]))
 	}
 	w.store.put(instance.Key(id), encodeRecord(instance.Record{
 		Instance: id, Router: n.router, VM: n.vm, State: instance.Open, Witnesses: witnesses,
@@ -122,6 +125,20 @@
 	n.core.peers = w.peersOf(n)
 }
 
+func (w *world) witnesses(i int) []int {
+	n := len(w.vms)
+	switch {
+	case n == 1:
+		return nil
+	case n == 2:
+		return []int{1 - i}
+	case w.zoned:
+		return []int{i ^ 1, (i + n/2) % n}
+	default:
+		return []int{(i + 1) % n, (i + 2) % n}
+	}
+}
+
 func (w *world) peersOf(n *node) []string {
 	var peers []string
 	for _, vm := range w.vms {
@@ -148,17 +165,25 @@
 		}
 	}
 	timeout := func() { finish(lost) }
-	w.flights = append(w.flights, &flight{from: n.vm, to: to, sent: w.now, timeout: timeout, deliver: func() {
+	w.put(&flight{from: n.vm, to: to, sent: w.now, timeout: timeout, deliver: func() {
 		if to != platformVM && w.nodes[to].dead {
 			timeout()
 			return
 		}
 		exec(func(result func()) {
-			w.flights = append(w.flights, &flight{from: to, to: n.vm, sent: w.now, timeout: timeout, deliver: func() { finish(result) }})
+			w.put(&flight{from: to, to: n.vm, sent: w.now, timeout: timeout, deliver: func() { finish(result) }})
 		})
 	}})
 }
 
+func (w *world) put(f *flight) {
+	if w.post != nil {
+		w.post(f)
+		return
+	}
+	w.flights = append(w.flights, f)
+}
+
 // deliverable reports whether a message can arrive now.
 func (w *world) deliverable(f *flight) bool {
 	if f.to != platformVM && w.nodes[f.to].frozen {
@@ -179,8 +204,15 @@
 	}
 	for _, call := range out.applies {
 		w.call(n, platformVM, func(answer func(func())) {
-			results := w.apply(call.ops)
-			answer(func() { c.applied(w.now, call.organisation, results, nil) })
+			run := func() {
+				results := w.apply(call.ops)
+				answer(func() { c.applied(w.now, call.organisation, results, nil) })
+			}
+			if w.write != nil {
+				w.write(run)
+				return
+			}
+			run()
 		}, func() { c.applied(w.now, call.organisation, nil, platform.ErrUnavailable) })
 	}
 	for _, a := range out.appends {
