--- a/pkg/journal/log.go
+++ b/pkg/journal/log.go
@@ -69,6 +69,8 @@
 	set    []Ref
 	change *change
 	lanes  [Lanes]laneLog
+	// marksDue is set if a lane may have a mark that no witness has.
+	marksDue bool
 	// spread is set if more than one witness may have entries, and cleanAt is when the next cleaning may start.
 	spread  bool
 	cleanAt time.Time
@@ -152,8 +154,11 @@
 func (l *Log) Settled(now time.Time, organisation string, seq uint64) {
 	lane := &l.lanes[LaneOf(organisation)]
 	lane.settle(seq)
-	if lane.due() && l.Witnessed() {
-		l.wait(now)
+	if lane.due() {
+		l.marksDue = true
+		if l.Witnessed() {
+			l.wait(now)
+		}
 	}
 }
 
@@ -176,12 +181,18 @@
 }
 
 func (l *Log) dueMarks(all bool) []Mark {
+	if !all && !l.marksDue {
+		return nil
+	}
 	var marks []Mark
 	for i := range l.lanes {
 		if lane := &l.lanes[i]; lane.due() || all && lane.mark > 0 {
 			marks = append(marks, Mark{Lane: uint32(i), Seq: lane.mark})
 		}
 	}
+	if !all {
+		l.marksDue = len(marks) > 0
+	}
 	return marks
 }
 
--- a/pkg/purse/account.go
+++ b/pkg/purse/account.go
@@ -24,9 +24,11 @@
 	inbound budget.Tokens
 
 	preference budget.Preference
-	demand     demand
-	lastUse    time.Time
-	waiting    []*waiter
+	// unallocated is the rest of the budget that was not granted at the last answer of the ledger.
+	unallocated budget.Tokens
+	demand      demand
+	lastUse     time.Time
+	waiting     []*waiter
 	// hot is set while the account is in the list of accounts that every tick looks at.
 	hot bool
 	// refilling is set while a grant operation is queued or its result is not known.
--- a/pkg/purse/experiment_test.go
+++ b/pkg/purse/experiment_test.go
@@ -200,6 +200,9 @@
 	if s.even {
 		load = "even"
 	}
+	if s.prefer != "" {
+		load += ", " + string(s.prefer)
+	}
 	return fmt.Sprintf("| %s | %s | %d | %g%% | %s | %d | %d | %d (%.3f%%) | %d (%.3f%%) | %.1f%% | %.1f | %d |",
 		s.fault, load, s.routers, 100*s.left, name, c.requests, c.refused,
 		c.falseRefused, percent(c.falseRefused, c.requests), c.near, percent(c.near, c.requests),
--- a/pkg/purse/flush.go
+++ b/pkg/purse/flush.go
@@ -256,7 +256,7 @@
 
 func (c *core) confirm(now time.Time, p *pendingOp, result budget.Result) {
 	if result.Preference != "" {
-		p.account.preference = result.Preference
+		p.account.preference, p.account.unallocated = result.Preference, result.Unallocated
 	}
 	switch p.op.Kind {
 	case budget.OpSettle:
--- a/pkg/purse/refill.go
+++ b/pkg/purse/refill.go
@@ -10,9 +10,16 @@
 // probeNeed is more than any budget has, so that the ledger refuses and names the holders.
 const probeNeed budget.Tokens = 1 << 53
 
-// expected returns the tokens that are expected to be needed during the horizon.
+// plenty is the part of the unallocated tokens of a budget that a router may hold beyond its horizon. Holding so
+// little of a budget can't lead to refusals elsewhere, and it carries the router through a longer partition.
+const plenty = 128
+
+// expected returns the tokens that are expected to be needed during the horizon, or during the longest horizon if
+// the budget has plenty left.
 func (c *core) expected(now time.Time, a *account) budget.Tokens {
-	return a.demand.over(now, c.settings.DemandWindow, c.settings.horizon(a.preference))
+	tokens := a.demand.over(now, c.settings.DemandWindow, c.settings.horizon(a.preference))
+	longest := a.demand.over(now, c.settings.DemandWindow, c.settings.horizon(budget.AvoidRefusal))
+	return max(tokens, min(longest, a.unallocated/plenty))
 }
 
 // refill asks for tokens if requests wait or the free tokens will run out soon. While tokens are scarce it asks
