Wait for pushes of crash records when the guard stops

The background push ran in a bare goroutine that could outlive Run. The fleet tests' in-memory calls are shortened; what they check is the same.

--- a/pkg/poison/fleet_test.go
+++ b/pkg/poison/fleet_test.go
@@ -46,39 +46,31 @@
 func (n node) Self() member.Member      { return n.members[n.index] }
 func (n node) Members() []member.Member { return n.members }
 
-func (n node) reach(m member.Member) (*Guard, error) {
+// call runs the call at the other guard if it can be reached.
+func (n node) call(m member.Member, call func(g *Guard)) error {
 	var to int
 	_, _ = fmt.Sscanf(m.Instance, "r%d", &to)
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.cut != nil && n.cut(n.index, to) {
-		return nil, errors.New("unreachable")
+	cut := n.cut != nil && n.cut(n.index, to)
+	n.mu.Unlock()
+	if cut {
+		return errors.New("unreachable")
 	}
-	return n.guards[to], nil
+	call(n.guards[to])
+	return nil
 }
 
 func (n node) Spread(_ context.Context, m member.Member, records []Record) error {
-	g, err := n.reach(m)
-	if err == nil {
-		g.Receive(records)
-	}
-	return err
+	return n.call(m, func(g *Guard) { g.Receive(records) })
 }
 
-func (n node) Reserve(_ context.Context, m member.Member, key string, a Attempt) (bool, error) {
-	g, err := n.reach(m)
-	if err != nil {
-		return false, err
-	}
-	return g.Grant(key, a), nil
+func (n node) Reserve(_ context.Context, m member.Member, key string, a Attempt) (granted bool, err error) {
+	err = n.call(m, func(g *Guard) { granted = g.Grant(key, a) })
+	return granted, err
 }
 
 func (n node) Release(_ context.Context, m member.Member, key string, a Attempt) error {
-	g, err := n.reach(m)
-	if err == nil {
-		g.Revoke(key, a)
-	}
-	return err
+	return n.call(m, func(g *Guard) { g.Revoke(key, a) })
 }
 
 func newFleet(t *testing.T, routers, vms int) *fleet {
--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/member"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
@@ -45,7 +47,9 @@
 
 // Run serves the guard until ctx ends.
 func (g *Guard) Run(ctx context.Context) {
-	defer close(g.stopped)
+	var pushes conc.WaitGroup
+	defer pushes.Wait()
+	defer close(g.stopped) // first, because a push in progress calls do
 	ticker := time.NewTicker(maintainEvery)
 	defer ticker.Stop()
 	sending := make(chan struct{}, 1)
@@ -56,7 +60,7 @@
 		case call := <-g.calls:
 			call(time.Now())
 		case now := <-ticker.C:
-			g.maintain(ctx, now, sending)
+			g.maintain(ctx, now, &pushes, sending)
 		}
 	}
 }
--- a/pkg/poison/spread.go
+++ b/pkg/poison/spread.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/lavendershunt/lavendershunt/pkg/member"
@@ -47,7 +48,7 @@
 
 // maintain expires records and reservations and sends all records to the members that are behind, one push at a
 // time.
-func (g *Guard) maintain(ctx context.Context, now time.Time, sending chan struct{}) {
+func (g *Guard) maintain(ctx context.Context, now time.Time, pushes *conc.WaitGroup, sending chan struct{}) {
 	g.book.Expire(now)
 	failed := map[string]bool{}
 	present := map[string]bool{}
@@ -76,10 +77,10 @@
 		delete(g.behind, m.Instance)
 	}
 	records := g.book.Records()
-	go func() {
+	pushes.Go(func() {
 		defer func() { <-sending }()
 		g.push(ctx, targets, records)
-	}()
+	})
 }
 
 // forget drops the instances that are no longer members.
