--- a/pkg/load/observe/ledger.go
+++ b/pkg/load/observe/ledger.go
@@ -1,9 +1,13 @@
 package observe
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +33,9 @@
 
 	mu          sync.Mutex
 	budgets     map[budgetName]evidence.Budget
+	grants      map[budgetName]map[string]int64
+	heads       map[string]*ledgerv1.HeadState
+	chunks      map[string][]byte
 	settlements []evidence.Settlement
 	topUps      []evidence.TopUp
 	gaps        int
@@ -36,7 +43,10 @@
 
 // NewLedger returns a follower.
 func NewLedger(store platform.Store) *Ledger {
-	return &Ledger{store: store, budgets: map[budgetName]evidence.Budget{}}
+	return &Ledger{
+		store: store, budgets: map[budgetName]evidence.Budget{}, grants: map[budgetName]map[string]int64{},
+		heads: map[string]*ledgerv1.HeadState{}, chunks: map[string][]byte{},
+	}
 }
 
 // Run follows the shards until ctx ends.
@@ -56,9 +66,7 @@
 			pause(ctx, retryPause)
 			continue
 		}
-		for _, o := range objects {
-			l.take(o)
-		}
+		l.takeAll(objects)
 	}
 }
 
@@ -75,32 +83,101 @@
 	return objects, next, nil
 }
 
-// take compares a version of a shard with the version before it.
-func (l *Ledger) take(object platform.Object) {
+// takeAll takes the chunks first, because a list is sorted by key and not by time.
+func (l *Ledger) takeAll(objects []platform.Object) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, o := range objects {
+		if !isHead(o.Key) && !o.Deleted {
+			l.chunks[o.Key] = o.Value
+		}
+	}
+	for _, o := range objects {
+		if isHead(o.Key) && !o.Deleted {
+			l.takeHead(o)
+		}
+	}
+	for _, o := range objects {
+		if o.Deleted {
+			delete(l.chunks, o.Key)
+		}
+	}
+}
+
+// isHead reports whether the key is that of a shard and not of a part of its base.
+func isHead(key string) bool {
+	_, err := strconv.Atoi(strings.TrimPrefix(key, ledgerPrefix))
+	return err == nil
+}
+
+// takeHead compares a version of a shard with the version before it.
+func (l *Ledger) takeHead(object platform.Object) {
+	head := &ledgerv1.HeadState{}
+	if proto.Unmarshal(object.Value, head) != nil {
+		return
+	}
+	before := l.heads[object.Key]
+	l.heads[object.Key] = head
+	deltas := head.Deltas
+	if before != nil && slices.Equal(before.Chunks, head.Chunks) && bytes.Equal(before.Inline, head.Inline) && len(deltas) >= len(before.Deltas) {
+		deltas = deltas[len(before.Deltas):]
+	} else {
+		l.takeState(l.base(head), true)
+	}
+	for _, d := range deltas {
+		l.takeState(d, false)
+	}
+}
+
+func (l *Ledger) base(head *ledgerv1.HeadState) []byte {
+	if len(head.Chunks) == 0 {
+		return head.Inline
+	}
+	var base []byte
+	for _, key := range head.Chunks {
+		base = append(base, l.chunks[key]...)
+	}
+	return base
+}
+
+// takeState takes a base, which is complete, or a delta, which holds what changed.
+func (l *Ledger) takeState(value []byte, complete bool) {
 	state := &ledgerv1.ShardState{}
-	if object.Deleted || proto.Unmarshal(object.Value, state) != nil {
+	if proto.Unmarshal(value, state) != nil {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	for _, org := range state.Organisations {
 		for _, b := range org.Budgets {
+			l.takeGrants(budgetName{org.Id, b.Name}, b, state.Names, complete)
 			l.takeBudget(org.Id, b)
 		}
 	}
 }
 
+func (l *Ledger) takeGrants(name budgetName, b *ledgerv1.BudgetState, names []string, complete bool) {
+	if complete || l.grants[name] == nil {
+		l.grants[name] = map[string]int64{}
+	}
+	for i, holder := range b.GrantHolders {
+		if b.GrantTokens[i] == 0 {
+			delete(l.grants[name], names[holder])
+			continue
+		}
+		l.grants[name][names[holder]] = b.GrantTokens[i]
+	}
+}
+
 func (l *Ledger) takeBudget(organisation string, b *ledgerv1.BudgetState) {
 	name := budgetName{organisation, b.Name}
 	before := l.budgets[name]
 	now := evidence.Budget{
-		Organisation: organisation, Name: b.Name, ToppedUp: b.ToppedUp, Settled: b.Settled, Holders: len(b.GrantHolders),
+		Organisation: organisation, Name: b.Name, ToppedUp: b.ToppedUp, Settled: b.Settled, Holders: len(l.grants[name]),
 		Bills: before.Bills,
 	}
 	if now.Bills == nil {
 		now.Bills = map[uint64]bool{}
 	}
-	for _, tokens := range b.GrantTokens {
+	for _, tokens := range l.grants[name] {
 		now.Granted += tokens
 	}
 	var added []uint64
--- a/pkg/load/observe/observe_test.go
+++ b/pkg/load/observe/observe_test.go
@@ -48,7 +48,9 @@
 	} {
 		must.Eq(t, budget.CodeOK, shard.Apply(now.Add(time.Duration(n)*time.Second), op).Code)
 	}
-	value, err := shard.Encode()
+	base, err := shard.Encode()
+	must.NoError(t, err)
+	value, err := ledger.Head{Inline: base}.Encode()
 	must.NoError(t, err)
 	_, err = client.Put(context.Background(), ledger.Key(0), value, 0)
 	must.NoError(t, err)
@@ -56,9 +58,7 @@
 	l := NewLedger(client)
 	objects, _, err := client.List(context.Background(), ledgerPrefix)
 	must.NoError(t, err)
-	for _, o := range objects {
-		l.take(o)
-	}
+	l.takeAll(objects)
 	var e evidence.Evidence
 	l.Fill(&e)
 	must.Len(t, 1, e.Budgets)
@@ -78,7 +78,9 @@
 	} {
 		value, err := proto.Marshal(&ledgerv1.ShardState{Organisations: []*ledgerv1.OrganisationState{{Id: "velocar", Budgets: []*ledgerv1.BudgetState{state}}}})
 		must.NoError(t, err)
-		l.take(platform.Object{Value: value})
+		head, err := proto.Marshal(&ledgerv1.HeadState{Inline: value})
+		must.NoError(t, err)
+		l.takeAll([]platform.Object{{Key: ledger.Key(0), Value: head}})
 	}
 	var e evidence.Evidence
 	l.Fill(&e)
@@ -89,3 +91,39 @@
 	}, e.Settlements)
 	must.Len(t, 1, e.TopUps)
 }
+
+// Shards are stored as a base and deltas, with a large base in objects of its own. A follower that misses one of these
+// would count bills as missing.
+func TestLedgerFollowsChunksAndDeltas(t *testing.T) {
+	l := NewLedger(nil)
+	state := func(b *ledgerv1.BudgetState) []byte {
+		value, err := proto.Marshal(&ledgerv1.ShardState{
+			Names: []string{"e1", "e2"}, Organisations: []*ledgerv1.OrganisationState{{Id: "velocar", Budgets: []*ledgerv1.BudgetState{b}}},
+		})
+		must.NoError(t, err)
+		return value
+	}
+	one, two := evidence.BillKey("velocar", "one"), evidence.BillKey("velocar", "two")
+	base := state(&ledgerv1.BudgetState{
+		Name: "main", ToppedUp: 100, Settled: 10, BillKeys: []uint64{one}, GrantHolders: []uint32{0, 1}, GrantTokens: []int64{20, 30},
+	})
+	delta := state(&ledgerv1.BudgetState{
+		Name: "main", ToppedUp: 100, Settled: 25, BillKeys: []uint64{two}, GrantHolders: []uint32{1}, GrantTokens: []int64{0},
+	})
+	half := len(base) / 2
+	chunks := []string{ledger.Key(0) + "/b1", ledger.Key(0) + "/b2"}
+	put := func(deltas ...[]byte) platform.Object {
+		head, err := proto.Marshal(&ledgerv1.HeadState{Chunks: chunks, Deltas: deltas})
+		must.NoError(t, err)
+		return platform.Object{Key: ledger.Key(0), Value: head}
+	}
+	l.takeAll([]platform.Object{put(), {Key: chunks[0], Value: base[:half]}, {Key: chunks[1], Value: base[half:]}})
+	l.takeAll([]platform.Object{put(delta)})
+	l.takeAll([]platform.Object{put(delta)})
+	var e evidence.Evidence
+	l.Fill(&e)
+	must.True(t, l.Billed("velocar", "one"))
+	must.True(t, l.Billed("velocar", "two"))
+	must.Eq(t, []int64{25, 20}, []int64{e.Budgets[0].Settled, e.Budgets[0].Granted})
+	must.Len(t, 2, e.Settlements)
+}
