--- a/pkg/instance/choose.go
+++ b/pkg/instance/choose.go
@@ -37,7 +37,8 @@
 
 // Choose returns the witnesses of an instance: the kept ones, and for each scope without one the alive router that
 // comes first for the instance by rendezvous hash. If a scope has no router, any other alive router takes its
-// place. The result is empty if there is no other router.
+// place. Witnesses in zones of their own are preferred, so that fewer fail together. The result is empty if there is
+// no other router.
 func Choose(view member.View, instance string, scopes []Scope, keep []journal.Ref) []journal.Ref {
 	self := view.Self()
 	alive := map[string]member.Member{}
@@ -57,6 +58,11 @@
 			used[ref.Router] = true
 		}
 	}
+	fill(chosen, ranked, alive, used, func(i int, m member.Member) bool {
+		return scopes[i].matches(self, m) && !slices.ContainsFunc(chosen, func(r journal.Ref) bool {
+			return r.Router != "" && r.Region == m.Region && r.Zone == m.Zone
+		})
+	})
 	fill(chosen, ranked, alive, used, func(i int, m member.Member) bool { return scopes[i].matches(self, m) })
 	fill(chosen, ranked, alive, used, func(int, member.Member) bool { return true })
 	return slices.DeleteFunc(chosen, func(r journal.Ref) bool { return r.Router == "" })
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -61,6 +61,8 @@
 	must.EqOp(t, "r2", set[0].Router)
 	must.NotEqOp(t, "a", set[1].Zone)
 	must.Eq(t, []journal.Ref{ref("r2", "a"), ref("r5", "c")}, Choose(v, "r1.1", DefaultScopes, []journal.Ref{ref("r5", "c")}))
+	others := Choose(v, "r1.1", []Scope{OtherZone, OtherZone}, nil)
+	must.NotEqOp(t, others[0].Zone, others[1].Zone)
 	must.Len(t, 2, Choose(v, "r1.1", []Scope{OtherRegion, OtherRegion}, nil))
 	must.Len(t, 1, Choose(&view{self: "r1", members: v.members[:2]}, "r1.1", DefaultScopes, nil))
 	must.SliceEmpty(t, Choose(&view{self: "r1", members: v.members[:1]}, "r1.1", DefaultScopes, nil))
