Add membership, and the spreading of configuration between routers

Cause: routers must find each other and learn configuration changes within 8 s, also while messages are lost and while the platform or the chosen watchers are cut off.

Found on the way and ruled out: - Raising the floor because a peer's objects have the same hash: a random test found that such a router lacks the tombstones of objects it never knew, and passes on a floor that is wrong.

--- a/api/ls/member/v1/memberv1connect/member.connect.go
+++ b/api/ls/member/v1/memberv1connect/member.connect.go
@@ -35,12 +35,20 @@
 const (
 	// MemberServiceProbeProcedure is the fully-qualified name of the MemberService's Probe RPC.
 	MemberServiceProbeProcedure = "/ls.member.v1.MemberService/Probe"
+	// MemberServiceProbeForProcedure is the fully-qualified name of the MemberService's ProbeFor RPC.
+	MemberServiceProbeForProcedure = "/ls.member.v1.MemberService/ProbeFor"
+	// MemberServiceSyncProcedure is the fully-qualified name of the MemberService's Sync RPC.
+	MemberServiceSyncProcedure = "/ls.member.v1.MemberService/Sync"
 )
 
 // MemberServiceClient is a client for the ls.member.v1.MemberService service.
 type MemberServiceClient interface {
 	// Probe reports that the callee is alive and exchanges membership changes.
 	Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error)
+	// ProbeFor probes a third router on behalf of the caller.
+	ProbeFor(context.Context, *connect.Request[v1.ProbeForRequest]) (*connect.Response[v1.ProbeForResponse], error)
+	// Sync compares and exchanges the whole membership.
+	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
 }
 
 // NewMemberServiceClient constructs a client for the ls.member.v1.MemberService service. By
@@ -60,12 +68,26 @@
 			connect.WithSchema(memberServiceMethods.ByName("Probe")),
 			connect.WithClientOptions(opts...),
 		),
+		probeFor: connect.NewClient[v1.ProbeForRequest, v1.ProbeForResponse](
+			httpClient,
+			baseURL+MemberServiceProbeForProcedure,
+			connect.WithSchema(memberServiceMethods.ByName("ProbeFor")),
+			connect.WithClientOptions(opts...),
+		),
+		sync: connect.NewClient[v1.SyncRequest, v1.SyncResponse](
+			httpClient,
+			baseURL+MemberServiceSyncProcedure,
+			connect.WithSchema(memberServiceMethods.ByName("Sync")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // memberServiceClient implements MemberServiceClient.
 type memberServiceClient struct {
-	probe *connect.Client[v1.ProbeRequest, v1.ProbeResponse]
+	probe    *connect.Client[v1.ProbeRequest, v1.ProbeResponse]
+	probeFor *connect.Client[v1.ProbeForRequest, v1.ProbeForResponse]
+	sync     *connect.Client[v1.SyncRequest, v1.SyncResponse]
 }
 
 // Probe calls ls.member.v1.MemberService.Probe.
@@ -73,10 +95,24 @@
 	return c.probe.CallUnary(ctx, req)
 }
 
+// ProbeFor calls ls.member.v1.MemberService.ProbeFor.
+func (c *memberServiceClient) ProbeFor(ctx context.Context, req *connect.Request[v1.ProbeForRequest]) (*connect.Response[v1.ProbeForResponse], error) {
+	return c.probeFor.CallUnary(ctx, req)
+}
+
+// Sync calls ls.member.v1.MemberService.Sync.
+func (c *memberServiceClient) Sync(ctx context.Context, req *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error) {
+	return c.sync.CallUnary(ctx, req)
+}
+
 // MemberServiceHandler is an implementation of the ls.member.v1.MemberService service.
 type MemberServiceHandler interface {
 	// Probe reports that the callee is alive and exchanges membership changes.
 	Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error)
+	// ProbeFor probes a third router on behalf of the caller.
+	ProbeFor(context.Context, *connect.Request[v1.ProbeForRequest]) (*connect.Response[v1.ProbeForResponse], error)
+	// Sync compares and exchanges the whole membership.
+	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
 }
 
 // NewMemberServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -92,10 +128,26 @@
 		connect.WithSchema(memberServiceMethods.ByName("Probe")),
 		connect.WithHandlerOptions(opts...),
 	)
+	memberServiceProbeForHandler := connect.NewUnaryHandler(
+		MemberServiceProbeForProcedure,
+		svc.ProbeFor,
+		connect.WithSchema(memberServiceMethods.ByName("ProbeFor")),
+		connect.WithHandlerOptions(opts...),
+	)
+	memberServiceSyncHandler := connect.NewUnaryHandler(
+		MemberServiceSyncProcedure,
+		svc.Sync,
+		connect.WithSchema(memberServiceMethods.ByName("Sync")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/ls.member.v1.MemberService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MemberServiceProbeProcedure:
 			memberServiceProbeHandler.ServeHTTP(w, r)
+		case MemberServiceProbeForProcedure:
+			memberServiceProbeForHandler.ServeHTTP(w, r)
+		case MemberServiceSyncProcedure:
+			memberServiceSyncHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -108,3 +160,11 @@
 func (UnimplementedMemberServiceHandler) Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ls.member.v1.MemberService.Probe is not implemented"))
 }
+
+func (UnimplementedMemberServiceHandler) ProbeFor(context.Context, *connect.Request[v1.ProbeForRequest]) (*connect.Response[v1.ProbeForResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ls.member.v1.MemberService.ProbeFor is not implemented"))
+}
+
+func (UnimplementedMemberServiceHandler) Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ls.member.v1.MemberService.Sync is not implemented"))
+}
--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -36,7 +36,8 @@
 // safe for concurrent use.
 //
 // The store knows every change up to its floor, a revision that it learns from the platform or from a peer with
-// a complete state. A version at or below the floor whose key the store does not have was deleted, and is refused.
+// a complete state. A version at or below the floor that the store does not have was replaced or deleted, and is
+// refused, whether or not a tombstone is kept.
 type Store struct {
 	mu         sync.RWMutex
 	records    map[string]*record
@@ -44,8 +45,11 @@
 	floor      uint64
 	loaded     bool
 	tombstones int
-	// dropped is the highest revision of a tombstone that is no longer kept.
+	// dropped is the revision up to which tombstones may be missing: they were no longer kept, or the object was
+	// created and deleted before this store listed.
 	dropped uint64
+	// newest is the highest accepted revision.
+	newest  uint64
 	changed chan struct{}
 }
 
@@ -75,7 +79,7 @@
 	defer s.mu.Unlock()
 	var accepted []Entry
 	for _, e := range entries {
-		if s.accept(e) {
+		if s.accept(e, false) {
 			accepted = append(accepted, e)
 		}
 	}
@@ -83,16 +87,29 @@
 	return accepted
 }
 
-// MergeComplete takes over a complete list that holds every object as of revision floor or newer. Known objects at
-// or below floor that the list lacks were deleted; they get a tombstone. It returns the changes.
+// MergeList takes over a list from the platform that is complete at the given revision. It returns the changes.
+func (s *Store) MergeList(entries []Entry, revision uint64) []Entry {
+	return s.mergeComplete(entries, revision, true)
+}
+
+// MergeComplete takes over the complete answer of a peer, which holds every object as of revision floor or newer. It
+// returns the changes.
 func (s *Store) MergeComplete(entries []Entry, floor uint64) []Entry {
+	return s.mergeComplete(entries, floor, false)
+}
+
+// mergeComplete takes over a complete set of objects. Known objects at or below floor that the set lacks were deleted;
+// they get a tombstone. The platform's list may correct the store below its own floor, which should never be needed.
+func (s *Store) mergeComplete(entries []Entry, floor uint64, fromPlatform bool) []Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.dropped = max(s.dropped, floor)
+	correct := fromPlatform && floor >= s.floor
 	present := make(map[string]bool, len(entries))
 	var accepted []Entry
 	for _, e := range entries {
-		present[e.Key] = true
-		if s.accept(e) {
+		present[e.Key] = !e.Deleted
+		if s.accept(e, correct) {
 			accepted = append(accepted, e)
 		}
 	}
@@ -118,30 +135,19 @@
 	return accepted
 }
 
-// Agree records that a peer with an equal hash knows every change up to floor, so this store does as well.
-func (s *Store) Agree(peer Summary) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if peer.Loaded && peer.Hash == s.hash {
-		s.raiseFloor(peer.Floor)
-		s.finish(false)
-	}
-}
-
 // accept merges one entry. The caller holds the lock.
-func (s *Store) accept(e Entry) bool {
+func (s *Store) accept(e Entry, belowFloor bool) bool {
 	r, known := s.records[e.Key]
+	if known && e.Revision <= r.revision {
+		return false
+	}
+	if s.loaded && e.Revision <= s.floor && !belowFloor {
+		return false
+	}
 	if !known {
-		if s.loaded && e.Revision <= s.floor {
-			return false
-		}
 		r = &record{deleted: true}
 		s.records[e.Key] = r
 		s.tombstones++
-		return s.replace(e, r)
-	}
-	if e.Revision <= r.revision {
-		return false
 	}
 	return s.replace(e, r)
 }
@@ -153,6 +159,7 @@
 	} else {
 		s.tombstones--
 	}
+	s.newest = max(s.newest, e.Revision)
 	r.revision, r.value, r.deleted, r.decoded = e.Revision, e.Value, e.Deleted, nil
 	if e.Deleted {
 		r.value = nil
--- a/pkg/config/watch.go
+++ b/pkg/config/watch.go
@@ -17,6 +17,7 @@
 	// after is the revision up to which the watcher has read; listed tells that it is valid.
 	after  uint64
 	listed bool
+	relist bool
 }
 
 // NewWatcher returns a watcher that lists at its first step.
@@ -28,7 +29,7 @@
 // peer continues from its floor; otherwise, and after a gap, the watcher lists everything. A poll alone would lose
 // the deletions that happened in the gap.
 func (w *Watcher) Step(ctx context.Context) ([]Entry, error) {
-	if floor := w.store.Summary(); !w.listed && floor.Loaded && floor.Floor > 0 {
+	if floor := w.store.Summary(); !w.listed && !w.relist && floor.Loaded && floor.Floor > 0 {
 		w.after, w.listed = floor.Floor, true
 	}
 	if !w.listed {
@@ -48,13 +49,16 @@
 // Reset makes the next step continue from the store's floor. It is called when a watcher resumes after a pause.
 func (w *Watcher) Reset() { w.listed = false }
 
+// Relist makes the next step list everything.
+func (w *Watcher) Relist() { w.listed, w.relist = false, true }
+
 func (w *Watcher) list(ctx context.Context) ([]Entry, error) {
 	objects, revision, err := w.platform.List(ctx, Prefix)
 	if err != nil {
 		return nil, err
 	}
-	w.after, w.listed = revision, true
-	return w.store.MergeComplete(entriesOf(objects), revision), nil
+	w.after, w.listed, w.relist = revision, true, false
+	return w.store.MergeList(entriesOf(objects), revision), nil
 }
 
 func entriesOf(objects []platform.Object) []Entry {
--- a/pkg/config/write.go
+++ b/pkg/config/write.go
@@ -87,7 +87,7 @@
 	entry, err := w.retry(ctx, &uncertain, func() (Entry, error) {
 		err := w.platform.Delete(ctx, key, ifRevision)
 		if err == nil || errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound) {
-			return w.resolveDelete(ctx, key, err == nil || uncertain, uncertain)
+			return w.resolveDelete(ctx, key, ifRevision, err == nil, uncertain)
 		}
 		return Entry{}, err
 	})
@@ -122,30 +122,61 @@
 	if err != nil {
 		return Entry{}, err
 	}
-	if uncertain && current.Revision > ifRevision && bytes.Equal(current.Value, value) {
+	if !uncertain {
+		return Entry{}, &ConflictError{Key: key, Current: &current}
+	}
+	if current.Revision > ifRevision && bytes.Equal(current.Value, value) {
 		return current, nil
 	}
-	return Entry{}, &ConflictError{Key: key, Current: &current, MaybeApplied: uncertain}
+	next, known := w.successor(ctx, key, ifRevision)
+	if known && !next.Deleted && bytes.Equal(next.Value, value) {
+		return next, nil
+	}
+	return Entry{}, &ConflictError{Key: key, Current: &current, MaybeApplied: !known}
 }
 
-// resolveDelete finds out whether the object is gone. It lists the key, because only a list tells the revision at
-// which an object is absent, and the tombstone needs one.
-func (w *Writer) resolveDelete(ctx context.Context, key string, deleted, uncertain bool) (Entry, error) {
-	objects, revision, err := w.platform.List(ctx, key)
+// successor returns the version that replaced the given one. A conditional write can only have taken effect as this
+// version, so it shows whether a write whose response was lost did. It reports false if the platform's history no
+// longer reaches back that far.
+func (w *Writer) successor(ctx context.Context, key string, revision uint64) (Entry, bool) {
+	objects, _, err := w.platform.Poll(ctx, key, revision, 0)
 	if err != nil {
-		if deleted && !uncertain {
-			// The delete was accepted; the watchers will deliver the tombstone.
-			return Entry{}, nil
+		return Entry{}, false
+	}
+	for _, e := range entriesOf(objects) {
+		if e.Key == key && e.Revision > revision {
+			return e, true
 		}
+	}
+	return Entry{}, false
+}
+
+// resolveDelete finds out what a delete did. It lists the key, because only a list tells the revision at which an
+// object is absent, and the tombstone needs one.
+func (w *Writer) resolveDelete(ctx context.Context, key string, ifRevision uint64, deleted, uncertain bool) (Entry, error) {
+	if uncertain && !deleted {
+		next, known := w.successor(ctx, key, ifRevision)
+		deleted = known && next.Deleted
+		uncertain = !known
+	}
+	objects, revision, err := w.platform.List(ctx, key)
+	if err != nil && deleted {
+		// The watchers will deliver the tombstone.
+		return Entry{}, nil
+	}
+	if err != nil {
 		return Entry{}, err
 	}
-	for _, o := range objects {
-		if o.Key == key {
-			current := entriesOf([]platform.Object{o})[0]
-			return Entry{}, &ConflictError{Key: key, Current: &current, MaybeApplied: deleted}
+	for _, e := range entriesOf(objects) {
+		if e.Key != key {
+			continue
+		}
+		if deleted {
+			return e, nil
 		}
+		return Entry{}, &ConflictError{Key: key, Current: &e, MaybeApplied: uncertain}
 	}
-	if !deleted {
+	if !deleted && !uncertain {
 		return Entry{}, &ConflictError{Key: key}
 	}
 	return Entry{Key: key, Revision: revision, Deleted: true}, nil
--- a/pkg/member/instance.go
+++ b/pkg/member/instance.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -18,6 +19,14 @@
 	return fmt.Sprintf("%s@%d-%s", vm, now.UnixMilli(), hex.EncodeToString(random[:]))
 }
 
+// NewInstanceAfter returns an instance id that supersedes the given one, even if the clock went back.
+func NewInstanceAfter(previous, vm string, now time.Time) string {
+	if start, ok := startOf(previous); ok && now.UnixMilli() <= start {
+		now = time.UnixMilli(start + 1)
+	}
+	return NewInstance(vm, now)
+}
+
 // VMOf returns the VM of an instance id, or "" if the id was not made by NewInstance.
 func VMOf(instance string) string {
 	vm, _, found := strings.Cut(instance, "@")
@@ -26,3 +35,22 @@
 	}
 	return vm
 }
+
+// startOf returns the start time in an instance id in Unix ms.
+func startOf(instance string) (int64, bool) {
+	_, rest, found := strings.Cut(instance, "@")
+	text, _, _ := strings.Cut(rest, "-")
+	start, err := strconv.ParseInt(text, 10, 64)
+	return start, found && err == nil
+}
+
+// supersedes reports whether instance a of a VM was started after instance b of the same VM. Ids that were not made
+// by NewInstance do not supersede each other.
+func supersedes(a, b string) bool {
+	startA, okA := startOf(a)
+	startB, okB := startOf(b)
+	if !okA || !okB {
+		return false
+	}
+	return startA > startB || startA == startB && a > b
+}
--- /dev/null
+++ b/pkg/member/sim_test.go
@@ -0,0 +1,215 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	memberv1 "github.com/lavendershunt/lavendershunt/api/ls/member/v1"
+)
+
+const (
+	// packetBytes is the size of the IP and TCP headers of one packet and its acknowledgement.
+	packetBytes = 104
+	// callOverheadBytes is added per call and direction, for packetBytes and the framing of HTTP/2 and connect, which
+	// TestCallOverhead measures.
+	callOverheadBytes = packetBytes + 46
+)
+
+var simTiming = Timing{Probe: time.Second, FailedAfter: 10 * time.Second, FullSync: 30 * time.Second}
+
+// node is a router of a simulated fleet. Each ticks at its own point within a second.
+type node struct {
+	core   *Core
+	addr   string
+	next   time.Time
+	frozen bool
+	dead   bool
+	bytes  int
+}
+
+// sim runs cores in virtual time. Messages arrive at once or are lost.
+type sim struct {
+	t      *testing.T
+	now    time.Time
+	nodes  []*node
+	byAddr map[string]*node
+	random *rand.Rand
+	loss   float64
+	cut    func(a, b *node) bool
+}
+
+func newSim(t *testing.T, n int, loss float64) *sim {
+	s := &sim{t: t, now: time.Unix(1_800_000_000, 0), byAddr: map[string]*node{}, random: rand.New(rand.NewPCG(20261204, uint64(n))), loss: loss}
+	var seeds []string
+	for i := range n {
+		seeds = append(seeds, fmt.Sprintf("10.%d.%d.1:8081", i/250, i%250))
+	}
+	for i := range n {
+		s.add(i, seeds, fmt.Sprintf("entry-%03d@%d-00000000", i, s.now.UnixMilli()))
+	}
+	return s
+}
+
+func (s *sim) add(i int, seeds []string, instance string) *node {
+	zone := fmt.Sprintf("region-%d-zone-%d", i%3, i%6)
+	self := Member{Instance: instance, VM: fmt.Sprintf("entry-%03d", i), Region: zone[:8], Zone: zone, PeerAddress: seeds[i], CallerAddress: seeds[i][:len(seeds[i])-1] + "0"}
+	n := &node{addr: seeds[i], core: NewCore(self, simTiming, rand.New(rand.NewPCG(uint64(len(s.nodes)), 1)), s.now)}
+	n.core.SetSeeds(seeds)
+	n.next = s.now.Add(time.Duration(s.random.Int64N(int64(time.Second))))
+	s.nodes = append(s.nodes, n)
+	s.byAddr[n.addr] = n
+	return n
+}
+
+// run advances time round by round until done reports true, and returns the number of seconds.
+func (s *sim) run(seconds int, done func() bool) int {
+	for second := range seconds {
+		if done != nil && done() {
+			return second
+		}
+		end := s.now.Add(time.Second)
+		for _, n := range s.order(end) {
+			s.now = n.next
+			n.next = n.next.Add(time.Second)
+			if !n.dead && !n.frozen {
+				s.send(n, n.core.Tick(s.now))
+			}
+		}
+		s.now = end
+	}
+	return seconds
+}
+
+// order returns the nodes in the order of their next ticks.
+func (s *sim) order(end time.Time) []*node {
+	var due []*node
+	for _, n := range s.nodes {
+		if n.next.Before(end) {
+			due = append(due, n)
+		}
+	}
+	slices.SortFunc(due, func(a, b *node) int { return a.next.Compare(b.next) })
+	return due
+}
+
+// arrives decides about one message.
+func (s *sim) arrives(from, to *node) bool {
+	if to == nil || to.dead || to.frozen || s.cut != nil && s.cut(from, to) {
+		return false
+	}
+	return s.random.Float64() >= s.loss
+}
+
+func (s *sim) send(from *node, actions []Action) {
+	for _, a := range actions {
+		switch to := s.byAddr[a.Address]; a.Kind {
+		case ActionProbe:
+			answered, updates := s.probe(from, to, a.Target, a.Updates)
+			s.send(from, from.core.ProbeDone(s.now, a, answered, updates))
+		case ActionProbeFor:
+			s.probeFor(from, to, a)
+		case ActionSync:
+			s.sync(from, to, a)
+		}
+	}
+}
+
+func (s *sim) count(from, to *node, m proto.Message) {
+	size := proto.Size(m) + callOverheadBytes
+	from.bytes += size
+	if to != nil && !to.dead {
+		to.bytes += size
+	}
+}
+
+func (s *sim) probe(from, to *node, target string, updates []Update) (string, []Update) {
+	s.count(from, to, &memberv1.ProbeRequest{From: from.core.Self().Instance, Target: target, Updates: toWire(updates)})
+	if !s.arrives(from, to) {
+		return "", nil
+	}
+	answer := to.core.HandleProbe(s.now, from.core.Self().Instance, fromWire(toWire(updates)))
+	instance := to.core.Self().Instance
+	s.count(to, from, &memberv1.ProbeResponse{Instance: instance, Updates: toWire(answer)})
+	if !s.arrives(to, from) {
+		return "", nil
+	}
+	return instance, answer
+}
+
+func (s *sim) probeFor(from, to *node, a Action) {
+	s.count(from, to, &memberv1.ProbeForRequest{From: from.core.Self().Instance, Target: a.Target, TargetAddress: a.TargetAddress})
+	var reached bool
+	var updates []Update
+	if s.arrives(from, to) {
+		answered, answer := s.probe(to, s.byAddr[a.TargetAddress], a.Target, nil)
+		response := &memberv1.ProbeForResponse{Reached: answered == a.Target, Updates: toWire(answer)}
+		s.count(to, from, response)
+		if s.arrives(to, from) {
+			reached, updates = answered == a.Target, answer
+		}
+	}
+	from.core.ProbeForDone(s.now, a, reached, updates)
+}
+
+func (s *sim) sync(from, to *node, a Action) {
+	s.count(from, to, &memberv1.SyncRequest{From: from.core.Self().Instance, Hash: a.Hash, Updates: toWire(a.Updates), Wanted: a.Wanted})
+	if !s.arrives(from, to) {
+		return
+	}
+	answer := to.core.HandleSync(s.now, a.Hash, a.Updates, a.Wanted)
+	s.count(to, from, &memberv1.SyncResponse{Instance: to.core.Self().Instance, Hash: answer.Hash, Updates: toWire(answer.Updates), Digests: digestsToWire(answer.Digests)})
+	if s.arrives(to, from) {
+		s.send(from, from.core.SyncDone(s.now, a, answer))
+	}
+}
+
+// state returns the state of an instance as seen by a node, or "" if it is not known.
+func (n *node) state(instance string) State {
+	if u, ok := n.core.update(instance); ok {
+		return u.State
+	}
+	return ""
+}
+
+// allSee reports whether all running nodes see the instance in one of the states.
+func (s *sim) allSee(instance string, states ...State) bool {
+	for _, n := range s.nodes {
+		if n.dead || n.frozen || n.core.Self().Instance == instance {
+			continue
+		}
+		if !slices.Contains(states, n.state(instance)) {
+			return false
+		}
+	}
+	return true
+}
+
+// converged reports whether every running node sees every running node alive.
+func (s *sim) converged() bool {
+	for _, n := range s.nodes {
+		if !n.dead && !n.frozen && !s.allSee(n.core.Self().Instance, Alive) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *sim) resetBytes() {
+	for _, n := range s.nodes {
+		n.bytes = 0
+	}
+}
+
+// meanAndMaxBytes returns the mean and the largest number of bytes sent and received per node.
+func (s *sim) meanAndMaxBytes() (mean, largest int) {
+	for _, n := range s.nodes {
+		mean += n.bytes
+		largest = max(largest, n.bytes)
+	}
+	return mean / len(s.nodes), largest
+}
--- /dev/null
+++ b/pkg/member/task.go
@@ -0,0 +1,172 @@
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/apex/log"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lavendershunt/lavendershunt/api/ls/member/v1/memberv1connect"
+)
+
+// maxMessageBytes bounds a message. A full exchange of 370 members takes about 50 KB.
+const maxMessageBytes = 4 << 20
+
+// Options configures a Task.
+type Options struct {
+	Self   Member
+	Timing Timing
+	// ProbeTimeout bounds a direct probe. Indirect probes take up to twice as long.
+	ProbeTimeout time.Duration
+	// Client sends requests to peers; it must speak unencrypted HTTP/2.
+	Client connect.HTTPClient
+	// Seed feeds the random choices.
+	Seed uint64
+	Log  log.Interface
+	// OnChange is called by the task after each change of the view; it must not block. It may be nil.
+	OnChange func()
+	// OnSuperseded is called by the task when another router reports a later instance on this VM. The process must
+	// then call Renew with the result of NewInstanceAfter. It may be nil.
+	OnSuperseded func(by string)
+}
+
+// Task runs the membership protocol. It owns the core and implements View and the MemberService.
+type Task struct {
+	memberv1connect.UnimplementedMemberServiceHandler
+	options Options
+	core    *Core
+	calls   chan func(now time.Time)
+	done    chan struct{}
+	view    atomic.Pointer[view]
+	workers conc.WaitGroup
+}
+
+type view struct {
+	self    Member
+	members []Member
+}
+
+var _ View = (*Task)(nil)
+
+// NewTask returns a task. Run must be called for it to do anything.
+func NewTask(options Options) *Task {
+	random := rand.New(rand.NewPCG(options.Seed, 0))
+	t := &Task{
+		options: options,
+		core:    NewCore(options.Self, options.Timing, random, time.Now()),
+		calls:   make(chan func(time.Time)),
+		done:    make(chan struct{}),
+	}
+	t.publish()
+	return t
+}
+
+// Handler returns the path and the HTTP handler of the peer service.
+func (t *Task) Handler() (string, http.Handler) {
+	return memberv1connect.NewMemberServiceHandler(t, connect.WithReadMaxBytes(maxMessageBytes))
+}
+
+// Self implements View.
+func (t *Task) Self() Member { return t.view.Load().self }
+
+// Members implements View.
+func (t *Task) Members() []Member { return t.view.Load().members }
+
+// Leave announces that this router is leaving.
+func (t *Task) Leave(ctx context.Context) error {
+	return t.do(ctx, func(time.Time) { t.core.Leave() })
+}
+
+// Renew goes on under a new instance id.
+func (t *Task) Renew(ctx context.Context, instance string) error {
+	return t.do(ctx, func(time.Time) { t.core.Renew(instance) })
+}
+
+// SetSeeds sets peer addresses that are tried besides those of the known members.
+func (t *Task) SetSeeds(ctx context.Context, addresses []string) error {
+	return t.do(ctx, func(time.Time) { t.core.SetSeeds(addresses) })
+}
+
+// SetGone sets the VMs that are gone from the platform's list.
+func (t *Task) SetGone(ctx context.Context, vms map[string]bool) error {
+	return t.do(ctx, func(time.Time) { t.core.SetGone(vms) })
+}
+
+// Run runs the protocol until ctx ends.
+func (t *Task) Run(ctx context.Context) {
+	defer t.workers.Wait()
+	defer close(t.done)
+	ticker := time.NewTicker(t.options.Timing.Probe)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case call := <-t.calls:
+			call(time.Now())
+		case <-ticker.C:
+			t.start(ctx, t.core.Tick(time.Now()))
+		}
+		t.publish()
+	}
+}
+
+// do runs a function in the task's goroutine and waits for its end and for the new view.
+func (t *Task) do(ctx context.Context, f func(now time.Time)) error {
+	finished := make(chan struct{})
+	call := func(now time.Time) {
+		defer close(finished)
+		f(now)
+		// The caller must see the effect in the view.
+		t.publish()
+	}
+	select {
+	case t.calls <- call:
+	case <-t.done:
+		return context.Canceled
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	<-finished
+	return nil
+}
+
+// start sends messages. It is called in the task's goroutine.
+func (t *Task) start(ctx context.Context, actions []Action) {
+	for _, a := range actions {
+		t.workers.Go(func() { t.send(ctx, a) })
+	}
+}
+
+func (t *Task) publish() {
+	if by := t.core.SupersededBy(); by != "" && t.options.OnSuperseded != nil {
+		t.options.OnSuperseded(by)
+	}
+	if !t.core.TakeChanged() {
+		return
+	}
+	t.logChanges()
+	t.view.Store(&view{self: t.core.Self(), members: t.core.Members()})
+	if t.options.OnChange != nil {
+		t.options.OnChange()
+	}
+}
+
+func (t *Task) logChanges() {
+	before := map[string]State{}
+	if old := t.view.Load(); old != nil {
+		for _, m := range old.members {
+			before[m.Instance] = m.State
+		}
+	}
+	for _, m := range t.core.Members() {
+		if before[m.Instance] != m.State {
+			t.options.Log.WithFields(log.Fields{"member": m.Instance, "from": before[m.Instance], "to": m.State}).Info("member state changed")
+		}
+	}
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -97,7 +97,7 @@
 			FailedAfter:    Duration(10 * time.Second),
 			FullSync:       Duration(30 * time.Second),
 			ConfigExchange: Duration(time.Second),
-			Watch:          Duration(20 * time.Second),
+			Watch:          Duration(3 * time.Second),
 			VMList:         Duration(2 * time.Second),
 			AddressTTL:     Duration(5 * time.Second),
 		},
