--- a/pkg/router/feed.go
+++ b/pkg/router/feed.go
@@ -2,12 +2,21 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/lavendershunt/lavendershunt/pkg/admin"
-	"github.com/lavendershunt/lavendershunt/pkg/config"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
+// ErrSuperseded means that a later instance runs on this VM.
+var ErrSuperseded = errors.New("router: superseded by a later instance on this VM")
+
+// memberTimeout bounds a message to the membership task.
+const memberTimeout = time.Second
+
 // retryInterval is the pause after a failed platform call.
 const retryInterval = 500 * time.Millisecond
 
@@ -17,20 +26,57 @@
 	return admin.VMList{VMs: list.VMs, Read: list.Read}
 }
 
-// watchConfig keeps the configuration up to date from the platform.
-func (r *Router) watchConfig(ctx context.Context) {
-	watcher := config.NewWatcher(r.config, r.platform, r.settings.Intervals.Watch.Std())
-	for ctx.Err() == nil {
-		changes, err := watcher.Step(ctx)
-		if err != nil {
-			r.log.WithError(err).Debug("configuration watch failed")
-			sleep(ctx, retryInterval)
-			continue
+// updateVMs passes a newer VM list to the parts that use it.
+func (r *Router) updateVMs(vms []platform.VM) {
+	r.selector.UpdateVMs(vms)
+	gone := map[string]bool{}
+	for _, vm := range vms {
+		if vm.State == platform.VMGone {
+			gone[vm.Name] = true
 		}
-		if len(changes) > 0 {
-			r.selector.MarksChanged()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), memberTimeout)
+	defer cancel()
+	err := errors.Join(r.members.SetSeeds(ctx, r.seedsOf(vms)), r.members.SetGone(ctx, gone))
+	if err != nil {
+		r.log.WithError(err).Warn("membership did not take the VM list")
+	}
+}
+
+// seeds returns peer addresses that may belong to routers.
+func (r *Router) seeds() []string { return r.seedsOf(r.vms.Current().VMs) }
+
+func (r *Router) seedsOf(vms []platform.VM) []string {
+	seeds := slices.Clone(r.settings.Peers)
+	for _, vm := range vms {
+		own := vm.PeerAddress == r.self.PeerAddress
+		if vm.Role == platform.RoleEntry && vm.State != platform.VMGone && vm.PeerAddress != "" && !own {
+			seeds = append(seeds, vm.PeerAddress)
 		}
 	}
+	return seeds
+}
+
+// watchMarks applies operators' marks as soon as the configuration changes.
+func (r *Router) watchMarks(ctx context.Context) {
+	for {
+		changed := r.config.Changed()
+		r.selector.MarksChanged()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// superseded ends the process when a later instance runs on this VM. Its id is in records at the platform, so it
+// can't go on under another one.
+func (r *Router) superseded(by string) {
+	select {
+	case r.failed <- fmt.Errorf("%w: %s", ErrSuperseded, by):
+	default:
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -40,7 +40,8 @@
 	metrics  *telemetry.Metrics
 	platform *httpstore.Store
 	config   *config.Store
-	members  member.View
+	members  *member.Task
+	spreader *config.Spreader
 	peers    *http.Client
 	vms      *vmlist.Task
 	selector *selector.Selector
@@ -50,6 +51,8 @@
 	gateway  *gateway.Gateway
 	admin    *admin.Server
 	requests atomic.Uint64
+	// failed takes errors that end the process.
+	failed chan error
 }
 
 // New builds a router from its settings. It opens no sockets.
@@ -68,6 +71,7 @@
 	}
 	r := &Router{
 		settings: s, self: self, log: logger.WithField("instance", self.Instance), metrics: metrics, config: config.NewStore(),
+		failed:   make(chan error, maxFailures),
 		platform: httpstore.New(httpstore.Options{Address: s.Platform.Address, ClientID: s.VM, Timeout: s.Platform.Timeout.Std()}),
 	}
 	if err := r.assemble(); err != nil {
@@ -77,8 +81,20 @@
 }
 
 func (r *Router) assemble() error {
-	r.members = solo{r.self}
 	r.peers = newPeerClient()
+	r.members = member.NewTask(member.Options{
+		Self: r.self, Client: r.peers, Seed: rand.Uint64(), Log: r.log, OnSuperseded: r.superseded,
+		Timing: member.Timing{
+			Probe: r.settings.Intervals.Probe.Std(), FailedAfter: r.settings.Intervals.FailedAfter.Std(),
+			FullSync: r.settings.Intervals.FullSync.Std(),
+		},
+		ProbeTimeout: r.settings.Intervals.ProbeTimeout.Std(),
+	})
+	r.spreader = config.NewSpreader(config.Options{
+		Store: r.config, Platform: r.platform, Members: r.members, Transport: config.PeerTransport{Client: r.peers},
+		Seeds: r.seeds, Wait: r.settings.Intervals.Watch.Std(), Interval: r.settings.Intervals.ConfigExchange.Std(),
+		Seed: rand.Uint64(), Log: r.log,
+	})
 	r.gate = admit.NewGate(admit.Options{})
 	r.selector = selector.New(selector.Options{
 		Here: route.Location{Region: r.self.Region, Zone: r.self.Zone}, Log: r.log, Leaving: r.config.Leaving,
@@ -87,7 +103,7 @@
 	})
 	r.vms = vmlist.New(vmlist.Options{
 		Platform: r.platform, Members: r.members, Client: r.peers, Interval: r.settings.Intervals.VMList.Std(),
-		OnList: r.selector.UpdateVMs, Log: r.log,
+		OnList: r.updateVMs, Log: r.log,
 	})
 	r.books = newBooks(r.platform, r.members, r.peers)
 	r.crashes = poison.NewGuard(r.members, poison.NewPeers(r.peers))
@@ -100,18 +116,12 @@
 		AddressTTL: r.settings.Intervals.AddressTTL.Std(), NewID: r.newRequestID,
 	})
 	r.admin = admin.NewServer(admin.Deps{
-		Platform: r.platform, Config: r.config, Publish: func([]config.Entry) {}, Ledger: r.books.ledger, Members: r.members,
+		Platform: r.platform, Config: r.config, Publish: r.spreader.Publish, Ledger: r.books.ledger, Members: r.members,
 		VMs: r.vmList, OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
 	})
 	return nil
 }
 
-// solo is a view of a fleet of one.
-type solo struct{ self member.Member }
-
-func (s solo) Self() member.Member      { return s.self }
-func (s solo) Members() []member.Member { return []member.Member{s.self} }
-
 // newRequestID returns an id that is unique across the fleet, because instance ids are.
 func (r *Router) newRequestID() string {
 	return r.self.Instance + "." + strconv.FormatUint(r.requests.Add(1), 36)
@@ -136,13 +146,14 @@
 	var running conc.WaitGroup
 	defer running.Wait()
 	for _, task := range []func(context.Context){
-		r.selector.Run, selector.NewPoller(r.selector).Run, r.gate.Run, r.crashes.Run, r.books.run, r.watchConfig, r.vms.Run,
+		r.selector.Run, selector.NewPoller(r.selector).Run, r.gate.Run, r.crashes.Run, r.books.run, r.vms.Run,
+		r.members.Run, r.spreader.Run, r.watchMarks,
 	} {
 		running.Go(func() { task(tasks) })
 	}
 	adminServer := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout}
 	peerServer := newPeerServer(r.peerHandler())
-	failed := make(chan error, 3)
+	failed := r.failed
 	running.Go(func() { failed <- r.gateway.Serve(caller) })
 	running.Go(func() { failed <- serveHTTP(adminServer, adminListener) })
 	running.Go(func() { failed <- serveHTTP(peerServer, peerListener) })
@@ -166,6 +177,8 @@
 }
 
 const (
+	// maxFailures is above the number of parts that can report a failure.
+	maxFailures     = 8
 	headerTimeout   = 5 * time.Second
 	shutdownTimeout = 2 * time.Second
 	// returnTimeout bounds the wait for the platform when grants are given back. Other routers close the instance
@@ -205,6 +218,8 @@
 	mux := http.NewServeMux()
 	r.books.register(mux)
 	mux.Handle(r.vms.Handler())
+	mux.Handle(r.members.Handler())
+	mux.Handle(r.spreader.Handler())
 	mux.Handle(r.crashes.Handler())
 	return mux
 }
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/iter"
 
 	"github.com/lavendershunt/lavendershunt/pkg/engine"
@@ -32,25 +34,44 @@
 	}
 }
 
-// Guards against a cut answer when an engine crashes while it runs other callers' requests.
-func TestEngineCrashLosesNoAnswer(t *testing.T) {
+// Guards against a request that crashes one engine after another, and against cut answers of others that shared an
+// engine with it.
+func TestPoisonedRequestStopsAndOthersAreResumed(t *testing.T) {
 	f := newFleet(t)
-	poisoned := func(c *engine.Config) { c.PoisonMarker = "crash-now" }
-	f.startEngine(poisoned)
-	f.startEngine(poisoned)
-	f.startEngine(nil)
-	f.startRouters(1)
+	poisoned := func(c *engine.Config) { c.PoisonMarker = "crash-now"; c.TokenTime = 5 * time.Millisecond }
+	for range 4 {
+		f.startEngine(poisoned)
+	}
+	f.startRouters(2)
 	f.topUp(1_000_000)
-	body := chatBody("summarise the returns", false)
-	want := f.post(0, "/v1/chat/completions", "", "", body).wholeText(t)
-	prompts := make([]string, 24)
-	answers := iter.Map(prompts, func(*string) answer {
-		return f.post(0, "/v1/chat/completions", "", "", body)
-	})
-	f.engines[0].Restart()
-	for _, a := range answers {
-		must.Eq(t, want, a.wholeText(t))
+	const others = 12
+	bodies := make([]string, others)
+	want := make([]string, others)
+	for i := range bodies {
+		bodies[i] = chatBody(fmt.Sprintf("summarise return %d", i), false)
+		want[i] = f.post(i%2, "/v1/chat/completions", "", "", bodies[i]).wholeText(t)
+	}
+	var running conc.WaitGroup
+	answers := make([]answer, others)
+	for i := range bodies {
+		running.Go(func() { answers[i] = f.post(i%2, "/v1/chat/completions", "", "", bodies[i]) })
+	}
+	killer := chatBody("crash-now", false)
+	first := f.post(0, "/v1/chat/completions", "", "", killer)
+	must.Eq(t, failureDetail{Outcome: "unknown", Reason: "request_crashes_endpoints"}, first.failure(t))
+	running.Wait()
+	for i, a := range answers {
+		must.Eq(t, want[i], a.wholeText(t), must.Sprintf("answer %s", a.body))
+	}
+	again := f.post(1, "/v1/chat/completions", "", "", killer)
+	must.Eq(t, "request_crashes_endpoints", again.failure(t).Reason)
+	crashed := 0
+	for _, e := range f.engines {
+		if e.Crashed() {
+			crashed++
+		}
 	}
+	must.Eq(t, 2, crashed)
 }
 
 // Guards against a second run or a second bill when a caller retries at another router.
