--- a/pkg/purse/network_test.go
+++ b/pkg/purse/network_test.go
@@ -73,6 +73,8 @@
 	r.closer = instance.NewCloser(own, witnesses, r.ledger.Writer, testShards, self.Instance)
 	r.purse = New(Config{
 		Ledger: r.ledger, Peers: NewRemotePeers(view, witnesses, client), Registrar: instance.NewRegistry(own, view, nil),
+		// A request may wait for long on a busy machine; the test doesn't depend on how long.
+		Settings: Settings{ReserveWait: time.Minute},
 	})
 	r.manager = instance.NewManager(own, view, r.purse, copies, r.closer, nil, instance.Intervals{})
 	mux := http.NewServeMux()
