Blame no request for an endpoint that had crashed before it was sent there

Seen in TestPoisonedRequestStopsAndOthersAreResumed, in about half of the runs: an engine that has crashed accepts connections and closes them, so requests sent to it within the next moments looked like further crashes, and bystanders that had shared one engine with the culprit were stopped at their second 'crash'. Ruled out: routers that did not know each other yet (the test waits for membership now) and two suspects at one engine.

Routers now remember which VMs crashed and have not served since; a failure of a request sent after that is not counted, and suspects are not sent there.

--- a/pkg/poison/fleet_test.go
+++ b/pkg/poison/fleet_test.go
@@ -33,6 +33,7 @@
 	router  int
 	request Fingerprint
 	suspect bool
+	began   time.Time
 	ended   chan struct{}
 	crashed bool
 }
@@ -110,7 +111,7 @@
 			return nil, "", nil
 		}
 	}
-	r = &run{router: router, request: request, suspect: status == Suspect, ended: make(chan struct{})}
+	r = &run{router: router, request: request, suspect: status == Suspect, began: time.Now(), ended: make(chan struct{})}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, other := range f.running[name] {
@@ -128,14 +129,18 @@
 	runs := f.running[vm]
 	delete(f.running, vm)
 	f.crashes++
-	f.mu.Unlock()
 	byRouter := map[int][]Fingerprint{}
+	began := map[int]time.Time{}
 	for _, r := range runs {
 		r.crashed = true
 		byRouter[r.router] = append(byRouter[r.router], r.request)
+		if first, ok := began[r.router]; !ok || r.began.Before(first) {
+			began[r.router] = r.began
+		}
 	}
+	f.mu.Unlock()
 	for router, requests := range byRouter {
-		f.guards[router].Crashed(context.Background(), vm, requests)
+		f.guards[router].Crashed(context.Background(), vm, began[router], requests)
 	}
 	for _, r := range runs {
 		close(r.ended)
@@ -150,7 +155,10 @@
 		if r == nil {
 			continue
 		}
-		if !r.crashed {
+		f.mu.Lock()
+		crashed := r.crashed
+		f.mu.Unlock()
+		if !crashed {
 			f.crash(name)
 		}
 		release()
@@ -297,3 +305,27 @@
 	must.NoError(t, err)
 	must.True(t, granted)
 }
+
+// Guards against blaming requests for a VM that another request had crashed before they were sent there: it accepts
+// connections and closes them. A VM that has served again counts.
+func TestDeadVMBlamesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 4)
+		ctx := t.Context()
+		sent := time.Now()
+		time.Sleep(time.Second)
+		f.guards[0].Crashed(ctx, "e1", sent, []Fingerprint{culprit})
+		for _, g := range f.guards {
+			time.Sleep(5 * time.Second)
+			g.Crashed(ctx, "e1", time.Now(), []Fingerprint{other})
+			must.Eq(t, Clear, g.Status(other))
+			_, ok := g.Isolate(ctx, culprit, "e1")
+			must.False(t, ok)
+		}
+		f.guards[1].Served("e1")
+		sent = time.Now()
+		time.Sleep(time.Second)
+		f.guards[1].Crashed(ctx, "e1", sent, []Fingerprint{culprit})
+		must.Eq(t, Stopped, f.guards[0].Status(culprit))
+	})
+}
--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -25,6 +25,7 @@
 	peers    Peers
 	book     *Book
 	reserved *reservations
+	vms      *vmStates
 	// behind names the members that may lack records: new ones, and those that a push did not reach.
 	behind   map[string]bool
 	known    map[string]bool
@@ -37,6 +38,7 @@
 func NewGuard(view member.View, peers Peers) *Guard {
 	return &Guard{
 		view: view, peers: peers, book: NewBook(), reserved: newReservations(budget.LongestRequest),
+		vms:    newVMStates(),
 		behind: map[string]bool{}, known: map[string]bool{},
 		calls: make(chan func(time.Time)), stopped: make(chan struct{}),
 	}
@@ -93,12 +95,17 @@
 	return outcome.NotRunf(outcome.ReasonCrashesEndpoints, 0, message)
 }
 
-// Crashed records that the VM crashed while it ran the requests, and returns once all other routers that can be
-// reached have the record. No caller of these requests must be answered before. The end of ctx does not stop it,
-// because the record matters to others even if the caller has gone.
-func (g *Guard) Crashed(ctx context.Context, vm string, running []Fingerprint) {
+// Crashed records that the VM crashed while it ran the requests, which were sent at began, and returns once all other
+// routers that can be reached have the record. No caller of these requests must be answered before. The end of ctx
+// does not stop it, because the record matters to others even if the caller has gone. Requests that were sent to a VM
+// that was dead already are not blamed.
+func (g *Guard) Crashed(ctx context.Context, vm string, began time.Time, running []Fingerprint) {
+	if g.vms.deadAt(began, vm) {
+		return
+	}
 	var records []Record
 	g.do(func(now time.Time) {
+		g.vms.crash(now, vm)
 		crash := Crash{VM: vm, Observer: g.view.Self().Instance, At: now.Truncate(time.Millisecond)}
 		for _, f := range running {
 			r := Record{Fingerprint: f, Crashes: []Crash{crash}}
@@ -109,6 +116,9 @@
 	g.push(context.WithoutCancel(ctx), g.others(), records)
 }
 
+// Served records that the VM has answered a request.
+func (g *Guard) Served(vm string) { g.vms.served(vm) }
+
 // Completed clears a suspect that has run to its end. The others learn it in the background.
 func (g *Guard) Completed(f Fingerprint) {
 	g.do(func(now time.Time) {
@@ -126,11 +136,22 @@
 func (g *Guard) Receive(records []Record) {
 	g.do(func(now time.Time) {
 		for _, r := range records {
-			g.book.Merge(now, r)
+			if g.book.Merge(now, r) {
+				g.noteCrashes(now, r)
+			}
 		}
 	})
 }
 
+// noteCrashes takes over which VMs crashed a short time ago by another router's record.
+func (g *Guard) noteCrashes(now time.Time, r Record) {
+	for _, c := range r.Crashes {
+		if now.Sub(c.At) < sameCrash && !g.vms.deadAt(now, c.VM) {
+			g.vms.crash(now, c.VM)
+		}
+	}
+}
+
 // Grant answers another router's Reserve call.
 func (g *Guard) Grant(key string, a Attempt) bool {
 	granted := false
--- a/pkg/poison/isolate.go
+++ b/pkg/poison/isolate.go
@@ -17,10 +17,16 @@
 // at the VM may be in progress anywhere in the fleet. It returns ok false if there is one; the caller then tries
 // another endpoint or waits, after looking at Status again. release must be called when the run has ended, after Crashed or Completed.
 //
+// A VM that has crashed gets no suspect before it has served another request, so that the suspect is not blamed for a
+// VM that is still dead.
+//
 // Each right is granted by the member that the rendezvous hash gives for it. If that member can't be reached, this
 // router decides by what it has granted itself, so that a suspect is not refused for the failure of a router; two
 // suspects may then meet.
 func (g *Guard) Isolate(ctx context.Context, f Fingerprint, vm string) (release func(), ok bool) {
+	if g.vms.deadAt(time.Now(), vm) {
+		return nil, false
+	}
 	a := Attempt{Holder: g.view.Self().Instance}
 	if !g.do(func(time.Time) { g.attempts++; a.Number = g.attempts }) {
 		return nil, false
--- a/pkg/poison/spread.go
+++ b/pkg/poison/spread.go
@@ -50,6 +50,7 @@
 // time.
 func (g *Guard) maintain(ctx context.Context, now time.Time, pushes *conc.WaitGroup, sending chan struct{}) {
 	g.book.Expire(now)
+	g.vms.expire(now)
 	failed := map[string]bool{}
 	present := map[string]bool{}
 	for _, m := range g.view.Members() {
--- a/pkg/relay/chat.go
+++ b/pkg/relay/chat.go
@@ -207,7 +207,7 @@
 		c.client.cancel(target.Address, c.chat.ID)
 		return c.interrupted(ctx), stop
 	}
-	return c.failedAttempt(ctx, target, err)
+	return c.failedAttempt(ctx, target, start, err)
 }
 
 func (c *chatRun) report(ctx context.Context, err error, before int, start time.Time) Report {
@@ -245,7 +245,7 @@
 // failedAttempt records the failure and decides whether another endpoint may be tried. The retry budget covers full
 // and silent endpoints, where retries would multiply an overload. An endpoint that died does not take part in it,
 // and all its streams must be resumed at once.
-func (c *chatRun) failedAttempt(ctx context.Context, target Target, err error) (*outcome.Failure, next) {
+func (c *chatRun) failedAttempt(ctx context.Context, target Target, start time.Time, err error) (*outcome.Failure, next) {
 	failed := outcome.Unknownf(outcome.ReasonEndpointFailed, retryAdvice, "%v", err)
 	switch {
 	case errors.Is(err, ErrRefused):
@@ -263,7 +263,7 @@
 		return failed, c.ifRetryAllowed(stop)
 	}
 	c.client.streams.CloseIdleConnections()
-	c.Crashes.Crashed(ctx, target.VM, []poison.Fingerprint{c.fingerprint()})
+	c.Crashes.Crashed(ctx, target.VM, start, []poison.Fingerprint{c.fingerprint()})
 	return failed, failover
 }
 
@@ -352,6 +352,7 @@
 				first = false
 				c.noteFirstToken()
 				c.Selector.FirstToken(target)
+				c.Crashes.Served(target.VM)
 				c.Metrics.firstToken(c.chat.Class.Name, time.Since(start))
 			}
 			if err := c.deliver(ctx, *p.token); err != nil {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -156,8 +156,10 @@
 	// Isolate asks for the right to run a suspect at the VM. ok is false if another suspect runs there or the same
 	// request runs elsewhere. release must be called at the end of the run.
 	Isolate(ctx context.Context, f poison.Fingerprint, vm string) (release func(), ok bool)
-	// Crashed records a crash and returns once the other routers know it.
-	Crashed(ctx context.Context, vm string, running []poison.Fingerprint)
+	// Crashed records a crash under requests that were sent at began, and returns once the other routers know it.
+	Crashed(ctx context.Context, vm string, began time.Time, running []poison.Fingerprint)
+	// Served records that the VM has answered.
+	Served(vm string)
 	// Completed clears a suspect that has run to its end.
 	Completed(f poison.Fingerprint)
 }
@@ -232,5 +234,6 @@
 func (noCrashRecords) Isolate(context.Context, poison.Fingerprint, string) (func(), bool) {
 	return func() {}, true
 }
-func (noCrashRecords) Crashed(context.Context, string, []poison.Fingerprint) {}
-func (noCrashRecords) Completed(poison.Fingerprint)                          {}
+func (noCrashRecords) Crashed(context.Context, string, time.Time, []poison.Fingerprint) {}
+func (noCrashRecords) Served(string)                                                    {}
+func (noCrashRecords) Completed(poison.Fingerprint)                                     {}
--- a/pkg/router/fleet_test.go
+++ b/pkg/router/fleet_test.go
@@ -23,6 +23,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
 	"github.com/lavendershunt/lavendershunt/pkg/engine"
+	"github.com/lavendershunt/lavendershunt/pkg/member"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/platform/memstore"
 	"github.com/lavendershunt/lavendershunt/pkg/service"
@@ -136,11 +137,23 @@
 	for _, r := range f.routers {
 		f.eventually("router is ready", func() bool {
 			_, err := r.books.ledger.ready()
-			return r.Router.config.Loaded() && err == nil && len(r.vms.Current().VMs) == len(f.vms)
+			return r.Router.config.Loaded() && err == nil && len(r.vms.Current().VMs) == len(f.vms) &&
+				r.alive() == len(f.routers)
 		})
 	}
 }
 
+// alive returns the number of routers that the router knows to be alive, with itself.
+func (r *running) alive() int {
+	n := 0
+	for _, m := range r.members.Members() {
+		if m.State == member.Alive {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *fleet) startRouter() *running {
 	i := len(f.routers) + 1
 	host := f.host()
@@ -150,6 +163,7 @@
 	s.Advertise = settings.Advertise{Caller: s.Listen.Caller, Peer: s.Listen.Peer}
 	s.Platform.Address = f.address
 	s.Intervals.VMList = settings.Duration(100 * time.Millisecond)
+	s.Intervals.Probe = settings.Duration(100 * time.Millisecond)
 	s.Log.Level = "error"
 	f.addVM(platform.VM{Name: s.VM, Zone: s.Zone, Role: platform.RoleEntry, Address: s.Listen.Caller, PeerAddress: s.Listen.Peer})
 	r, err := New(s)
