--- a/pkg/member/messages.go
+++ b/pkg/member/messages.go
@@ -130,10 +130,10 @@
 // and carries what the other one lacks, if there is something.
 func (c *Core) SyncDone(now time.Time, a Action, answer SyncAnswer) []Action {
 	c.learn(now, answer.Updates)
-	if len(answer.Digests) == 0 {
+	if len(answer.Digests) == 0 || a.Second {
 		return nil
 	}
-	next := Action{Kind: ActionSync, Address: a.Address, Started: a.Started}
+	next := Action{Kind: ActionSync, Second: true, Address: a.Address, Started: a.Started}
 	mine := map[uint64]Update{}
 	for _, u := range c.all() {
 		mine[xxhash.Sum64String(u.Instance)] = u
--- a/pkg/member/round.go
+++ b/pkg/member/round.go
@@ -28,6 +28,8 @@
 	// Repeated marks the second direct probe, which runs beside the indirect ones.
 	Repeated bool
 	Updates  []Update
+	// Second marks the second exchange of a sync, which no third one follows.
+	Second bool
 	// Wanted lists the ids of members that a second exchange asks for.
 	Wanted []uint64
 	Hash   uint64
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -9,7 +9,7 @@
 )
 
 // MaxFileBytes bounds the size of a settings file.
-const MaxFileBytes = 64 << 10
+const MaxFileBytes = 16 << 10
 
 // ErrInvalid is wrapped by every error about the content of a settings file.
 var ErrInvalid = errors.New("settings: invalid")
--- a/pkg/withdraw/types.go
+++ b/pkg/withdraw/types.go
@@ -1,4 +1,4 @@
-// Package withdraw drains VMs before they are switched off.
+// Package withdraw takes VMs out of service before they are switched off.
 package withdraw
 
 import (
--- /dev/null
+++ b/pkg/withdraw/withdraw_test.go
@@ -0,0 +1,150 @@
+package withdraw
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+// fakeRouter has streams that end by themselves and grants that are returned once the streams have ended.
+type fakeRouter struct {
+	mu           sync.Mutex
+	streamsUntil time.Time
+	grants       int
+	leaving      bool
+	refusals     int
+}
+
+func (r *fakeRouter) Announce(_ context.Context, leaving bool) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refusals--; r.refusals >= 0 {
+		return errors.New("no peer")
+	}
+	r.leaving = leaving
+	return nil
+}
+
+func (r *fakeRouter) ReturnGrants(context.Context) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Now().After(r.streamsUntil) {
+		r.grants = 0
+	}
+	return nil
+}
+
+func (r *fakeRouter) Awaited() []Awaited {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []Awaited
+	if left := time.Until(r.streamsUntil); left > 0 {
+		all = append(all, Awaited{What: "streams", Count: 2, Remaining: left})
+	}
+	if r.grants > 0 {
+		all = append(all, Awaited{What: "grants", Count: r.grants})
+	}
+	return all
+}
+
+// state returns whether the peers were told, and the number of grants.
+func (r *fakeRouter) state() (leaving bool, grants int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving, r.grants
+}
+
+func (r *fakeRouter) isLeaving() bool {
+	leaving, _ := r.state()
+	return leaving
+}
+
+func start(t *testing.T, router *fakeRouter) *Withdrawal {
+	w, err := New(Options{VM: "entry-a1", Router: router, AddressTTL: 5 * time.Second, Log: &log.Logger{Handler: discard.New(), Level: log.InfoLevel}})
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	finished := make(chan struct{})
+	go func() { defer close(finished); w.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-finished })
+	return w
+}
+
+// Guards against a withdrawal that cuts streams, stops to serve while callers still hold its address, keeps grants,
+// or is hurried by a second signal.
+func TestWithdrawal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		router := &fakeRouter{streamsUntil: time.Now().Add(time.Minute), grants: 3, refusals: 2}
+		w := start(t, router)
+		_, withdrawing := w.Progress()
+		must.False(t, withdrawing)
+		must.True(t, w.Listed())
+		begun := time.Now()
+		w.Begin(time.Time{})
+		must.False(t, w.Listed())
+		time.Sleep(time.Second)
+		must.True(t, router.isLeaving())
+		must.Eq(t, StateLameDuck, w.State())
+		must.True(t, w.AcceptsNew())
+		time.Sleep(6 * time.Second)
+		must.True(t, w.AcceptsNew())
+		time.Sleep(3 * time.Second)
+		must.Eq(t, StateDraining, w.State())
+		must.False(t, w.AcceptsNew())
+		w.Begin(begun.Add(90 * time.Second))
+		p, withdrawing := w.Progress()
+		must.True(t, withdrawing)
+		must.Eq(t, []string{"2 streams", "3 grants"}, p.Awaited)
+		must.Eq(t, 50*time.Second, p.Remaining)
+		must.Eq(t, begun.Add(90*time.Second), p.Deadline)
+		must.False(t, w.Stay())
+		<-w.Done()
+		must.GreaterEq(t, time.Minute, time.Since(begun))
+		_, grants := router.state()
+		must.Eq(t, 0, grants)
+		must.Eq(t, StateStopped, w.State())
+	})
+}
+
+// Guards against a mark that can't be taken back, and against a router that can't be withdrawn a second time.
+func TestStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		router := &fakeRouter{}
+		w := start(t, router)
+		w.Begin(time.Time{})
+		time.Sleep(2 * time.Second)
+		must.True(t, w.Stay())
+		w.Begin(time.Time{})
+		must.True(t, w.Stay())
+		time.Sleep(time.Minute)
+		must.False(t, router.isLeaving())
+		must.Eq(t, StateServing, w.State())
+		w.Begin(time.Time{})
+		time.Sleep(time.Minute)
+		must.True(t, router.isLeaving())
+		must.Eq(t, StateStopped, w.State())
+	})
+}
+
+// Guards against a blocked withdrawal that is not shown, and against one that is shown although an endpoint remains.
+func TestBlocked(t *testing.T) {
+	vms := []platform.VM{
+		{Name: "e1", Role: platform.RoleEngine, State: platform.VMLive, Models: []string{"a", "b"}},
+		{Name: "e2", Role: platform.RoleEngine, State: platform.VMLive, Models: []string{"a"}},
+		{Name: "e3", Role: platform.RoleEngine, State: platform.VMLeaving, Models: []string{"b"}},
+		{Name: "s1", Role: platform.RoleService, State: platform.VMLive, Service: "rides"},
+	}
+	none := func(string) bool { return false }
+	must.Eq(t, []string{"model b"}, Blocked("e1", vms, none))
+	must.SliceEmpty(t, Blocked("e2", vms, none))
+	must.Eq(t, []string{"service rides"}, Blocked("s1", vms, none))
+	must.Eq(t, []string{"model a", "model b"}, Blocked("e1", vms, func(vm string) bool { return vm == "e2" }))
+}
