--- a/cmd/lsplatform/main.go
+++ b/cmd/lsplatform/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"time"
 
@@ -20,7 +21,7 @@
 	ReadsPerSecond  int           `yaml:"reads_per_second"`
 	History         int           `yaml:"history" validate:"min=0"`
 	VMLag           time.Duration `yaml:"vm_lag" validate:"min=0"`
-	// WeightBytesPerSecond limits the weight store; negative means no limit.
+	// WeightBytesPerSecond limits the weight store; 0 or less means no limit.
 	WeightBytesPerSecond int           `yaml:"weight_bytes_per_second"`
 	VMs                  []platform.VM `yaml:"vms"`
 }
@@ -42,6 +43,11 @@
 			return err
 		}
 	}
+	for i, vm := range s.VMs {
+		if err := memstore.CheckVM(vm); err != nil {
+			return fmt.Errorf("settings file %s: vms[%d]: %w", path, i, err)
+		}
+	}
 	if listen != "" {
 		s.Listen = listen
 	}
--- /dev/null
+++ b/pkg/router/router.go
@@ -0,0 +1,225 @@
+// Package router assembles the parts of lsrouter and runs them.
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lavendershunt/lavendershunt/pkg/admin"
+	"github.com/lavendershunt/lavendershunt/pkg/admit"
+	"github.com/lavendershunt/lavendershunt/pkg/config"
+	"github.com/lavendershunt/lavendershunt/pkg/gateway"
+	"github.com/lavendershunt/lavendershunt/pkg/logging"
+	"github.com/lavendershunt/lavendershunt/pkg/member"
+	"github.com/lavendershunt/lavendershunt/pkg/platform/httpstore"
+	"github.com/lavendershunt/lavendershunt/pkg/poison"
+	"github.com/lavendershunt/lavendershunt/pkg/relay"
+	"github.com/lavendershunt/lavendershunt/pkg/route"
+	"github.com/lavendershunt/lavendershunt/pkg/selector"
+	"github.com/lavendershunt/lavendershunt/pkg/settings"
+	"github.com/lavendershunt/lavendershunt/pkg/telemetry"
+	"github.com/lavendershunt/lavendershunt/pkg/vmlist"
+)
+
+// Router is one router process.
+type Router struct {
+	settings settings.Settings
+	self     member.Member
+	log      log.Interface
+	metrics  *telemetry.Metrics
+	platform *httpstore.Store
+	config   *config.Store
+	members  *member.Task
+	spreader *config.Spreader
+	peers    *http.Client
+	vms      *vmlist.Task
+	selector *selector.Selector
+	gate     *admit.Gate
+	crashes  *poison.Guard
+	books    *books
+	gateway  *gateway.Gateway
+	admin    *admin.Server
+	requests atomic.Uint64
+	// failed takes errors that end the process.
+	failed chan error
+}
+
+// New builds a router from its settings. It opens no sockets.
+func New(s settings.Settings) (*Router, error) {
+	logger, err := logging.New(os.Stderr, s.Log.Format, s.Log.Level)
+	if err != nil {
+		return nil, err
+	}
+	metrics, err := telemetry.New("lavendershunt")
+	if err != nil {
+		return nil, err
+	}
+	self := member.Member{
+		Instance: member.NewInstance(s.VM, time.Now()), VM: s.VM, Region: s.Region, Zone: s.Zone,
+		PeerAddress: s.Advertise.Peer, CallerAddress: s.Advertise.Caller, State: member.Alive,
+	}
+	r := &Router{
+		settings: s, self: self, log: logger.WithField("instance", self.Instance), metrics: metrics, config: config.NewStore(),
+		failed:   make(chan error, maxFailures),
+		platform: httpstore.New(httpstore.Options{Address: s.Platform.Address, ClientID: s.VM, Timeout: s.Platform.Timeout.Std()}),
+	}
+	if err := r.assemble(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Router) assemble() error {
+	r.peers = newPeerClient()
+	r.members = member.NewTask(member.Options{
+		Self: r.self, Client: r.peers, Seed: rand.Uint64(), Log: r.log, OnSuperseded: r.superseded,
+		Timing: member.Timing{
+			Probe: r.settings.Intervals.Probe.Std(), FailedAfter: r.settings.Intervals.FailedAfter.Std(),
+			FullSync: r.settings.Intervals.FullSync.Std(),
+		},
+		ProbeTimeout: r.settings.Intervals.ProbeTimeout.Std(),
+	})
+	r.spreader = config.NewSpreader(config.Options{
+		Store: r.config, Platform: r.platform, Members: r.members, Transport: config.PeerTransport{Client: r.peers},
+		Seeds: r.seeds, Wait: r.settings.Intervals.Watch.Std(), Interval: r.settings.Intervals.ConfigExchange.Std(),
+		Seed: rand.Uint64(), Log: r.log,
+	})
+	r.gate = admit.NewGate(admit.Options{})
+	r.selector = selector.New(selector.Options{
+		Here: route.Location{Region: r.self.Region, Zone: r.self.Zone}, Log: r.log, Leaving: r.config.Leaving,
+		Mark: r.config.Mark, OnCapacity: r.gate.SetCapacity,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	r.vms = vmlist.New(vmlist.Options{
+		Platform: r.platform, Members: r.members, Client: r.peers, Interval: r.settings.Intervals.VMList.Std(),
+		OnList: r.updateVMs, Log: r.log,
+	})
+	r.books = newBooks(r.platform, r.members, r.peers)
+	r.crashes = poison.NewGuard(r.members, poison.NewPeers(r.peers))
+	relay := relay.New(relay.Relay{
+		Purse: r.books.purse, Claims: r.books.claims, Selector: r.selector, Metrics: relay.NewMetrics(r.metrics.Meter),
+		Admitter: relay.Admission(r.gate), Crashes: r.crashes,
+	})
+	r.gateway = gateway.New(gateway.Options{
+		Config: r.config, Members: r.members, Relay: relay, Log: r.log,
+		AddressTTL: r.settings.Intervals.AddressTTL.Std(), NewID: r.newRequestID,
+	})
+	r.admin = admin.NewServer(admin.Deps{
+		Platform: r.platform, Config: r.config, Publish: r.spreader.Publish, Ledger: r.books.ledger, Members: r.members,
+		VMs: r.vmList, OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
+	})
+	return nil
+}
+
+// newRequestID returns an id that is unique across the fleet, because instance ids are.
+func (r *Router) newRequestID() string {
+	return r.self.Instance + "." + strconv.FormatUint(r.requests.Add(1), 36)
+}
+
+// Run serves until ctx ends. It returns nil after a graceful stop.
+func (r *Router) Run(ctx context.Context) error {
+	caller, err := listen(r.settings.Listen.Caller)
+	if err != nil {
+		return fmt.Errorf("listen.caller: %w", err)
+	}
+	adminListener, err := listen(r.settings.Listen.Admin)
+	if err != nil {
+		return fmt.Errorf("listen.admin: %w", err)
+	}
+	peerListener, err := listen(r.settings.Listen.Peer)
+	if err != nil {
+		return fmt.Errorf("listen.peer: %w", err)
+	}
+	tasks, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTasks()
+	var running conc.WaitGroup
+	defer running.Wait()
+	for _, task := range []func(context.Context){
+		r.selector.Run, selector.NewPoller(r.selector).Run, r.gate.Run, r.crashes.Run, r.books.run, r.vms.Run,
+		r.members.Run, r.spreader.Run, r.watchMarks,
+	} {
+		running.Go(func() { task(tasks) })
+	}
+	adminServer := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout}
+	peerServer := newPeerServer(r.peerHandler())
+	failed := r.failed
+	running.Go(func() { failed <- r.gateway.Serve(caller) })
+	running.Go(func() { failed <- serveHTTP(adminServer, adminListener) })
+	running.Go(func() { failed <- serveHTTP(peerServer, peerListener) })
+	r.log.WithFields(log.Fields{"caller": caller.Addr().String(), "admin": adminListener.Addr().String()}).Info("router started")
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		err = r.drain()
+	}
+	r.stopServing(adminServer, peerServer)
+	stopTasks()
+	return err
+}
+
+// drain waits until no request is in progress and then gives the grants back.
+func (r *Router) drain() error {
+	<-r.gateway.Idle()
+	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
+	defer cancel()
+	return r.books.stop(ctx)
+}
+
+const (
+	// maxFailures is above the number of parts that can report a failure.
+	maxFailures     = 8
+	headerTimeout   = 5 * time.Second
+	shutdownTimeout = 2 * time.Second
+	// returnTimeout bounds the wait for the platform when grants are given back. Other routers close the instance
+	// if it is not enough.
+	returnTimeout = 30 * time.Second
+)
+
+// stopServing closes the listeners. Only idle connections are left, so a timeout here loses nothing.
+func (r *Router) stopServing(servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	_ = r.gateway.Shutdown(ctx)
+	for _, server := range servers {
+		_ = server.Shutdown(ctx)
+	}
+}
+
+func listen(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
+
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
+	}
+	return nil
+}
+
+func (r *Router) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(r.admin.Handler())
+	mux.Handle("/metrics", r.metrics.Handler)
+	return mux
+}
+
+func (r *Router) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	r.books.register(mux)
+	mux.Handle(r.vms.Handler())
+	mux.Handle(r.members.Handler())
+	mux.Handle(r.spreader.Handler())
+	mux.Handle(r.crashes.Handler())
+	return mux
+}
