--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -49,7 +49,7 @@
 			echo "  - {name: e$i, region: r1, zone: $(zone_of $i), role: entry, state: live, address: \"$net.$i:8080\", peer_address: \"$net.$i:8081\"}"
 		done
 		for ((i = 1; i <= engines; i++)); do
-			echo "  - {name: g$i, region: r1, zone: $(zone_of $i), role: engine, state: live, address: \"$net.$((20 + i)):7100\", models: [$(model_of $i)], bytes_per_token: 4}"
+			echo "  - {name: g$i, region: r1, zone: $(zone_of $i), role: engine, state: live, address: \"$net.$((20 + i)):7100\", models: [$(model_of $i)], bytes_per_token: 4, max_in_flight: $((${engine_slots:-16} + 32))}"
 		done
 		for ((i = 1; i <= services; i++)); do
 			echo "  - {name: s$i, region: r1, zone: $(zone_of $i), role: service, state: live, address: \"$net.$((60 + i)):7200\", service: booking}"
--- a/pkg/load/bench/streams.go
+++ b/pkg/load/bench/streams.go
@@ -43,8 +43,12 @@
 	client := caller.NewHTTPClient()
 	tickets := make(chan struct{}, openers)
 	start := time.Now()
+	opening, stopOpening := context.WithTimeout(ctx, openTimeout)
+	defer stopOpening()
 	for n := range o.Streams {
-		tickets <- struct{}{}
+		if !take(opening, tickets) {
+			break
+		}
 		running.Go(func() {
 			defer ended.Add(1)
 			readStream(ctx, client, router.Caller, f.Keys[n%len(f.Keys)].Key, o, func() {
@@ -53,7 +57,7 @@
 			}, func() { <-tickets })
 		})
 	}
-	for int(first.Load()) < o.Streams && time.Since(start) < openTimeout && ctx.Err() == nil {
+	for int(first.Load()) < o.Streams && opening.Err() == nil {
 		time.Sleep(50 * time.Millisecond)
 	}
 	result.OpenedSeconds = time.Since(start).Seconds()
@@ -67,6 +71,16 @@
 	return result, nil
 }
 
+// take takes a ticket unless ctx ends.
+func take(ctx context.Context, tickets chan struct{}) bool {
+	select {
+	case tickets <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // readStream calls onFirst at the first token, or onFailure if the stream ends before.
 func readStream(ctx context.Context, client *http.Client, address, key string, o Options, onFirst, onFailure func()) {
 	started := false
--- /dev/null
+++ b/pkg/load/fault/fault_test.go
@@ -0,0 +1,97 @@
+package fault
+
+import (
+	"context"
+	"net"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lavendershunt/lavendershunt/pkg/load/control"
+	"github.com/lavendershunt/lavendershunt/pkg/load/evidence"
+	"github.com/lavendershunt/lavendershunt/pkg/load/fleet"
+	"github.com/lavendershunt/lavendershunt/pkg/load/scenario"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/platform/memstore"
+)
+
+// process starts a process that a test may signal.
+func process(t *testing.T) int {
+	cmd := exec.Command("sleep", "60")
+	must.NoError(t, cmd.Start())
+	exited := make(chan struct{})
+	go func() {
+		defer close(exited)
+		_ = cmd.Wait()
+	}()
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		<-exited
+	})
+	return cmd.Process.Pid
+}
+
+func injector(f fleet.Fleet) *Injector { return New(f, control.NewClient(), control.NewAdmin(f)) }
+
+// A killed router explains broken streams, and a terminated one must not have any: the evidence must keep them apart.
+func TestSignalsAreKeptApart(t *testing.T) {
+	f := fleet.Fleet{Routers: []fleet.Router{{VM: "e1", Caller: "127.0.0.1:1", PID: process(t)}, {VM: "e2", Caller: "127.0.0.1:2", PID: process(t)}}}
+	i := injector(f)
+	i.Run(context.Background(), time.Now(), []scenario.Fault{{Kind: scenario.Kill, VM: "e1"}, {Kind: scenario.Terminate, VM: "e2"}})
+	var e evidence.Evidence
+	events := i.Fill(&e)
+	for _, event := range events {
+		must.False(t, event.Failed, must.Sprint(event.Text))
+	}
+	must.MapContainsKey(t, e.Stopped, "e1")
+	must.MapNotContainsKey(t, e.Stopped, "e2")
+	must.Len(t, 1, e.Departures)
+	d := e.Departures[0]
+	must.Eq(t, "e2", d.VM)
+	must.True(t, d.Entry)
+	must.False(t, d.Signalled.IsZero() || d.Exited.IsZero())
+	must.False(t, Running(f.Routers[1].PID))
+}
+
+// A frozen process that is not thawed would outlive the run.
+func TestUndoThaws(t *testing.T) {
+	pid := process(t)
+	i := injector(fleet.Fleet{Platform: fleet.Process{Address: "127.0.0.1:1"}, Routers: []fleet.Router{{VM: "e1", PID: pid}}})
+	i.inject(context.Background(), scenario.Fault{Kind: scenario.Freeze, VM: "e1"})
+	must.True(t, i.frozen["e1"])
+	i.Undo(context.Background())
+	must.MapEmpty(t, i.frozen)
+}
+
+// A signal to process 0 or 1 would hit the tool's own process group or the machine.
+func TestNoSignalWithoutProcess(t *testing.T) {
+	i := injector(fleet.Fleet{Routers: []fleet.Router{{VM: "e1"}, {VM: "e2", PID: 1}}})
+	must.ErrorIs(t, i.send("e1", 0), errNoPID)
+	must.ErrorIs(t, i.send("e2", 0), errNoPID)
+	must.ErrorIs(t, i.send("e3", 0), errNoVM)
+}
+
+// The routers must lose the platform and the tool must not, or the run could not be counted.
+func TestPlatformFaultsSpareTheTool(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := &fasthttp.Server{Handler: memstore.NewServer(store, 0).Handle}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Shutdown() }()
+	i := injector(fleet.Fleet{Platform: fleet.Process{Address: listener.Addr().String()}, Routers: []fleet.Router{{VM: "e1"}, {VM: "e2"}}})
+	ctx := context.Background()
+	i.inject(ctx, scenario.Fault{Kind: scenario.PlatformDown, VMs: []string{"e1"}})
+	_, err = store.Client("e1").VMs(ctx)
+	must.ErrorIs(t, err, platform.ErrUnavailable)
+	for _, id := range []string{"e2", "lsload"} {
+		_, err = store.Client(id).VMs(ctx)
+		must.NoError(t, err)
+	}
+	i.Undo(ctx)
+	_, err = store.Client("e1").VMs(ctx)
+	must.NoError(t, err)
+}
