Add the setting witnesses

The list of scopes is checked strictly, defaults to same-zone and other-zone, and is passed to the registry and to the manager.

--- a/pkg/router/books.go
+++ b/pkg/router/books.go
@@ -34,17 +34,22 @@
 	witness  *journal.Service
 	registry *instance.Registry
 	purse    *purse.Purse
+	scopes   []instance.Scope
 	manager  atomic.Pointer[instance.Manager]
+	closer   atomic.Pointer[instance.Closer]
 }
 
-func newBooks(store platform.Store, members member.View, peers *http.Client) *books {
+func newBooks(store platform.Store, members member.View, peers *http.Client, witnesses []string) *books {
 	b := &books{store: store, members: members, ledger: &lateLedger{}}
+	for _, scope := range witnesses {
+		b.scopes = append(b.scopes, instance.Scope(scope))
+	}
 	b.writer = ledgerwriter.New(ledgerwriter.Options{Store: store})
 	b.peers = ledgerrpc.NewPeers(peers, members)
 	b.claims = claim.New(members.Self().Instance, b.ledger, b.peers)
 	b.journals = journal.NewClient(peers)
 	b.witness = journal.NewService(members.Self().Instance)
-	b.registry = instance.NewRegistry(store, members, nil)
+	b.registry = instance.NewRegistry(store, members, b.scopes)
 	b.purse = purse.New(purse.Config{
 		Ledger: b.ledger, Peers: purse.NewRemotePeers(members, b.journals, peers), Registrar: b.registry,
 	})
@@ -72,7 +77,8 @@
 		}
 		b.ledger.client.Store(ledgerwriter.NewClient(b.writer, b.peers, b.members, shards))
 		closer := instance.NewCloser(b.store, b.journals, b.writer, shards, b.members.Self().Instance)
-		manager := instance.NewManager(b.store, b.members, b.purse, b.witness, closer, nil, instance.Intervals{})
+		manager := instance.NewManager(b.store, b.members, b.purse, b.witness, closer, b.scopes, instance.Intervals{})
+		b.closer.Store(closer)
 		b.manager.Store(manager)
 		manager.Run(ctx)
 	}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -105,7 +105,7 @@
 		Platform: r.platform, Members: r.members, Client: r.peers, Interval: r.settings.Intervals.VMList.Std(),
 		OnList: r.updateVMs, Log: r.log,
 	})
-	r.books = newBooks(r.platform, r.members, r.peers)
+	r.books = newBooks(r.platform, r.members, r.peers, r.settings.Witnesses)
 	r.crashes = poison.NewGuard(r.members, poison.NewPeers(r.peers))
 	relay := relay.New(relay.Relay{
 		Purse: r.books.purse, Claims: r.books.claims, Selector: r.selector, Metrics: relay.NewMetrics(r.metrics.Meter),
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -26,7 +26,10 @@
 	Advertise Advertise `yaml:"advertise" validate:"required"`
 	Platform  Platform  `yaml:"platform" validate:"required"`
 	// Peers are peer API addresses that are tried when the platform can't be reached.
-	Peers     []string  `yaml:"peers" validate:"max=64,unique,dive,ip_port"`
+	Peers []string `yaml:"peers" validate:"max=64,unique,dive,ip_port"`
+	// Witnesses are the places of the routers that keep copies of this router's journal, one router for each.
+	// docs/operate-partition.md tells what each choice costs.
+	Witnesses []string  `yaml:"witnesses" validate:"min=1,max=3,dive,oneof=same-zone other-zone other-region anywhere"`
 	Intervals Intervals `yaml:"intervals"`
 	Log       Log       `yaml:"log"`
 	// OperatorKeys are SHA-256 hashes in hex of operator keys that are valid before any configuration exists.
@@ -101,7 +104,8 @@
 			VMList:         Duration(time.Second),
 			AddressTTL:     Duration(5 * time.Second),
 		},
-		Log: Log{Format: "json", Level: "info"},
+		Witnesses: []string{"same-zone", "other-zone"},
+		Log:       Log{Format: "json", Level: "info"},
 	}
 }
 
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -32,6 +32,10 @@
 	must.Eq(t, 500*time.Millisecond, s.Intervals.Probe.Std())
 	must.Eq(t, 30*time.Second, s.Intervals.FullSync.Std())
 	must.Eq(t, Log{Format: "text", Level: "debug"}, s.Log)
+	must.Eq(t, []string{"same-zone", "other-zone"}, s.Witnesses)
+	s, err = Parse([]byte(valid + "witnesses: [other-zone, other-zone, other-region]\n"))
+	must.NoError(t, err)
+	must.Eq(t, []string{"other-zone", "other-zone", "other-region"}, s.Witnesses)
 }
 
 // Guards against mistakes that are accepted, and against errors that don't name the field or what is allowed.
@@ -60,6 +64,10 @@
 		{"string wanted", "vm: entry-a1", "vm: 17", "vm: must be a string", ""},
 		{"name", "vm: entry-a1", "vm: Entry A1", "vm: \"Entry A1\" is not a name", "a-z"},
 		{"operator key", "vm: entry-a1", "vm: entry-a1\noperator_keys: [secret]", "operator_keys[0]: is not a SHA-256 hash", "64 characters"},
+		{"witness scope", "vm: entry-a1", "vm: entry-a1\nwitnesses: [same-zone, north-b]", "witnesses[1]: \"north-b\" is not allowed", "same-zone, other-zone, other-region, anywhere"},
+		{"no witness scope", "vm: entry-a1", "vm: entry-a1\nwitnesses: []", "witnesses: holds too few values", "at least 1"},
+		{"too many witness scopes", "vm: entry-a1", "vm: entry-a1\nwitnesses: [anywhere, anywhere, anywhere, anywhere]", "witnesses: holds too many values", "at most 3"},
+		{"witnesses not a sequence", "vm: entry-a1", "vm: entry-a1\nwitnesses: anywhere", "witnesses: must be a sequence", ""},
 		{"field twice", "vm: entry-a1", "vm: entry-a1\nvm: entry-a2", "\"vm\" already defined", ""},
 		{"not YAML", "vm: entry-a1", "vm: [", "", ""},
 	}
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -82,6 +82,8 @@
 		return invalidf(path, "holds a value twice")
 	case "max":
 		return invalidf(path, "holds too many values; allowed are at most %s", field.Param())
+	case "min":
+		return invalidf(path, "holds too few values; allowed are at least %s", field.Param())
 	case "sha256_hex":
 		return invalidf(path, "is not a SHA-256 hash; allowed are 64 characters of 0-9 and a-f")
 	}
