--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -29,6 +28,10 @@
 	Log     log.Interface
 	// AddressTTL is how long callers may keep an address answer.
 	AddressTTL time.Duration
+	// Leaving reports whether the router has been announced as leaving, and AcceptsNew whether it takes new requests.
+	// They may be nil.
+	Leaving    func() bool
+	AcceptsNew func() bool
 	// NewID returns a new request id that is unique across the fleet.
 	NewID func() string
 }
@@ -37,10 +40,6 @@
 type Gateway struct {
 	Options
 	app *fiber.App
-	// leaving is set when the router has been announced as leaving.
-	leaving atomic.Bool
-	// refusing is set when the router is about to stop: new requests are refused, those in progress go on.
-	refusing atomic.Bool
 	// inProgress counts requests from arrival to their last byte.
 	inProgress *tracker
 }
@@ -83,25 +82,20 @@
 // Idle returns a channel that is closed when no request is in progress.
 func (g *Gateway) Idle() <-chan struct{} { return g.inProgress.idle() }
 
-// Leave makes the gateway close each connection after its next answer, so that callers ask for addresses again and
-// no request meets a closed connection when the router stops.
-func (g *Gateway) Leave() { g.leaving.Store(true) }
-
+// closeConnections closes each connection to a leaving router after its next answer, so that callers ask for addresses
+// again and no request meets a closed connection when the router stops.
 func (g *Gateway) closeConnections(c fiber.Ctx) error {
-	if g.leaving.Load() {
+	if g.Leaving != nil && g.Leaving() {
 		c.Response().SetConnectionClose()
 	}
 	return c.Next()
 }
 
-// Refuse makes the gateway refuse new requests. Requests in progress are not affected.
-func (g *Gateway) Refuse() { g.refusing.Store(true) }
-
 // enter counts a request as in progress, or returns a failure if new requests are refused. The request is counted
 // before the check, so that a drain that has begun to refuse waits for every request that passed.
 func (g *Gateway) enter() (func(), *outcome.Failure) {
 	done := g.inProgress.begin()
-	if g.refusing.Load() {
+	if g.AcceptsNew != nil && !g.AcceptsNew() {
 		done()
 		return nil, outcome.NotRunf(outcome.ReasonLeaving, retryAdvice, "this router is stopping; ask for addresses again")
 	}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -127,7 +127,7 @@
 	must.StrContains(t, string(data), string(outcome.ReasonNotConfigured))
 
 	g := newGateway(configuration(t))
-	g.Refuse()
+	g.AcceptsNew = func() bool { return false }
 	status, data = g.do(t, http.MethodPost, "/v1/chat/completions", callerText, goodBody)
 	must.Eq(t, 503, status)
 	must.StrContains(t, string(data), string(outcome.ReasonLeaving))
@@ -138,7 +138,7 @@
 // Guards against callers that keep a connection to a router that is about to stop.
 func TestLeavingRouterClosesConnections(t *testing.T) {
 	g := newGateway(configuration(t))
-	g.Leave()
+	g.Leaving = func() bool { return true }
 	resp, err := g.app.Test(httptest.NewRequest(http.MethodGet, "/healthz", nil))
 	must.NoError(t, err)
 	must.NoError(t, resp.Body.Close())
--- a/pkg/member/core.go
+++ b/pkg/member/core.go
@@ -137,6 +137,9 @@
 // Leave announces that this router is leaving.
 func (c *Core) Leave() { c.announce(Leaving) }
 
+// Stay takes Leave back.
+func (c *Core) Stay() { c.announce(Alive) }
+
 // Renew goes on under a new instance id. The former instance is superseded.
 func (c *Core) Renew(instance string) {
 	c.self.Instance = instance
--- a/pkg/member/task.go
+++ b/pkg/member/task.go
@@ -82,6 +82,11 @@
 	return t.do(ctx, func(time.Time) { t.core.Leave() })
 }
 
+// Stay announces that this router does not leave after all.
+func (t *Task) Stay(ctx context.Context) error {
+	return t.do(ctx, func(time.Time) { t.core.Stay() })
+}
+
 // Renew goes on under a new instance id.
 func (t *Task) Renew(ctx context.Context, instance string) error {
 	return t.do(ctx, func(time.Time) { t.core.Renew(instance) })
--- a/pkg/router/fleet_test.go
+++ b/pkg/router/fleet_test.go
@@ -164,6 +164,7 @@
 	s.Platform.Address = f.address
 	s.Intervals.VMList = settings.Duration(100 * time.Millisecond)
 	s.Intervals.Probe = settings.Duration(100 * time.Millisecond)
+	s.Intervals.AddressTTL = settings.Duration(200 * time.Millisecond)
 	s.Log.Level = "error"
 	f.addVM(platform.VM{Name: s.VM, Zone: s.Zone, Role: platform.RoleEntry, Address: s.Listen.Caller, PeerAddress: s.Listen.Peer})
 	r, err := New(s)
@@ -193,8 +194,10 @@
 	}
 }
 
-func (f *fleet) status() budget.Status {
-	all, err := f.routers[0].books.ledger.Read(f.t.Context(), "velocar")
+func (f *fleet) status() budget.Status { return f.statusAt(0) }
+
+func (f *fleet) statusAt(router int) budget.Status {
+	all, err := f.routers[router].books.ledger.Read(f.t.Context(), "velocar")
 	must.NoError(f.t, err)
 	must.Len(f.t, 1, all)
 	return all[0]
@@ -220,11 +223,19 @@
 	Reason  string `json:"reason"`
 }
 
+func (f *fleet) get(router int, path string) string {
+	return string(f.do(f.request(http.MethodGet, router, path, "")).body)
+}
+
+func (f *fleet) request(method string, router int, path, body string) *http.Request {
+	req, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+f.routers[router].caller+path, bytes.NewReader([]byte(body)))
+	must.NoError(f.t, err)
+	return req
+}
+
 func (f *fleet) post(router int, path, class, key, body string) answer {
 	f.t.Helper()
-	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+f.routers[router].caller+path, bytes.NewReader([]byte(body)))
-	must.NoError(f.t, err)
-	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req := f.request(http.MethodPost, router, path, body)
 	req.Header.Set("Content-Type", "application/json")
 	if class != "" {
 		req.Header.Set("X-LS-Class", class)
@@ -232,6 +243,12 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
+	return f.do(req)
+}
+
+func (f *fleet) do(req *http.Request) answer {
+	f.t.Helper()
+	req.Header.Set("Authorization", "Bearer "+callerKey)
 	resp, err := http.DefaultClient.Do(req)
 	must.NoError(f.t, err)
 	defer func() { _ = resp.Body.Close() }()
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -30,6 +30,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/settings"
 	"github.com/lavendershunt/lavendershunt/pkg/telemetry"
 	"github.com/lavendershunt/lavendershunt/pkg/vmlist"
+	"github.com/lavendershunt/lavendershunt/pkg/withdraw"
 )
 
 // Router is one router process.
@@ -50,7 +51,10 @@
 	books    *books
 	gateway  *gateway.Gateway
 	admin    *admin.Server
-	requests atomic.Uint64
+	// withdrawal takes this router out of service. stopping is set once the process was told to stop.
+	withdrawal *withdraw.Withdrawal
+	stopping   atomic.Bool
+	requests   atomic.Uint64
 	// failed takes errors that end the process.
 	failed chan error
 }
@@ -111,13 +115,21 @@
 		Purse: r.books.purse, Claims: r.books.claims, Selector: r.selector, Metrics: relay.NewMetrics(r.metrics.Meter),
 		Admitter: relay.Admission(r.gate), Crashes: r.crashes,
 	})
+	var err error
+	r.withdrawal, err = withdraw.New(withdraw.Options{
+		VM: r.self.VM, Router: &drain{router: r}, AddressTTL: r.settings.Intervals.AddressTTL.Std(), Log: r.log,
+	})
+	if err != nil {
+		return err
+	}
 	r.gateway = gateway.New(gateway.Options{
+		Leaving: func() bool { return !r.withdrawal.Listed() }, AcceptsNew: r.withdrawal.AcceptsNew,
 		Config: r.config, Members: r.members, Relay: relay, Log: r.log,
 		AddressTTL: r.settings.Intervals.AddressTTL.Std(), NewID: r.newRequestID,
 	})
 	r.admin = admin.NewServer(admin.Deps{
 		Platform: r.platform, Config: r.config, Publish: r.spreader.Publish, Ledger: r.books.ledger, Members: r.members,
-		VMs: r.vmList, OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
+		VMs: r.vmList, Drains: r.drains, OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
 	})
 	return nil
 }
@@ -147,7 +159,7 @@
 	defer running.Wait()
 	for _, task := range []func(context.Context){
 		r.selector.Run, selector.NewPoller(r.selector).Run, r.gate.Run, r.crashes.Run, r.books.run, r.vms.Run,
-		r.members.Run, r.spreader.Run, r.watchMarks,
+		r.members.Run, r.spreader.Run, r.watchMarks, r.watchOwnVM, r.withdrawal.Run,
 	} {
 		running.Go(func() { task(tasks) })
 	}
@@ -158,22 +170,26 @@
 	running.Go(func() { failed <- serveHTTP(adminServer, adminListener) })
 	running.Go(func() { failed <- serveHTTP(peerServer, peerListener) })
 	r.log.WithFields(log.Fields{"caller": caller.Addr().String(), "admin": adminListener.Addr().String()}).Info("router started")
-	select {
-	case err = <-failed:
-	case <-ctx.Done():
-		err = r.drain()
-	}
+	err = r.wait(ctx)
 	r.stopServing(adminServer, peerServer)
 	stopTasks()
 	return err
 }
 
-// drain waits until no request is in progress and then gives the grants back.
-func (r *Router) drain() error {
-	<-r.gateway.Idle()
-	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
-	defer cancel()
-	return r.books.stop(ctx)
+// wait returns when the router may stop: after its withdrawal, which ctx's end begins, or after a failure.
+func (r *Router) wait(ctx context.Context) error {
+	for {
+		select {
+		case err := <-r.failed:
+			return err
+		case <-r.withdrawal.Done():
+			return nil
+		case <-ctx.Done():
+			r.stopping.Store(true)
+			r.withdrawal.Begin(time.Time{})
+			ctx = context.WithoutCancel(ctx)
+		}
+	}
 }
 
 const (
@@ -181,9 +197,6 @@
 	maxFailures     = 8
 	headerTimeout   = 5 * time.Second
 	shutdownTimeout = 2 * time.Second
-	// returnTimeout bounds the wait for the platform when grants are given back. Other routers close the instance
-	// if it is not enough.
-	returnTimeout = 30 * time.Second
 )
 
 // stopServing closes the listeners. Only idle connections are left, so a timeout here loses nothing.
