Weight a cache miss by the requests that it delays

The weight is now 1 plus 2 for each request at the endpoint.

Ruled out: multiplying a slow engine's output time by the same weight.

--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -60,7 +60,7 @@
 	Score float64
 	// Load is the estimated delay by work that is already at the endpoint.
 	Load float64
-	// Own is the estimated time for the prompt tokens that are not cached at the endpoint.
+	// Own is the estimated time for the prompt tokens that are not cached at the endpoint, with its weight.
 	Own float64
 	// Distance is the round trip to the endpoint's availability zone.
 	Distance float64
--- a/pkg/route/measure_test.go
+++ b/pkg/route/measure_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	concpool "github.com/sourcegraph/conc/pool"
 )
 
 var (
@@ -90,12 +91,12 @@
 }
 
 func scenarios(yield func(name string, c simCase)) {
-	for _, routers := range []int{1, 8} {
+	for _, size := range []struct{ engines, routers int }{{12, 1}, {12, 8}, {48, 8}} {
 		for _, load := range []float64{0.3, 0.7, 0.95, 1.3} {
 			for _, fault := range []string{"none", "slow", "dead"} {
-				name := fmt.Sprintf("| %d | %.0f%% | %s", routers, load*100, fault)
-				yield(name, simCase{
-					engines: 12, routers: routers, load: load, slow: fault == "slow", dead: fault == "dead", seed: *seedFlag,
+				yield(fmt.Sprintf("| %d | %d | %.0f%% | %s", size.engines, size.routers, load*100, fault), simCase{
+					engines: size.engines, routers: size.routers, load: load, slow: fault == "slow", dead: fault == "dead",
+					seed: *seedFlag,
 				})
 			}
 		}
@@ -111,21 +112,25 @@
 		{"random", baseline(true)},
 		{"least by report", baseline(false)},
 		{"2 random", tableWith(Options{PrefixCandidates: -1, HomeCandidates: -1})},
-		{"2+2, weight 1", tableWith(Options{HomeCandidates: -1, PromptWeight: 1})},
-		{"2+2, weight 16", tableWith(Options{HomeCandidates: -1})},
-		{"2+2+2, weight 1", tableWith(Options{PromptWeight: 1})},
-		{"2+2+2, weight 8", tableWith(Options{PromptWeight: 8})},
-		{"2+2+2, weight 16", tableWith(Options{})},
+		{"2+2 plain", tableWith(Options{HomeCandidates: -1, Crowding: -1})},
+		{"2+2+2 plain", tableWith(Options{Crowding: -1})},
+		{"2+2+2 weight 8", tableWith(Options{PromptWeight: 8, Crowding: -1})},
+		{"2+2+2 weight 16", tableWith(Options{PromptWeight: 16, Crowding: -1})},
+		{"2+2 crowding 2", tableWith(Options{HomeCandidates: -1})},
+		{"2+2+2 crowding 2", tableWith(Options{})},
 	}
-	var out strings.Builder
+	workers := concpool.NewWithResults[string]().WithMaxGoroutines(4)
 	scenarios(func(name string, c simCase) {
 		for _, p := range policies {
-			c.policy = p.new
-			r := measureSeeds(c, 3)
-			fmt.Fprintf(&out, "%s | %s | %d | %d | %.3f | %.2f | %.2f | %d |\n", name, p.name, r.p50.Milliseconds(), r.p95.Milliseconds(), r.met, r.cached, r.spread, r.finished)
+			workers.Go(func() string {
+				c.policy = p.new
+				r := measureSeeds(c, 3)
+				return fmt.Sprintf("%s | %s | %d | %d | %.3f | %.2f | %.2f | %d |\n",
+					name, p.name, r.p50.Milliseconds(), r.p95.Milliseconds(), r.met, r.cached, r.spread, r.finished)
+			})
 		}
 	})
-	fmt.Print(out.String())
+	fmt.Print(strings.Join(workers.Wait(), ""))
 }
 
 // Guards against a choice that is no better than the baselines, or than one without prefixes. The bounds are
--- a/pkg/route/options.go
+++ b/pkg/route/options.go
@@ -13,10 +13,13 @@
 	HomeCandidates int
 	// PrefillTokensPerMS is the assumed prompt speed of an engine.
 	PrefillTokensPerMS float64
-	// PromptWeight multiplies the time of the request's own uncached prompt, because that time also delays the
-	// requests that come after it, and the prompt displaces others from the cache. With 1, routers that don't see
-	// each other's work scatter prefixes under load until the cache hit ratio collapses.
+	// The time of the request's own uncached prompt is multiplied by PromptWeight plus Crowding for each request at
+	// the endpoint, because it delays them too and displaces other prompts from the cache. Without Crowding, routers
+	// that don't see each other's work scatter prefixes under load until the cache hit ratio collapses. A large
+	// PromptWeight instead holds popular prefixes at few endpoints even when others are idle. Negative Crowding
+	// means none.
 	PromptWeight float64
+	Crowding     float64
 	// RequestMS is the delay that one running or queued request adds to others at the same endpoint.
 	RequestMS float64
 	// QueuedMS is the additional delay by one request that waits for a place in the batch.
@@ -50,7 +53,8 @@
 	setDefault(&o.RandomCandidates, 2)
 	setDefault(&o.PrefixCandidates, 2)
 	setDefault(&o.HomeCandidates, 2)
-	setDefault(&o.PromptWeight, 16)
+	setDefault(&o.PromptWeight, 1)
+	setDefault(&o.Crowding, 2)
 	setDefault(&o.PrefillTokensPerMS, 8)
 	setDefault(&o.RequestMS, 4)
 	setDefault(&o.QueuedMS, 40)
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -15,7 +15,7 @@
 	c.Load = prefill/o.PrefillTokensPerMS + total*o.RequestMS + queued*o.QueuedMS
 	c.Load += max(0, e.report.KVUse-kvFree) / (1 - kvFree) * o.KVFullMS * e.report.weight(now, o.StaleAfter)
 	c.Load += t.slowStart(now, e)
-	c.Own = float64(r.PromptTokens-cached) / o.PrefillTokensPerMS * o.PromptWeight
+	c.Own = float64(r.PromptTokens-cached) / o.PrefillTokensPerMS * (o.PromptWeight + max(0, o.Crowding)*total)
 	if slow := t.slowness(now, e, p); slow > 1 {
 		c.Load *= slow
 		c.Own = c.Own*slow + float64(r.OutputTokens)*p.tokenMS.value*(slow-1)
--- a/pkg/route/table_test.go
+++ b/pkg/route/table_test.go
@@ -88,6 +88,6 @@
 	must.Eq(t, ReasonOnlyCandidate, d.Reason)
 	must.Eq(t, log.Fields{
 		"request_id": "q", "organisation": "o", "class": "c", "pool": "model/m", "candidates": 1,
-		"considered": "e0:200.0", "chosen": "e0", "reason": "only_candidate",
+		"considered": "e0:12.5", "chosen": "e0", "reason": "only_candidate",
 	}, d.Fields())
 }
