--- a/pkg/gateway/failure.go
+++ b/pkg/gateway/failure.go
@@ -35,7 +35,7 @@
 	if f.RetryAfter > 0 {
 		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(max(1, int(f.RetryAfter.Seconds()))))
 	}
-	return c.Status(f.Reason.Status()).JSON(bodyOf(requestID, f))
+	return c.Status(f.Status()).JSON(bodyOf(requestID, f))
 }
 
 // encodeFailure returns the body as JSON. The body has only strings and numbers, so encoding can't fail.
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -86,6 +86,16 @@
 	Message    string
 }
 
+// Status returns the HTTP status of the failure. A request that did not run is never told with a status that stands
+// for an unknown outcome, whatever its reason.
+func (f *Failure) Status() int {
+	status := f.Reason.Status()
+	if f.Outcome == NotRun && (status == http.StatusBadGateway || status == http.StatusGatewayTimeout) {
+		return http.StatusServiceUnavailable
+	}
+	return status
+}
+
 // Error implements error.
 func (f *Failure) Error() string {
 	return fmt.Sprintf("%s (%s): %s", f.Outcome, f.Reason, f.Message)
--- /dev/null
+++ b/pkg/outcome/outcome_test.go
@@ -0,0 +1,18 @@
+package outcome
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a status that tells another outcome than the body.
+func TestStatusAgreesWithOutcome(t *testing.T) {
+	for _, reason := range []Reason{ReasonCrashesEndpoints, ReasonInProgress, ReasonEndpointFailed, ReasonEndpointTimeout} {
+		must.Eq(t, 503, NotRunf(reason, 0, "x").Status())
+		must.GreaterEq(t, 502, Unknownf(reason, 0, "x").Status())
+		must.NotEq(t, 503, Unknownf(reason, 0, "x").Status())
+	}
+	must.Eq(t, 402, NotRunf(ReasonBudgetExhausted, 0, "x").Status())
+	must.Eq(t, 503, NotRunf(ReasonGrantUnavailable, 0, "x").Status())
+}
