Recognise further ids of a running router as holders; show the age of the configuration

Cause: a run with three routers showed that grants are held under <instance>.<number>, which no member has as its instance. budget held then called the tokens of running routers held, and budget release would have given them back if the lagging VM list called the VM gone.

The holder's instance is now looked up without the number. TestHeldTokensAndWithdrawal fails without this change ('the router is unreachable' is missing).

Also: status shows when the platform last confirmed the configuration, and vm leave warns if the VM is not listed.

--- a/pkg/admin/cli/cli_test.go
+++ b/pkg/admin/cli/cli_test.go
@@ -106,6 +106,7 @@
 			vms, _ := b.store.Client("entry-a1").VMs(context.Background())
 			return admin.VMList{VMs: vms, Read: time.Now()}
 		},
+		ConfigAge:    func() time.Duration { return 3 * time.Second },
 		OperatorKeys: []string{admin.HashKey(operatorKey)}, Now: time.Now, Log: logger,
 	})
 	mux := http.NewServeMux()
@@ -207,10 +208,14 @@
 		{Name: "engine-2", Role: platform.RoleEngine, State: platform.VMLive, Models: []string{"m"}},
 	})
 	id := budget.ID{Organisation: "velocar", Budget: "main"}
-	b.ledger.budgets[id] = &budget.Status{ID: id, ToppedUp: 100, Grants: []budget.HolderGrant{{Instance: "entry-b1@5-cc", Tokens: 40}}}
+	b.ledger.budgets[id] = &budget.Status{ID: id, ToppedUp: 100, Grants: []budget.HolderGrant{{Instance: "entry-b1@5-cc.1", Tokens: 40}}}
 	b.fleet.members = append(b.fleet.members, member.Member{Instance: "entry-b1@5-cc", VM: "entry-b1", State: member.Unreachable})
-	release := "budget release velocar/main -holder entry-b1@5-cc"
+	release := "budget release velocar/main -holder entry-b1@5-cc.1"
 	b.fails(ExitFailed, release, "the router is unreachable")
+	// The list may wrongly call the VM gone; a router that is known to run keeps its tokens.
+	must.NoError(t, b.store.SetVMState("entry-b1", platform.VMGone, nil))
+	b.fails(ExitFailed, release, "the router is unreachable")
+	must.NoError(t, b.store.SetVMState("entry-b1", platform.VMLive, nil))
 	b.fleet.members[1].State = member.Failed
 	b.fails(ExitFailed, release, "entry-b1 is live in the VM list")
 	must.StrContains(t, b.ok("budget held velocar"), "kept: VM entry-b1 is live")
@@ -221,7 +226,9 @@
 	must.StrNotContains(t, b.ok("vm leave engine-1 -in 15m"), "blocked")
 	must.StrContains(t, b.ok("vm leave engine-2"), "blocked: no other endpoint for model m")
 	must.StrContains(t, b.ok("drain"), "blocked: no other endpoint for model m")
+	must.StrContains(t, b.ok("vm leave engine-11"), "the VM list has no VM engine-11")
 	b.ok("vm stay engine-1")
+	must.StrContains(t, b.ok("status"), "confirmed by the platform 3s ago")
 	must.StrContains(t, b.ok("status"), "engine-2  engine  live, marked leaving")
 	must.StrNotContains(t, b.ok("drain"), "blocked")
 }
--- a/pkg/admin/cli/vms.go
+++ b/pkg/admin/cli/vms.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,8 @@
 	Object object `json:"object"`
 	// BlockedBy lists what has no other endpoint.
 	BlockedBy []string `json:"blocked_by,omitempty"`
+	// NotListed reports that the platform's VM list, which lags, does not have the VM.
+	NotListed bool `json:"not_listed,omitempty"`
 }
 
 func leaveVM(flags *flag.FlagSet) runFunc {
@@ -36,6 +39,10 @@
 		out := marked{Object: o}
 		text := "VM " + c.operand + " is marked as leaving"
 		if s, err := readStatus(ctx, c); err == nil {
+			out.NotListed = !slices.ContainsFunc(s.VMs, func(v vm) bool { return v.Name == c.operand })
+			if out.NotListed {
+				text += "\nwarning: the VM list has no VM " + c.operand + "; check the name"
+			}
 			for _, d := range s.Drains {
 				if d.VM == c.operand && len(d.BlockedBy) > 0 {
 					out.BlockedBy = d.BlockedBy
@@ -71,6 +78,7 @@
 	Instance       string   `json:"instance"`
 	ConfigLoaded   bool     `json:"config_loaded"`
 	ConfigRevision uint64   `json:"config_revision"`
+	ConfigAgeMS    int64    `json:"config_age_ms"`
 	VMListAgeMS    int64    `json:"vm_list_age_ms"`
 	Routers        []router `json:"routers"`
 	VMs            []vm     `json:"vms"`
@@ -113,7 +121,7 @@
 	}
 	m := response.Msg
 	s := status{Instance: m.GetInstance(), ConfigLoaded: m.GetConfigLoaded(), ConfigRevision: m.GetConfigRevision(),
-		VMListAgeMS: m.GetVmListAgeMs(), Routers: []router{}, VMs: []vm{}, Drains: []drain{}}
+		ConfigAgeMS: m.GetConfigAgeMs(), VMListAgeMS: m.GetVmListAgeMs(), Routers: []router{}, VMs: []vm{}, Drains: []drain{}}
 	for _, r := range m.GetRouters() {
 		s.Routers = append(s.Routers, router{r.GetInstance(), r.GetVm(), r.GetRegion(), r.GetZone(), r.GetState(), r.GetCallerAddress()})
 	}
@@ -150,6 +158,9 @@
 	if s.ConfigLoaded {
 		loaded = fmt.Sprintf("complete up to revision %d", s.ConfigRevision)
 	}
+	if s.ConfigAgeMS >= 0 {
+		loaded += fmt.Sprintf(", confirmed by the platform %s ago", time.Duration(s.ConfigAgeMS)*time.Millisecond)
+	}
 	fmt.Fprintf(&b, "answered by %s\nconfiguration %s\n", s.Instance, loaded)
 	if s.VMListAgeMS < 0 {
 		b.WriteString("VM list not received\n")
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -30,10 +30,13 @@
 	Read time.Time
 }
 
-// Deps are what a Server works with. All fields but Drains are required.
+// Deps are what a Server works with. All fields but ConfigAge and Drains are required.
 type Deps struct {
 	Platform platform.Store
 	Config   *config.Store
+	// ConfigAge returns the time since the platform confirmed the configuration; negative if it never did. It may be
+	// nil.
+	ConfigAge func() time.Duration
 	// Publish spreads accepted configuration changes to the other routers.
 	Publish func([]config.Entry)
 	Ledger  budget.Ledger
--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -20,6 +20,12 @@
 		ConfigLoaded:   summary.Loaded,
 		ConfigRevision: summary.Floor,
 		VmListAgeMs:    -1,
+		ConfigAgeMs:    -1,
+	}
+	if s.deps.ConfigAge != nil {
+		if age := s.deps.ConfigAge(); age >= 0 {
+			response.ConfigAgeMs = age.Milliseconds()
+		}
 	}
 	for _, m := range s.deps.Members.Members() {
 		response.Routers = append(response.Routers, &adminv1.Router{
@@ -90,12 +96,12 @@
 	reason     string
 }
 
-// evidence decides whether the grant of an instance may be released. The VM must be gone from the platform's list,
+// evidence decides whether the grant of a holder, an instance or a further id of one, may be released. The VM must be gone from the platform's list,
 // because a router that is cut off or frozen may still spend.
 func (s *Server) evidence(instance string) holderEvidence {
 	state := "unknown"
 	for _, m := range s.deps.Members.Members() {
-		if m.Instance == instance {
+		if m.Instance == member.ProcessOf(instance) {
 			state = string(m.State)
 		}
 	}
--- a/pkg/member/instance.go
+++ b/pkg/member/instance.go
@@ -36,6 +36,17 @@
 	return vm
 }
 
+// ProcessOf returns the instance that an id belongs to. A router that was closed while it was cut off goes on under a
+// further id <instance>.<number> in the ledger and the journal, and stays the same member.
+func ProcessOf(id string) string {
+	vm, rest, found := strings.Cut(id, "@")
+	if !found {
+		return id
+	}
+	process, _, _ := strings.Cut(rest, ".")
+	return vm + "@" + process
+}
+
 // startOf returns the start time in an instance id in Unix ms.
 func startOf(instance string) (int64, bool) {
 	_, rest, found := strings.Cut(instance, "@")
