--- a/pkg/admin/cli/vms.go
+++ b/pkg/admin/cli/vms.go
@@ -75,14 +75,15 @@
 
 // status is the output of status.
 type status struct {
-	Instance       string   `json:"instance"`
-	ConfigLoaded   bool     `json:"config_loaded"`
-	ConfigRevision uint64   `json:"config_revision"`
-	ConfigAgeMS    int64    `json:"config_age_ms"`
-	VMListAgeMS    int64    `json:"vm_list_age_ms"`
-	Routers        []router `json:"routers"`
-	VMs            []vm     `json:"vms"`
-	Drains         []drain  `json:"drains"`
+	Instance       string `json:"instance"`
+	ConfigLoaded   bool   `json:"config_loaded"`
+	ConfigRevision uint64 `json:"config_revision"`
+	// ConfigAgeMS is nil if the router does not know it.
+	ConfigAgeMS *int64   `json:"config_age_ms"`
+	VMListAgeMS int64    `json:"vm_list_age_ms"`
+	Routers     []router `json:"routers"`
+	VMs         []vm     `json:"vms"`
+	Drains      []drain  `json:"drains"`
 }
 
 type router struct {
@@ -121,7 +122,7 @@
 	}
 	m := response.Msg
 	s := status{Instance: m.GetInstance(), ConfigLoaded: m.GetConfigLoaded(), ConfigRevision: m.GetConfigRevision(),
-		ConfigAgeMS: m.GetConfigAgeMs(), VMListAgeMS: m.GetVmListAgeMs(), Routers: []router{}, VMs: []vm{}, Drains: []drain{}}
+		ConfigAgeMS: m.ConfigAgeMs, VMListAgeMS: m.GetVmListAgeMs(), Routers: []router{}, VMs: []vm{}, Drains: []drain{}}
 	for _, r := range m.GetRouters() {
 		s.Routers = append(s.Routers, router{r.GetInstance(), r.GetVm(), r.GetRegion(), r.GetZone(), r.GetState(), r.GetCallerAddress()})
 	}
@@ -158,8 +159,8 @@
 	if s.ConfigLoaded {
 		loaded = fmt.Sprintf("complete up to revision %d", s.ConfigRevision)
 	}
-	if s.ConfigAgeMS >= 0 {
-		loaded += fmt.Sprintf(", confirmed by the platform %s ago", time.Duration(s.ConfigAgeMS)*time.Millisecond)
+	if s.ConfigAgeMS != nil {
+		loaded += fmt.Sprintf(", confirmed by the platform %s ago", time.Duration(*s.ConfigAgeMS)*time.Millisecond)
 	}
 	fmt.Fprintf(&b, "answered by %s\nconfiguration %s\n", s.Instance, loaded)
 	if s.VMListAgeMS < 0 {
--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -20,11 +20,11 @@
 		ConfigLoaded:   summary.Loaded,
 		ConfigRevision: summary.Floor,
 		VmListAgeMs:    -1,
-		ConfigAgeMs:    -1,
 	}
 	if s.deps.ConfigAge != nil {
 		if age := s.deps.ConfigAge(); age >= 0 {
-			response.ConfigAgeMs = age.Milliseconds()
+			milliseconds := age.Milliseconds()
+			response.ConfigAgeMs = &milliseconds
 		}
 	}
 	for _, m := range s.deps.Members.Members() {
--- a/pkg/config/spread.go
+++ b/pkg/config/spread.go
@@ -33,7 +33,7 @@
 	// idlePoll is how often a router that does not watch checks whether it must.
 	idlePoll = time.Second
 	// maxWatchPause bounds the pause after a failed watch.
-	maxWatchPause = 3 * time.Second
+	maxWatchPause = 1500 * time.Millisecond
 	peerTimeout   = 2 * time.Second
 	// maxDeclined is the number of peers that may decline before a router accepts a complete answer.
 	maxDeclined = 3
--- a/pkg/member/task.go
+++ b/pkg/member/task.go
@@ -25,6 +25,9 @@
 	ProbeTimeout time.Duration
 	// Client sends requests to peers; it must speak unencrypted HTTP/2.
 	Client connect.HTTPClient
+	// Seeds are peer addresses to try until SetSeeds replaces them. Without them a router that starts while the
+	// platform is away finds no peer.
+	Seeds []string
 	// Seed feeds the random choices.
 	Seed uint64
 	Log  log.Interface
@@ -62,6 +65,7 @@
 		calls:   make(chan func(time.Time)),
 		done:    make(chan struct{}),
 	}
+	t.core.SetSeeds(options.Seeds)
 	t.publish()
 	return t
 }
--- a/pkg/member/task_test.go
+++ b/pkg/member/task_test.go
@@ -59,7 +59,7 @@
 	task := NewTask(Options{
 		Self:         Member{Instance: NewInstance(vm, time.Now()), VM: vm, Region: "north", Zone: "north-a", PeerAddress: listener.Addr().String()},
 		Timing:       Timing{Probe: 20 * time.Millisecond, FailedAfter: 200 * time.Millisecond, FullSync: 100 * time.Millisecond},
-		ProbeTimeout: 5 * time.Second, Client: h2Client(), Seed: 1,
+		ProbeTimeout: 5 * time.Second, Client: h2Client(), Seed: 1, Seeds: seeds,
 		Log: &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
 	})
 	mux := http.NewServeMux()
@@ -72,7 +72,6 @@
 	finished := make(chan struct{})
 	go func() { defer close(finished); task.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-finished; _ = server.Close() })
-	must.NoError(t, task.SetSeeds(ctx, seeds))
 	return task, bytes
 }
 
