--- a/pkg/ledger/bench_test.go
+++ b/pkg/ledger/bench_test.go
@@ -85,11 +85,33 @@
 	perClaim := float64(encodedSize(t, filled(t, 1000, 10000, 1100))-base) / 1000
 	t.Logf("1,000 budgets, 10,000 bills, 100 claims: %d bytes; per budget %.1f, per bill %.1f, per claim %.1f",
 		base, perBudget, perBill, perClaim)
+	one, ten := deltaSize(t, 1), deltaSize(t, 10)
+	t.Logf("delta of a settlement with 1 bill: %d bytes, with 10 bills: %d bytes", one, ten)
+	must.Less(t, 200, one)
 	must.Less(t, 80, perBudget)
 	must.Less(t, 12, perBill)
 	must.Less(t, 110, perClaim)
 }
 
+// deltaSize returns the size of what one settlement adds to a stored shard.
+func deltaSize(tb testing.TB, bills int) int {
+	s := filled(tb, 100, 0, 0)
+	encodedSize(tb, s)
+	holder, id := "entry-000.1b2c3d4e5f6a", budget.ID{Organisation: "organisation-00000", Budget: "budget-000000"}
+	op := budget.Op{ID: holder + "/" + id.Organisation + "/settle/99999", Kind: budget.OpSettle, Budget: id, Holder: holder}
+	for i := range bills {
+		op.Bills = append(op.Bills, budget.Bill{Budget: id, Key: fmt.Sprint(i), Tokens: 300})
+	}
+	if r := s.Apply(start, op); r.Code != budget.CodeOK {
+		tb.Fatal(r.Message)
+	}
+	delta, err := s.Delta()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return len(delta)
+}
+
 func BenchmarkShard(b *testing.B) {
 	for _, n := range []struct{ budgets, bills int }{
 		{100, 0}, {1000, 0}, {10000, 0}, {1000, 1000}, {1000, 10000}, {1000, 40000}, {2200, 25000},
