Add metrics of the purse, ledger, claims, membership, configuration and routing

Only requests were measured. Observable instruments now read accessors of each part at a scrape, with labels from fixed sets. The histograms of times had the default buckets, which begin at 5 s.

--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/lavendershunt/lavendershunt/internal/counter"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 )
 
@@ -16,6 +18,9 @@
 	calls   chan func(now time.Time)
 	waiting map[ID]chan *outcome.Failure
 	stopped chan struct{}
+	// refusals counts refused requests by reason, and denied retries that the retry budget did not allow.
+	refusals counter.ByLabel
+	denied   atomic.Int64
 }
 
 // NewGate returns a Gate; its methods wait until Run is called.
@@ -54,6 +59,9 @@
 	for _, v := range g.core.Take() {
 		if result := g.waiting[v.ID]; result != nil {
 			delete(g.waiting, v.ID)
+			if v.Failure != nil {
+				g.refusals.Add(string(v.Failure.Reason))
+			}
 			result <- v.Failure
 		}
 	}
@@ -123,6 +131,9 @@
 func (g *Gate) AllowRetry() bool {
 	allowed := false
 	g.do(func(time.Time) { allowed = g.core.AllowRetry() })
+	if !allowed {
+		g.denied.Add(1)
+	}
 	return allowed
 }
 
@@ -130,3 +141,21 @@
 func (g *Gate) SetCapacity(pool string, requests int) {
 	g.do(func(now time.Time) { g.core.SetCapacity(now, pool, requests) })
 }
+
+// Refusals returns the number of refused requests by reason.
+func (g *Gate) Refusals() map[string]int64 { return g.refusals.Counts() }
+
+// DeniedRetries returns the number of retries that the retry budget did not allow.
+func (g *Gate) DeniedRetries() int64 { return g.denied.Load() }
+
+// Load returns the numbers of queued requests of deadline and of whole classes, and of dispatched requests.
+func (g *Gate) Load() (deadline, whole, running int) {
+	g.do(func(time.Time) {
+		for _, p := range g.core.pools {
+			deadline += p.deadline.queued
+			whole += p.whole.queued
+			running += p.inflight
+		}
+	})
+	return deadline, whole, running
+}
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -11,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lavendershunt/lavendershunt/internal/counter"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 )
@@ -92,6 +93,7 @@
 	closed   bool
 	last     uint64
 	attempts map[string]*attempt
+	results  counter.ByLabel
 }
 
 // New returns a Keeper. The instance is the id under which the router registered.
@@ -111,8 +113,32 @@
 	k.retries.Wait()
 }
 
+// Open returns the number of claims whose result or release is not durable yet.
+func (k *Keeper) Open() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.attempts)
+}
+
+// Results returns the number of claims by result: granted, repeated (another attempt had claimed the call and its
+// result is known), refused, finished and released. A claim that was granted is later finished or released.
+func (k *Keeper) Results() map[string]int64 { return k.results.Counts() }
+
 // Claim implements budget.Claims.
 func (k *Keeper) Claim(ctx context.Context, call budget.CallRequest) (budget.Claim, error) {
+	c, err := k.claim(ctx, call)
+	switch {
+	case err != nil:
+		k.results.Add("refused")
+	case c.Stored != nil:
+		k.results.Add("repeated")
+	default:
+		k.results.Add("granted")
+	}
+	return c, err
+}
+
+func (k *Keeper) claim(ctx context.Context, call budget.CallRequest) (budget.Claim, error) {
 	for range maxTries {
 		id := k.begin(call)
 		r, err := k.store(ctx, call, id)
@@ -224,6 +250,7 @@
 	}
 	a.state, a.result = finished, &result
 	k.mu.Unlock()
+	k.results.Add("finished")
 	durable := k.record(k.op(budget.OpClaimResult, c.Call, c.ID), c.ID)
 	select {
 	case <-durable:
@@ -234,4 +261,7 @@
 }
 
 // Release implements budget.Claims.
-func (k *Keeper) Release(c budget.Claim) { k.abandon(c.ID) }
+func (k *Keeper) Release(c budget.Claim) {
+	k.results.Add("released")
+	k.abandon(c.ID)
+}
--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -49,8 +49,10 @@
 	// created and deleted before this store listed.
 	dropped uint64
 	// newest is the highest accepted revision.
-	newest  uint64
-	changed chan struct{}
+	newest uint64
+	// accepted counts the versions taken over.
+	accepted int64
+	changed  chan struct{}
 }
 
 // NewStore returns a store without a configuration.
@@ -73,6 +75,14 @@
 	return Summary{Hash: s.hash, Floor: s.floor, Loaded: s.loaded}
 }
 
+// Accepted returns the number of versions of objects that the store has taken over, from operators, the platform
+// and peers.
+func (s *Store) Accepted() int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.accepted
+}
+
 // Merge takes over the entries that are newer than the known ones and returns those.
 func (s *Store) Merge(entries []Entry) []Entry {
 	s.mu.Lock()
@@ -160,6 +170,7 @@
 		s.tombstones--
 	}
 	s.newest = max(s.newest, e.Revision)
+	s.accepted++
 	r.revision, r.value, r.deleted, r.decoded = e.Revision, e.Value, e.Deleted, nil
 	if e.Deleted {
 		r.value = nil
--- a/pkg/instance/closer.go
+++ b/pkg/instance/closer.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"github.com/lavendershunt/lavendershunt/internal/counter"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/journal"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
@@ -36,6 +37,23 @@
 type HeldError struct {
 	Instance string
 	Reason   string
+	Cause    Cause
+}
+
+// Cause is the kind of reason for which an instance can't be closed.
+type Cause string
+
+// Causes. If there are several, the first of this list counts.
+const (
+	WitnessUnreachable Cause = "witness_unreachable"
+	WitnessRestarted   Cause = "witness_restarted"
+	LedgerRefuses      Cause = "ledger_refuses"
+)
+
+// obstacle is what keeps an instance from being closed; its text is empty if nothing does.
+type obstacle struct {
+	cause Cause
+	text  string
 }
 
 // Error implements error.
@@ -51,6 +69,7 @@
 	writer    ShardWriter
 	shards    int
 	router    string
+	results   counter.ByLabel
 }
 
 // NewCloser returns a closer that acts for a router instance. The number of shards is that of the stored layout.
@@ -77,7 +96,7 @@
 	if err != nil {
 		return ignoreNotFound(err)
 	}
-	return c.finish(ctx, r, nil, "", false)
+	return c.finish(ctx, r, nil, obstacle{}, false)
 }
 
 func ignoreNotFound(err error) error {
@@ -87,24 +106,40 @@
 	return err
 }
 
-func (c *Closer) close(ctx context.Context, instance string, force bool) error {
+// Results returns the number of attempts to close an instance by their result: closed, failed, or held_ and a cause.
+func (c *Closer) Results() map[string]int64 { return c.results.Counts() }
+
+func (c *Closer) count(err error) {
+	var held *HeldError
+	switch {
+	case err == nil:
+		c.results.Add("closed")
+	case errors.As(err, &held):
+		c.results.Add("held_" + string(held.Cause))
+	default:
+		c.results.Add("failed")
+	}
+}
+
+func (c *Closer) close(ctx context.Context, instance string, force bool) (err error) {
+	defer func() { c.count(err) }()
 	r, err := c.update(ctx, instance, func(r *Record) { c.setClosing(r) })
 	if err != nil {
 		return ignoreNotFound(err)
 	}
-	copies, reason := c.collect(ctx, r)
-	return c.finish(ctx, r, copies, reason, force)
+	copies, found := c.collect(ctx, r)
+	return c.finish(ctx, r, copies, found, force)
 }
 
-func (c *Closer) finish(ctx context.Context, r Record, copies []journal.Copy, reason string, force bool) error {
+func (c *Closer) finish(ctx context.Context, r Record, copies []journal.Copy, found obstacle, force bool) error {
 	var err error
-	if reason == "" || force {
-		if reason, err = c.closeHolder(ctx, r.Instance, journal.Merge(copies)); err != nil {
+	if found.text == "" || force {
+		if found, err = c.closeHolder(ctx, r.Instance, journal.Merge(copies)); err != nil {
 			return err
 		}
 	}
-	if reason != "" {
-		return c.hold(ctx, r, reason)
+	if found.text != "" {
+		return c.hold(ctx, r, found)
 	}
 	if err := c.remove(ctx, r.Instance); err != nil {
 		return err
@@ -154,38 +189,43 @@
 	return Record{}, fmt.Errorf("instance %s: change record: %w", instance, last)
 }
 
-// collect closes the journal at all witnesses. The reason is empty if all have answered.
-func (c *Closer) collect(ctx context.Context, r Record) (copies []journal.Copy, reason string) {
+// collect closes the journal at all witnesses. There is no obstacle if all have answered.
+func (c *Closer) collect(ctx context.Context, r Record) (copies []journal.Copy, found obstacle) {
 	var reasons []string
 	for _, w := range r.Witnesses {
 		content, err := c.witnesses.Close(ctx, w, r.Instance)
 		switch {
 		case errors.Is(err, journal.ErrNotWitness):
 			reasons = append(reasons, fmt.Sprintf("witness %s has restarted and lost its copy", w.Router))
+			if found.cause == "" {
+				found.cause = WitnessRestarted
+			}
 		case err != nil:
 			reasons = append(reasons, fmt.Sprintf("witness %s at %s is not reachable", w.Router, w.Address))
+			found.cause = WitnessUnreachable
 		default:
 			copies = append(copies, content)
 		}
 	}
-	return copies, strings.Join(reasons, "; ")
+	found.text = strings.Join(reasons, "; ")
+	return copies, found
 }
 
 // closeHolder ends the holder in every shard. The operation has the same id for every closer, and the journals are
 // closed, so every closer sends the same content.
-func (c *Closer) closeHolder(ctx context.Context, instance string, f journal.Final) (reason string, err error) {
+func (c *Closer) closeHolder(ctx context.Context, instance string, f journal.Final) (obstacle, error) {
 	for shard, ops := range closeOps(instance, f, c.shards) {
 		for batch := range slices.Chunk(ops, maxOps) {
 			results, err := c.writer.Apply(ctx, shard, batch)
 			if err != nil {
-				return "", fmt.Errorf("instance %s: close in shard %d: %w", instance, shard, err)
+				return obstacle{}, fmt.Errorf("instance %s: close in shard %d: %w", instance, shard, err)
 			}
 			if reason := refused(batch, results); reason != "" {
-				return fmt.Sprintf("ledger shard %d refuses the closing: %s", shard, reason), nil
+				return obstacle{LedgerRefuses, fmt.Sprintf("ledger shard %d refuses the closing: %s", shard, reason)}, nil
 			}
 		}
 	}
-	return "", nil
+	return obstacle{}, nil
 }
 
 func refused(ops []budget.Op, results []budget.Result) string {
@@ -209,12 +249,12 @@
 }
 
 // hold records why the closing does not go on.
-func (c *Closer) hold(ctx context.Context, r Record, reason string) error {
-	held := &HeldError{Instance: r.Instance, Reason: reason}
-	if r.Held == reason {
+func (c *Closer) hold(ctx context.Context, r Record, found obstacle) error {
+	held := &HeldError{Instance: r.Instance, Reason: found.text, Cause: found.cause}
+	if r.Held == found.text {
 		return held
 	}
-	if _, err := c.update(ctx, r.Instance, func(r *Record) { r.Held = reason }); err != nil {
+	if _, err := c.update(ctx, r.Instance, func(r *Record) { r.Held = found.text }); err != nil {
 		return errors.Join(held, err)
 	}
 	return held
--- a/pkg/ledgerwriter/calls.go
+++ b/pkg/ledgerwriter/calls.go
@@ -33,6 +33,24 @@
 	}
 }
 
+// Queued returns the number of calls that wait to be written, by class.
+func (w *Writer) Queued() map[string]int64 {
+	names := [classes]string{classSettle: "settle", classGrant: "grant", classRest: "other"}
+	queued := map[string]int64{}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c, name := range names {
+		queued[name] = 0
+		for _, t := range w.shards {
+			queued[name] += int64(len(t.queues[c]))
+		}
+	}
+	return queued
+}
+
+// Available reports whether the platform counts as available.
+func (w *Writer) Available() bool { return !w.health.isDown() }
+
 func (w *Writer) get(ctx context.Context, key string) (platform.Object, error) {
 	w.calls.gets.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/pkg/member/task.go
+++ b/pkg/member/task.go
@@ -44,6 +44,8 @@
 	done    chan struct{}
 	view    atomic.Pointer[view]
 	workers conc.WaitGroup
+	// failedProbes counts direct probes without an answer of their target.
+	failedProbes atomic.Int64
 }
 
 type view struct {
@@ -77,6 +79,9 @@
 // Members implements View.
 func (t *Task) Members() []Member { return t.view.Load().members }
 
+// FailedProbes returns the number of direct probes that their target has not answered.
+func (t *Task) FailedProbes() int64 { return t.failedProbes.Load() }
+
 // Leave announces that this router is leaving.
 func (t *Task) Leave(ctx context.Context) error {
 	return t.do(ctx, func(time.Time) { t.core.Leave() })
--- a/pkg/member/transport.go
+++ b/pkg/member/transport.go
@@ -22,6 +22,9 @@
 	switch a.Kind {
 	case ActionProbe:
 		answered, updates := t.probe(ctx, a.Address, a.Target, a.Updates)
+		if answered != a.Target {
+			t.failedProbes.Add(1)
+		}
 		_ = t.do(ctx, func(now time.Time) { t.start(ctx, t.core.ProbeDone(now, a, answered, updates)) })
 	case ActionProbeFor:
 		t.sendProbeFor(ctx, a)
--- a/pkg/poison/book.go
+++ b/pkg/poison/book.go
@@ -89,6 +89,19 @@
 	return Clear
 }
 
+// Counts returns the number of fingerprints that are suspects and that are stopped.
+func (b *Book) Counts(now time.Time) (suspects, stopped int) {
+	for f := range b.records {
+		switch b.Status(now, f) {
+		case Suspect:
+			suspects++
+		case Stopped:
+			stopped++
+		}
+	}
+	return suspects, stopped
+}
+
 // count returns the number of distinct crashes that still count.
 func (r *Record) count(now time.Time) int {
 	n, first := 0, 0
--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -83,6 +83,12 @@
 	return status
 }
 
+// Counts returns the number of requests that are suspects and that are stopped.
+func (g *Guard) Counts() (suspects, stopped int) {
+	g.do(func(now time.Time) { suspects, stopped = g.book.Counts(now) })
+	return suspects, stopped
+}
+
 // StopFailure returns the failure for a stopped request. ran tells whether it was sent to an endpoint on behalf
 // of the caller that gets the failure.
 func StopFailure(ran bool) *outcome.Failure {
--- a/pkg/purse/control.go
+++ b/pkg/purse/control.go
@@ -97,6 +97,9 @@
 	return s, ok
 }
 
+// Refusals returns the number of refused reservations by reason.
+func (p *Purse) Refusals() map[string]int64 { return p.refusals.Counts() }
+
 // Holding is this router's part of a budget.
 type Holding struct {
 	Budget                       budget.ID
--- a/pkg/purse/purse.go
+++ b/pkg/purse/purse.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/lavendershunt/lavendershunt/internal/counter"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/journal"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
@@ -52,6 +53,8 @@
 	calls  map[uint64]chan completion
 	last   uint64
 	tasks  conc.WaitGroup
+	// refusals counts refused reservations by reason.
+	refusals counter.ByLabel
 }
 
 var _ budget.Purse = (*Purse)(nil)
@@ -256,6 +259,7 @@
 	case !ok:
 		return budget.Reservation{}, outcome.NotRunf(outcome.ReasonLeaving, retryAdvice, "the router has stopped")
 	case done.failure != nil:
+		p.refusals.Add(string(done.failure.Reason))
 		return budget.Reservation{}, done.failure
 	case ctx.Err() != nil:
 		p.Cancel(done.reservation)
--- a/pkg/relay/metrics.go
+++ b/pkg/relay/metrics.go
@@ -11,13 +11,12 @@
 
 // Metrics records what the relay did. Times are in seconds.
 type Metrics struct {
-	inProgress  metric.Int64UpDownCounter
-	ended       metric.Int64Counter
-	duration    metric.Float64Histogram
-	first       metric.Float64Histogram
-	drops       metric.Int64Counter
-	unrecorded  metric.Int64Counter
-	overReserve metric.Int64Counter
+	inProgress metric.Int64UpDownCounter
+	ended      metric.Int64Counter
+	duration   metric.Float64Histogram
+	first      metric.Float64Histogram
+	drops      metric.Int64Counter
+	unrecorded metric.Int64Counter
 }
 
 // NewMetrics creates the instruments. A nil meter records nothing.
@@ -26,14 +25,16 @@
 		meter = noop.NewMeterProvider().Meter("")
 	}
 	m := &Metrics{}
+	// The default buckets begin at 5, which is far above the times that matter here in seconds.
 	// The meter returns usable instruments also with an error, which only reports an invalid name.
 	m.inProgress, _ = meter.Int64UpDownCounter("ls_requests_in_progress", metric.WithDescription("Requests in progress by class."))
 	m.ended, _ = meter.Int64Counter("ls_requests", metric.WithDescription("Ended requests by class, outcome and reason."))
-	m.duration, _ = meter.Float64Histogram("ls_request_duration", metric.WithUnit("s"))
-	m.first, _ = meter.Float64Histogram("ls_first_token", metric.WithUnit("s"), metric.WithDescription("Time from dispatch to the first token."))
+	m.duration, _ = meter.Float64Histogram("ls_request_duration", metric.WithUnit("s"), metric.WithDescription("Time from the arrival of a request to its end."),
+		metric.WithExplicitBucketBoundaries(.01, .03, .1, .25, .5, 1, 2, 4, 8, 15, 30, 60, 120, 300, 600))
+	m.first, _ = meter.Float64Histogram("ls_first_token", metric.WithUnit("s"), metric.WithDescription("Time from dispatch to the first token."),
+		metric.WithExplicitBucketBoundaries(.005, .01, .03, .06, .1, .2, .4, .6, .88, 1.2, 2, 4, 8, 15, 30))
 	m.drops, _ = meter.Int64Counter("ls_frames_dropped", metric.WithDescription("Frames of an engine that carried a wrong request id or token index."))
 	m.unrecorded, _ = meter.Int64Counter("ls_results_not_recorded", metric.WithDescription("Results of non-idempotent calls that could not be recorded in time."))
-	m.overReserve, _ = meter.Int64Counter("ls_tokens_above_reservation", metric.WithUnit("{token}"))
 	return m
 }
 
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -94,6 +94,9 @@
 // OK reports whether an endpoint was chosen.
 func (d *Decision) OK() bool { return d.endpoint != nil }
 
+// Cached returns the estimated number of prompt tokens in the chosen endpoint's prefix cache.
+func (d *Decision) Cached() int { return d.cached }
+
 // Failure returns the typed failure of a decision that chose no endpoint, and nil otherwise.
 func (d *Decision) Failure() *outcome.Failure {
 	if d.OK() {
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -96,6 +96,25 @@
 	return state
 }
 
+// States returns the number of endpoints by state: open, full, unhealthy or leaving. Its cost is linear in the
+// endpoints.
+func (t *Table) States(now time.Time) map[string]int64 {
+	states := map[string]int64{"open": 0, "full": 0, "unhealthy": 0, "leaving": 0}
+	for _, e := range t.endpoints {
+		switch {
+		case e.leaving():
+			states["leaving"]++
+		case e.unhealthy(now):
+			states["unhealthy"]++
+		case e.full(now, t.options.StaleAfter):
+			states["full"]++
+		default:
+			states["open"]++
+		}
+	}
+	return states
+}
+
 // Slots returns how many requests this router may have in progress in the pool: its own ones and the free places
 // of the open endpoints. perEndpoint is the limit of endpoints that have none. Its cost is linear in the pool's
 // endpoints; the result is meant for admit.Gate.SetCapacity, about once a second and after each Update.
--- a/pkg/router/books.go
+++ b/pkg/router/books.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
@@ -22,6 +23,10 @@
 // defaultShards is the number of ledger shards that a new deployment gets.
 const defaultShards = 64
 
+// failingAfter is the time without an answer after which a witness is shown as failing, the same as that after which
+// the manager replaces it.
+const failingAfter = 3 * time.Second
+
 // books are the parts of a router that keep budgets, bills and claims.
 type books struct {
 	store    platform.Store
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -119,7 +119,7 @@
 		Platform: r.platform, Config: r.config, Publish: r.spreader.Publish, Ledger: r.books.ledger, Members: r.members,
 		VMs: r.vmList, OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
 	})
-	return nil
+	return r.registerMetrics()
 }
 
 // newRequestID returns an id that is unique across the fleet, because instance ids are.
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -6,10 +6,12 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 
+	"github.com/lavendershunt/lavendershunt/internal/counter"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
@@ -40,6 +42,9 @@
 	Options
 	inbox   chan message
 	stopped chan struct{}
+	// decisions counts decisions by reason; promptTokens and cachedTokens belong to those that chose an engine.
+	decisions                  counter.ByLabel
+	promptTokens, cachedTokens atomic.Int64
 
 	// The fields below are owned by the task.
 	table   *route.Table
@@ -128,11 +133,15 @@
 }
 
 func (m choose) handle(s *Selector, now time.Time) {
-	d := s.table.Choose(now, s.Rand, s.request(m))
+	r := s.request(m)
+	d := s.table.Choose(now, s.Rand, r)
+	s.decisions.Add(string(d.Reason))
 	if !d.OK() {
 		m.reply <- chosen{failure: d.Failure(), decision: d}
 		return
 	}
+	s.promptTokens.Add(int64(r.PromptTokens))
+	s.cachedTokens.Add(int64(d.Cached()))
 	s.ticket++
 	s.flights[s.ticket] = s.table.Begin(now, d)
 	target := relay.Target{VM: d.Chosen, Address: d.Address, Ticket: s.ticket, Evacuate: s.moves.channel(d.Chosen)}
