Show held instances to operators and let them close one

An instance whose router takes part in the membership is never released; one whose VM is still listed needs -stopped.

Grants of live routers were shown as held: holders are named <router>.<n>, but were looked up as router instances.

--- a/api/ls/admin/v1/adminv1connect/admin.connect.go
+++ b/api/ls/admin/v1/adminv1connect/admin.connect.go
@@ -57,6 +57,12 @@
 	// AdminServiceReleaseGrantsProcedure is the fully-qualified name of the AdminService's
 	// ReleaseGrants RPC.
 	AdminServiceReleaseGrantsProcedure = "/ls.admin.v1.AdminService/ReleaseGrants"
+	// AdminServiceGetHeldInstancesProcedure is the fully-qualified name of the AdminService's
+	// GetHeldInstances RPC.
+	AdminServiceGetHeldInstancesProcedure = "/ls.admin.v1.AdminService/GetHeldInstances"
+	// AdminServiceReleaseInstanceProcedure is the fully-qualified name of the AdminService's
+	// ReleaseInstance RPC.
+	AdminServiceReleaseInstanceProcedure = "/ls.admin.v1.AdminService/ReleaseInstance"
 	// AdminServiceGetStatusProcedure is the fully-qualified name of the AdminService's GetStatus RPC.
 	AdminServiceGetStatusProcedure = "/ls.admin.v1.AdminService/GetStatus"
 )
@@ -81,6 +87,10 @@
 	GetBudgets(context.Context, *connect.Request[v1.GetBudgetsRequest]) (*connect.Response[v1.GetBudgetsResponse], error)
 	// ReleaseGrants gives the grants of a holder that will spend no more back to the budgets of an organisation.
 	ReleaseGrants(context.Context, *connect.Request[v1.ReleaseGrantsRequest]) (*connect.Response[v1.ReleaseGrantsResponse], error)
+	// GetHeldInstances lists the instances that can't be closed now, with the tokens that stay held.
+	GetHeldInstances(context.Context, *connect.Request[v1.GetHeldInstancesRequest]) (*connect.Response[v1.GetHeldInstancesResponse], error)
+	// ReleaseInstance closes a held instance without the witnesses that do not answer.
+	ReleaseInstance(context.Context, *connect.Request[v1.ReleaseInstanceRequest]) (*connect.Response[v1.ReleaseInstanceResponse], error)
 	// GetStatus reports routers, VMs, endpoints and drains as seen by this router.
 	GetStatus(context.Context, *connect.Request[v1.GetStatusRequest]) (*connect.Response[v1.GetStatusResponse], error)
 }
@@ -150,6 +160,18 @@
 			connect.WithSchema(adminServiceMethods.ByName("ReleaseGrants")),
 			connect.WithClientOptions(opts...),
 		),
+		getHeldInstances: connect.NewClient[v1.GetHeldInstancesRequest, v1.GetHeldInstancesResponse](
+			httpClient,
+			baseURL+AdminServiceGetHeldInstancesProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("GetHeldInstances")),
+			connect.WithClientOptions(opts...),
+		),
+		releaseInstance: connect.NewClient[v1.ReleaseInstanceRequest, v1.ReleaseInstanceResponse](
+			httpClient,
+			baseURL+AdminServiceReleaseInstanceProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("ReleaseInstance")),
+			connect.WithClientOptions(opts...),
+		),
 		getStatus: connect.NewClient[v1.GetStatusRequest, v1.GetStatusResponse](
 			httpClient,
 			baseURL+AdminServiceGetStatusProcedure,
@@ -161,16 +183,18 @@
 
 // adminServiceClient implements AdminServiceClient.
 type adminServiceClient struct {
-	getObject     *connect.Client[v1.GetObjectRequest, v1.GetObjectResponse]
-	listObjects   *connect.Client[v1.ListObjectsRequest, v1.ListObjectsResponse]
-	putObject     *connect.Client[v1.PutObjectRequest, v1.PutObjectResponse]
-	deleteObject  *connect.Client[v1.DeleteObjectRequest, v1.DeleteObjectResponse]
-	createBudget  *connect.Client[v1.CreateBudgetRequest, v1.CreateBudgetResponse]
-	topUpBudget   *connect.Client[v1.TopUpBudgetRequest, v1.TopUpBudgetResponse]
-	preferBudget  *connect.Client[v1.PreferBudgetRequest, v1.PreferBudgetResponse]
-	getBudgets    *connect.Client[v1.GetBudgetsRequest, v1.GetBudgetsResponse]
-	releaseGrants *connect.Client[v1.ReleaseGrantsRequest, v1.ReleaseGrantsResponse]
-	getStatus     *connect.Client[v1.GetStatusRequest, v1.GetStatusResponse]
+	getObject        *connect.Client[v1.GetObjectRequest, v1.GetObjectResponse]
+	listObjects      *connect.Client[v1.ListObjectsRequest, v1.ListObjectsResponse]
+	putObject        *connect.Client[v1.PutObjectRequest, v1.PutObjectResponse]
+	deleteObject     *connect.Client[v1.DeleteObjectRequest, v1.DeleteObjectResponse]
+	createBudget     *connect.Client[v1.CreateBudgetRequest, v1.CreateBudgetResponse]
+	topUpBudget      *connect.Client[v1.TopUpBudgetRequest, v1.TopUpBudgetResponse]
+	preferBudget     *connect.Client[v1.PreferBudgetRequest, v1.PreferBudgetResponse]
+	getBudgets       *connect.Client[v1.GetBudgetsRequest, v1.GetBudgetsResponse]
+	releaseGrants    *connect.Client[v1.ReleaseGrantsRequest, v1.ReleaseGrantsResponse]
+	getHeldInstances *connect.Client[v1.GetHeldInstancesRequest, v1.GetHeldInstancesResponse]
+	releaseInstance  *connect.Client[v1.ReleaseInstanceRequest, v1.ReleaseInstanceResponse]
+	getStatus        *connect.Client[v1.GetStatusRequest, v1.GetStatusResponse]
 }
 
 // GetObject calls ls.admin.v1.AdminService.GetObject.
@@ -218,6 +242,16 @@
 	return c.releaseGrants.CallUnary(ctx, req)
 }
 
+// GetHeldInstances calls ls.admin.v1.AdminService.GetHeldInstances.
+func (c *adminServiceClient) GetHeldInstances(ctx context.Context, req *connect.Request[v1.GetHeldInstancesRequest]) (*connect.Response[v1.GetHeldInstancesResponse], error) {
+	return c.getHeldInstances.CallUnary(ctx, req)
+}
+
+// ReleaseInstance calls ls.admin.v1.AdminService.ReleaseInstance.
+func (c *adminServiceClient) ReleaseInstance(ctx context.Context, req *connect.Request[v1.ReleaseInstanceRequest]) (*connect.Response[v1.ReleaseInstanceResponse], error) {
+	return c.releaseInstance.CallUnary(ctx, req)
+}
+
 // GetStatus calls ls.admin.v1.AdminService.GetStatus.
 func (c *adminServiceClient) GetStatus(ctx context.Context, req *connect.Request[v1.GetStatusRequest]) (*connect.Response[v1.GetStatusResponse], error) {
 	return c.getStatus.CallUnary(ctx, req)
@@ -243,6 +277,10 @@
 	GetBudgets(context.Context, *connect.Request[v1.GetBudgetsRequest]) (*connect.Response[v1.GetBudgetsResponse], error)
 	// ReleaseGrants gives the grants of a holder that will spend no more back to the budgets of an organisation.
 	ReleaseGrants(context.Context, *connect.Request[v1.ReleaseGrantsRequest]) (*connect.Response[v1.ReleaseGrantsResponse], error)
+	// GetHeldInstances lists the instances that can't be closed now, with the tokens that stay held.
+	GetHeldInstances(context.Context, *connect.Request[v1.GetHeldInstancesRequest]) (*connect.Response[v1.GetHeldInstancesResponse], error)
+	// ReleaseInstance closes a held instance without the witnesses that do not answer.
+	ReleaseInstance(context.Context, *connect.Request[v1.ReleaseInstanceRequest]) (*connect.Response[v1.ReleaseInstanceResponse], error)
 	// GetStatus reports routers, VMs, endpoints and drains as seen by this router.
 	GetStatus(context.Context, *connect.Request[v1.GetStatusRequest]) (*connect.Response[v1.GetStatusResponse], error)
 }
@@ -308,6 +346,18 @@
 		connect.WithSchema(adminServiceMethods.ByName("ReleaseGrants")),
 		connect.WithHandlerOptions(opts...),
 	)
+	adminServiceGetHeldInstancesHandler := connect.NewUnaryHandler(
+		AdminServiceGetHeldInstancesProcedure,
+		svc.GetHeldInstances,
+		connect.WithSchema(adminServiceMethods.ByName("GetHeldInstances")),
+		connect.WithHandlerOptions(opts...),
+	)
+	adminServiceReleaseInstanceHandler := connect.NewUnaryHandler(
+		AdminServiceReleaseInstanceProcedure,
+		svc.ReleaseInstance,
+		connect.WithSchema(adminServiceMethods.ByName("ReleaseInstance")),
+		connect.WithHandlerOptions(opts...),
+	)
 	adminServiceGetStatusHandler := connect.NewUnaryHandler(
 		AdminServiceGetStatusProcedure,
 		svc.GetStatus,
@@ -334,6 +384,10 @@
 			adminServiceGetBudgetsHandler.ServeHTTP(w, r)
 		case AdminServiceReleaseGrantsProcedure:
 			adminServiceReleaseGrantsHandler.ServeHTTP(w, r)
+		case AdminServiceGetHeldInstancesProcedure:
+			adminServiceGetHeldInstancesHandler.ServeHTTP(w, r)
+		case AdminServiceReleaseInstanceProcedure:
+			adminServiceReleaseInstanceHandler.ServeHTTP(w, r)
 		case AdminServiceGetStatusProcedure:
 			adminServiceGetStatusHandler.ServeHTTP(w, r)
 		default:
@@ -381,6 +435,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ls.admin.v1.AdminService.ReleaseGrants is not implemented"))
 }
 
+func (UnimplementedAdminServiceHandler) GetHeldInstances(context.Context, *connect.Request[v1.GetHeldInstancesRequest]) (*connect.Response[v1.GetHeldInstancesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ls.admin.v1.AdminService.GetHeldInstances is not implemented"))
+}
+
+func (UnimplementedAdminServiceHandler) ReleaseInstance(context.Context, *connect.Request[v1.ReleaseInstanceRequest]) (*connect.Response[v1.ReleaseInstanceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ls.admin.v1.AdminService.ReleaseInstance is not implemented"))
+}
+
 func (UnimplementedAdminServiceHandler) GetStatus(context.Context, *connect.Request[v1.GetStatusRequest]) (*connect.Response[v1.GetStatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ls.admin.v1.AdminService.GetStatus is not implemented"))
 }
--- a/pkg/admin/cli/budgets.go
+++ b/pkg/admin/cli/budgets.go
@@ -140,6 +140,9 @@
 
 func budgetHeld(*flag.FlagSet) runFunc {
 	return func(ctx context.Context, c *call) (result, error) {
+		if c.operand == "" {
+			return heldInstances(ctx, c)
+		}
 		all, err := readBudgets(ctx, c, c.operand)
 		held := []heldGrant{}
 		var rows [][]string
@@ -162,7 +165,11 @@
 func releaseBudget(flags *flag.FlagSet) runFunc {
 	holder := flags.String("holder", "", "`instance` that holds the tokens, as shown by budget held")
 	id := flags.String("id", "", "`id` of the release (default: a random one)")
+	release := releaseInstance(flags)
 	return func(ctx context.Context, c *call) (result, error) {
+		if c.operand == "" {
+			return release(ctx, c)
+		}
 		organisation, name, err := splitBudget(c.operand)
 		if err != nil {
 			return result{}, err
--- a/pkg/admin/cli/cli.go
+++ b/pkg/admin/cli/cli.go
@@ -46,7 +46,9 @@
 	path string
 	// operand names the positional argument; empty if there is none.
 	operand string
-	help    string
+	// optional marks an operand that may be missing.
+	optional bool
+	help     string
 	// setup declares the flags and returns the function that runs the command.
 	setup func(*flag.FlagSet) runFunc
 }
@@ -150,7 +152,7 @@
 }
 
 func checkOperand(cmd *command, operand string, extra []string) error {
-	if cmd.operand != "" && operand == "" {
+	if cmd.operand != "" && operand == "" && !cmd.optional {
 		return usagef("%s: <%s> is missing; it comes before the flags", cmd.path, cmd.operand)
 	}
 	if len(extra) > 0 {
--- a/pkg/admin/cli/cli_test.go
+++ b/pkg/admin/cli/cli_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/shoenig/test/must"
 
 	"github.com/lavendershunt/lavendershunt/pkg/admin"
@@ -87,6 +87,8 @@
 	ledger *fakeLedger
 	fleet  *fleet
 	config *config.Store
+	holds  *fakeHolds
+	logs   *memory.Handler
 	url    string
 }
 
@@ -97,15 +99,16 @@
 		store:  memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1, Seed: 1}),
 		ledger: &fakeLedger{budgets: map[budget.ID]*budget.Status{}, done: map[string]bool{}},
 		fleet:  &fleet{members: []member.Member{{Instance: "entry-a1@1-aa", VM: "entry-a1", State: member.Alive}}},
-		config: config.NewStore(),
+		config: config.NewStore(), holds: &fakeHolds{}, logs: memory.New(),
 	}
-	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	logger := &log.Logger{Handler: b.logs, Level: log.InfoLevel}
 	server := admin.NewServer(admin.Deps{
 		Platform: b.store.Client("entry-a1"), Config: b.config, Ledger: b.ledger, Members: b.fleet,
 		VMs: func() admin.VMList {
 			vms, _ := b.store.Client("entry-a1").VMs(context.Background())
 			return admin.VMList{VMs: vms, Read: time.Now()}
 		},
+		Holds: b.holds, Witnessing: b.holds.witnessing,
 		OperatorKeys: []string{admin.HashKey(operatorKey)}, Now: time.Now, Log: logger,
 	})
 	mux := http.NewServeMux()
--- a/pkg/admin/cli/commands.go
+++ b/pkg/admin/cli/commands.go
@@ -27,8 +27,8 @@
 	{path: "budget list", operand: "organisation", help: "show the budgets of an organisation", setup: budgetStatus},
 	{path: "budget status", operand: "organisation/budget", help: "show topped up, settled, granted and unallocated tokens", setup: budgetStatus},
 	{path: "budget prefer", operand: "organisation/budget", help: "change which error the budget avoids near its end", setup: preferBudget},
-	{path: "budget held", operand: "organisation[/budget]", help: "show tokens granted to routers that failed or are not known", setup: budgetHeld},
-	{path: "budget release", operand: "organisation/budget", help: "give the tokens of a router whose VM is gone back to the budget", setup: releaseBudget},
+	{path: "budget held", operand: "organisation[/budget]", optional: true, help: "show the instances that can't be closed, or with an operand the grants of routers that failed", setup: budgetHeld},
+	{path: "budget release", operand: "organisation/budget", optional: true, help: "close a held -instance without its unreachable witnesses, or give a -holder's grant of one budget back", setup: releaseBudget},
 
 	{path: "vm leave", operand: "vm", help: "mark a VM as leaving", setup: leaveVM},
 	{path: "vm stay", operand: "vm", help: "take the mark back", setup: stayVM},
--- a/pkg/admin/cli/output.go
+++ b/pkg/admin/cli/output.go
@@ -52,6 +52,9 @@
 	if c.operand == "" {
 		return c.path
 	}
+	if c.optional {
+		return c.path + " [" + c.operand + "]"
+	}
 	return c.path + " <" + c.operand + ">"
 }
 
--- a/pkg/admin/cli/vms.go
+++ b/pkg/admin/cli/vms.go
@@ -68,13 +68,24 @@
 
 // status is the output of status.
 type status struct {
-	Instance       string   `json:"instance"`
-	ConfigLoaded   bool     `json:"config_loaded"`
-	ConfigRevision uint64   `json:"config_revision"`
-	VMListAgeMS    int64    `json:"vm_list_age_ms"`
-	Routers        []router `json:"routers"`
-	VMs            []vm     `json:"vms"`
-	Drains         []drain  `json:"drains"`
+	Instance          string    `json:"instance"`
+	ConfigLoaded      bool      `json:"config_loaded"`
+	ConfigRevision    uint64    `json:"config_revision"`
+	VMListAgeMS       int64     `json:"vm_list_age_ms"`
+	Routers           []router  `json:"routers"`
+	VMs               []vm      `json:"vms"`
+	Drains            []drain   `json:"drains"`
+	Witnesses         []witness `json:"witnesses"`
+	WitnessesChanging bool      `json:"witnesses_changing,omitempty"`
+}
+
+// witness is a router that keeps a copy of the journal of the answering router.
+type witness struct {
+	Instance string `json:"instance"`
+	Region   string `json:"region"`
+	Zone     string `json:"zone"`
+	Address  string `json:"address"`
+	Failing  bool   `json:"failing"`
 }
 
 type router struct {
@@ -113,7 +124,11 @@
 	}
 	m := response.Msg
 	s := status{Instance: m.GetInstance(), ConfigLoaded: m.GetConfigLoaded(), ConfigRevision: m.GetConfigRevision(),
-		VMListAgeMS: m.GetVmListAgeMs(), Routers: []router{}, VMs: []vm{}, Drains: []drain{}}
+		VMListAgeMS: m.GetVmListAgeMs(), Routers: []router{}, VMs: []vm{}, Drains: []drain{},
+		Witnesses: []witness{}, WitnessesChanging: m.GetWitnessesChanging()}
+	for _, w := range m.GetWitnesses() {
+		s.Witnesses = append(s.Witnesses, witness{w.GetInstance(), w.GetRegion(), w.GetZone(), w.GetAddress(), w.GetFailing()})
+	}
 	for _, r := range m.GetRouters() {
 		s.Routers = append(s.Routers, router{r.GetInstance(), r.GetVm(), r.GetRegion(), r.GetZone(), r.GetState(), r.GetCallerAddress()})
 	}
@@ -161,6 +176,7 @@
 		rows = append(rows, []string{r.Instance, r.State, r.Region, r.Zone, r.CallerAddress})
 	}
 	b.WriteString("\n" + table([]string{"ROUTER", "STATE", "REGION", "AVAILABILITY ZONE", "CALLER ADDRESS"}, rows))
+	b.WriteString("\n" + s.witnessText())
 	rows = nil
 	for _, v := range s.VMs {
 		state := v.State
@@ -174,6 +190,25 @@
 	return b.String()
 }
 
+func (s status) witnessText() string {
+	if len(s.Witnesses) == 0 {
+		return "this router has no witness: bills are durable once the platform has them\n"
+	}
+	var rows [][]string
+	for _, w := range s.Witnesses {
+		state := "answers"
+		if w.Failing {
+			state = "failing"
+		}
+		rows = append(rows, []string{w.Instance, state, w.Region, w.Zone, w.Address})
+	}
+	text := table([]string{"WITNESS OF THIS ROUTER", "STATE", "REGION", "AVAILABILITY ZONE", "PEER ADDRESS"}, rows)
+	if s.WitnessesChanging {
+		text += "a change of the witnesses is in progress\n"
+	}
+	return text
+}
+
 func drainText(drains []drain) string {
 	if len(drains) == 0 {
 		return "no VM is leaving"
--- /dev/null
+++ b/pkg/admin/held.go
@@ -0,0 +1,124 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"connectrpc.com/connect"
+	"github.com/apex/log"
+
+	adminv1 "github.com/lavendershunt/lavendershunt/api/ls/admin/v1"
+	"github.com/lavendershunt/lavendershunt/pkg/instance"
+	"github.com/lavendershunt/lavendershunt/pkg/ledger"
+	"github.com/lavendershunt/lavendershunt/pkg/member"
+)
+
+// Holds lists and closes instances whose tokens stay held.
+type Holds interface {
+	// Held returns the instances that are being closed.
+	Held(ctx context.Context) ([]HeldInstance, error)
+	// Release closes an instance without the witnesses that do not answer. It returns an *instance.HeldError if the
+	// ledger refuses.
+	Release(ctx context.Context, instance string) error
+}
+
+// HeldInstance is an instance that is being closed, with its grants.
+type HeldInstance struct {
+	instance.Record
+	Grants []ledger.HolderGrant
+}
+
+var errNoHolds = connect.NewError(connect.CodeUnavailable, errors.New("this router can't read the instance records"))
+
+// GetHeldInstances implements AdminService.
+func (s *Server) GetHeldInstances(ctx context.Context, _ *connect.Request[adminv1.GetHeldInstancesRequest]) (*connect.Response[adminv1.GetHeldInstancesResponse], error) {
+	held, err := s.held(ctx)
+	if err != nil {
+		return nil, err
+	}
+	response := &adminv1.GetHeldInstancesResponse{}
+	for _, h := range held {
+		response.Instances = append(response.Instances, s.heldOf(h))
+	}
+	return connect.NewResponse(response), nil
+}
+
+// ReleaseInstance implements AdminService. It refuses instances that are not being closed and those that may still
+// spend, because their tokens would be spent twice.
+func (s *Server) ReleaseInstance(ctx context.Context, req *connect.Request[adminv1.ReleaseInstanceRequest]) (*connect.Response[adminv1.ReleaseInstanceResponse], error) {
+	id := req.Msg.GetInstance()
+	if !req.Msg.GetAcceptLoss() {
+		return nil, invalidArgument("accept_loss: must be set, because bills that only an unreachable witness had are lost")
+	}
+	held, err := s.held(ctx)
+	if err != nil {
+		return nil, err
+	}
+	i := slices.IndexFunc(held, func(h HeldInstance) bool { return h.Instance == id })
+	if i < 0 {
+		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("instance %s is not being closed", id))
+	}
+	h := held[i]
+	if reason, certain := s.mayRun(h.Record); reason != "" && (certain || !req.Msg.GetStopped()) {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, fmt.Errorf("instance %s is not released: %s", id, reason))
+	}
+	entry := s.deps.Log.WithFields(log.Fields{
+		"action": "release_instance", "instance": id, "vm": h.VM, "zone": h.Zone, "reason": h.Held, "tokens": tokensOf(h),
+		"stopped_by_operator": req.Msg.GetStopped(),
+	})
+	if err := s.deps.Holds.Release(ctx, id); err != nil {
+		entry.WithError(err).Warn("instance not released")
+		var refused *instance.HeldError
+		if errors.As(err, &refused) {
+			return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+		}
+		return nil, toError(err)
+	}
+	entry.Warn("instance closed by an operator; bills that only an unreachable witness had are lost")
+	return connect.NewResponse(&adminv1.ReleaseInstanceResponse{Instance: s.heldOf(h)}), nil
+}
+
+func (s *Server) held(ctx context.Context) ([]HeldInstance, error) {
+	if s.deps.Holds == nil {
+		return nil, errNoHolds
+	}
+	held, err := s.deps.Holds.Held(ctx)
+	if err != nil {
+		return nil, toError(err)
+	}
+	return held, nil
+}
+
+// mayRun returns why the VM may still run the instance, or an empty reason. It is certain that a router runs which
+// takes part in the membership; an operator can't contradict that.
+func (s *Server) mayRun(r instance.Record) (reason string, certain bool) {
+	for _, m := range s.deps.Members.Members() {
+		if m.Instance == r.Router && (m.State == member.Alive || m.State == member.Leaving) {
+			return "the router is " + string(m.State), true
+		}
+		if m.State == member.Alive && member.Supersedes(m.Instance, r.Router) {
+			return "", false
+		}
+	}
+	e := s.evidence(r.Instance)
+	return e.reason, false
+}
+
+func (s *Server) heldOf(h HeldInstance) *adminv1.HeldInstance {
+	out := &adminv1.HeldInstance{Instance: h.Instance, Vm: h.VM, Zone: h.Zone, Reason: h.Held}
+	out.MayRun, _ = s.mayRun(h.Record)
+	for _, g := range h.Grants {
+		out.Tokens = append(out.Tokens, &adminv1.HeldTokens{Organisation: g.Budget.Organisation, Budget: g.Budget.Budget, Tokens: g.Tokens})
+	}
+	return out
+}
+
+func tokensOf(h HeldInstance) int64 {
+	var sum int64
+	for _, g := range h.Grants {
+		sum += g.Tokens
+	}
+	return sum
+}
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -15,6 +15,7 @@
 	"github.com/lavendershunt/lavendershunt/api/ls/admin/v1/adminv1connect"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
+	"github.com/lavendershunt/lavendershunt/pkg/journal"
 	"github.com/lavendershunt/lavendershunt/pkg/member"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/withdraw"
@@ -30,7 +31,7 @@
 	Read time.Time
 }
 
-// Deps are what a Server works with. All fields but Drains are required.
+// Deps are what a Server works with. Fields are required unless their comment says otherwise.
 type Deps struct {
 	Platform platform.Store
 	Config   *config.Store
@@ -42,6 +43,10 @@
 	VMs func() VMList
 	// Drains returns the withdrawals that this router itself performs, if any.
 	Drains func() []withdraw.Progress
+	// Holds lists and closes instances whose tokens stay held; nil if this router can't.
+	Holds Holds
+	// Witnessing returns the state of this router's journal; nil if it is not known.
+	Witnessing func() (journal.Witnessing, bool)
 	// OperatorKeys are SHA-256 hashes of operator keys from the settings.
 	OperatorKeys []string
 	Now          func() time.Time
--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"connectrpc.com/connect"
 
@@ -40,9 +41,27 @@
 	for _, p := range s.drains(list.VMs) {
 		response.Drains = append(response.Drains, drainOf(p))
 	}
+	s.addWitnesses(response)
 	return connect.NewResponse(response), nil
 }
 
+func (s *Server) addWitnesses(response *adminv1.GetStatusResponse) {
+	if s.deps.Witnessing == nil {
+		return
+	}
+	w, ok := s.deps.Witnessing()
+	if !ok || w.Closed {
+		return
+	}
+	response.WitnessesChanging = w.Changing
+	for _, ref := range w.Witnesses {
+		response.Witnesses = append(response.Witnesses, &adminv1.Witness{
+			Instance: ref.Router, Region: ref.Region, Zone: ref.Zone, Address: ref.Address,
+			Failing: slices.Contains(w.Failing, ref),
+		})
+	}
+}
+
 // drains returns the withdrawals known here: this router's own ones and the leaving VMs of the list and the marks.
 func (s *Server) drains(vms []platform.VM) []withdraw.Progress {
 	var all []withdraw.Progress
@@ -91,9 +110,10 @@
 }
 
 // evidence decides whether the grant of an instance may be released. The VM must be gone from the platform's list,
-// because a router that is cut off or frozen may still spend.
-func (s *Server) evidence(instance string) holderEvidence {
+// because a router that is cut off or frozen may still spend. Holders are named after their router.
+func (s *Server) evidence(holder string) holderEvidence {
 	state := "unknown"
+	instance := member.RouterOf(holder)
 	for _, m := range s.deps.Members.Members() {
 		if m.Instance == instance {
 			state = string(m.State)
--- a/pkg/instance/closer.go
+++ b/pkg/instance/closer.go
@@ -33,34 +33,6 @@
 	Apply(ctx context.Context, shard int, ops []budget.Op) ([]budget.Result, error)
 }
 
-// HeldError means that an instance can't be closed now, so that its tokens stay held.
-type HeldError struct {
-	Instance string
-	Reason   string
-	Cause    Cause
-}
-
-// Cause is the kind of reason for which an instance can't be closed.
-type Cause string
-
-// Causes. If there are several, the first of this list counts.
-const (
-	WitnessUnreachable Cause = "witness_unreachable"
-	WitnessRestarted   Cause = "witness_restarted"
-	LedgerRefuses      Cause = "ledger_refuses"
-)
-
-// obstacle is what keeps an instance from being closed; its text is empty if nothing does.
-type obstacle struct {
-	cause Cause
-	text  string
-}
-
-// Error implements error.
-func (e *HeldError) Error() string {
-	return fmt.Sprintf("instance %s stays held: %s", e.Instance, e.Reason)
-}
-
 // Closer closes instances. Several closers may close the same instance at the same time, and any of them may
 // resume what another has begun: every step can be repeated.
 type Closer struct {
@@ -281,28 +253,3 @@
 	}
 	return fmt.Errorf("instance %s: delete record: %w", instance, last)
 }
-
-// Held returns the instances that are being closed, with the reason why their tokens stay held.
-func Held(ctx context.Context, store platform.Store) ([]Record, error) {
-	records, err := list(ctx, store, Prefix)
-	if err != nil {
-		return nil, err
-	}
-	return slices.DeleteFunc(records, func(r Record) bool { return r.State != Closing }), nil
-}
-
-func list(ctx context.Context, store platform.Store, prefix string) ([]Record, error) {
-	objects, _, err := store.List(ctx, prefix)
-	if err != nil {
-		return nil, fmt.Errorf("instance: list records: %w", err)
-	}
-	records := make([]Record, 0, len(objects))
-	for _, o := range objects {
-		r, err := decode(o.Value)
-		if err != nil {
-			return nil, err
-		}
-		records = append(records, r)
-	}
-	return records, nil
-}
--- a/pkg/ledger/shard.go
+++ b/pkg/ledger/shard.go
@@ -111,6 +111,26 @@
 	return statuses
 }
 
+// GrantsOf returns the tokens granted to a holder, sorted by budget.
+func (s *Shard) GrantsOf(holder string) []HolderGrant {
+	var grants []HolderGrant
+	for _, org := range s.organisations {
+		for _, a := range org.accounts {
+			if g := a.find(holder); g != nil {
+				grants = append(grants, HolderGrant{Budget: a.id, Tokens: g.tokens})
+			}
+		}
+	}
+	slices.SortFunc(grants, func(a, b HolderGrant) int { return cmp.Compare(a.Budget.String(), b.Budget.String()) })
+	return grants
+}
+
+// HolderGrant is a holder's grant of one budget.
+type HolderGrant struct {
+	Budget budget.ID
+	Tokens budget.Tokens
+}
+
 func (s *Shard) account(id budget.ID) *account {
 	if org := s.organisations[id.Organisation]; org != nil {
 		return org.accounts[id.Budget]
--- a/pkg/ledgerwriter/writer.go
+++ b/pkg/ledgerwriter/writer.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/ledger"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
@@ -147,6 +148,24 @@
 	return s.state.Read(organisation), nil
 }
 
+// GrantsOf returns the tokens that a shard records for each of the holders.
+func (w *Writer) GrantsOf(ctx context.Context, shard int, holders []string) (map[string][]ledger.HolderGrant, error) {
+	if err := w.limiter.take(ctx, classRest); err != nil {
+		return nil, fmt.Errorf("ledgerwriter: read shard %d: %w", shard, err)
+	}
+	s, err := w.load(ctx, shard)
+	if err != nil {
+		return nil, err
+	}
+	grants := map[string][]ledger.HolderGrant{}
+	for _, holder := range holders {
+		if g := s.state.GrantsOf(holder); len(g) > 0 {
+			grants[holder] = g
+		}
+	}
+	return grants, nil
+}
+
 // answered records that the platform answered.
 func (w *Writer) answered() {
 	if w.health.up() {
--- a/pkg/member/instance.go
+++ b/pkg/member/instance.go
@@ -36,6 +36,19 @@
 	return vm
 }
 
+// RouterOf returns the router instance of a holder of grants, whose id is a router instance, a dot and a number. An
+// id without that number is returned as it is.
+func RouterOf(holder string) string {
+	at, dot := strings.LastIndexByte(holder, '@'), strings.LastIndexByte(holder, '.')
+	if at < 0 || dot < at {
+		return holder
+	}
+	return holder[:dot]
+}
+
+// Supersedes reports whether instance a of a VM was started after instance b of the same VM.
+func Supersedes(a, b string) bool { return VMOf(a) == VMOf(b) && supersedes(a, b) }
+
 // startOf returns the start time in an instance id in Unix ms.
 func startOf(instance string) (int64, bool) {
 	_, rest, found := strings.Cut(instance, "@")
--- a/pkg/router/books.go
+++ b/pkg/router/books.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync/atomic"
@@ -42,6 +43,8 @@
 	scopes   []instance.Scope
 	manager  atomic.Pointer[instance.Manager]
 	closer   atomic.Pointer[instance.Closer]
+	// shards is the number of ledger shards; 0 while it is not known.
+	shards atomic.Int64
 }
 
 func newBooks(store platform.Store, members member.View, peers *http.Client, witnesses []string) *books {
@@ -80,6 +83,7 @@
 			sleep(ctx, retryInterval)
 			continue
 		}
+		b.shards.Store(int64(shards))
 		b.ledger.client.Store(ledgerwriter.NewClient(b.writer, b.peers, b.members, shards))
 		closer := instance.NewCloser(b.store, b.journals, b.writer, shards, b.members.Self().Instance)
 		manager := instance.NewManager(b.store, b.members, b.purse, b.witness, closer, b.scopes, instance.Intervals{})
@@ -108,6 +112,9 @@
 	mux.Handle(ledgerrpc.NewHandler(b.ledger, b.claims))
 }
 
+// errNoLayout means that the platform has not answered since the start.
+var errNoLayout = errors.New("the number of ledger shards is not known yet")
+
 // lateLedger is a ledger that becomes usable once the number of its shards is known.
 type lateLedger struct {
 	client atomic.Pointer[ledgerwriter.Client]
@@ -117,7 +124,7 @@
 	if client := l.client.Load(); client != nil {
 		return client, nil
 	}
-	return nil, fmt.Errorf("the number of ledger shards is not known yet: %w", platform.ErrUnavailable)
+	return nil, fmt.Errorf("%w: %w", errNoLayout, platform.ErrUnavailable)
 }
 
 // Apply implements budget.Ledger.
--- a/pkg/router/fleet_test.go
+++ b/pkg/router/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lavendershunt/lavendershunt/internal/standin"
+	"github.com/lavendershunt/lavendershunt/pkg/admin"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
 	"github.com/lavendershunt/lavendershunt/pkg/engine"
@@ -30,8 +31,9 @@
 )
 
 const (
-	callerKey = "caller-key"
-	testModel = "demo"
+	callerKey   = "caller-key"
+	operatorKey = "operator-key"
+	testModel   = "demo"
 	// settleTime bounds every wait for the fleet; it is far above what is needed, so that a slow machine passes.
 	settleTime = 20 * time.Second
 )
@@ -150,6 +152,7 @@
 	s.Advertise = settings.Advertise{Caller: s.Listen.Caller, Peer: s.Listen.Peer}
 	s.Platform.Address = f.address
 	s.Intervals.VMList = settings.Duration(100 * time.Millisecond)
+	s.OperatorKeys = []string{admin.HashKey(operatorKey)}
 	s.Log.Level = "error"
 	f.addVM(platform.VM{Name: s.VM, Zone: s.Zone, Role: platform.RoleEntry, Address: s.Listen.Caller, PeerAddress: s.Listen.Peer})
 	r, err := New(s)
--- /dev/null
+++ b/pkg/router/held.go
@@ -0,0 +1,50 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/lavendershunt/lavendershunt/pkg/admin"
+	"github.com/lavendershunt/lavendershunt/pkg/instance"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+var _ admin.Holds = (*books)(nil)
+
+// Held implements admin.Holds. It reads every ledger shard if an instance is held.
+func (b *books) Held(ctx context.Context) ([]admin.HeldInstance, error) {
+	records, err := instance.Held(ctx, b.store)
+	if err != nil || len(records) == 0 {
+		return nil, err
+	}
+	slices.SortFunc(records, func(a, b instance.Record) int { return strings.Compare(a.Instance, b.Instance) })
+	if b.shards.Load() == 0 {
+		return nil, fmt.Errorf("held tokens: %w: %w", errNoLayout, platform.ErrUnavailable)
+	}
+	held := make([]admin.HeldInstance, len(records))
+	ids := make([]string, len(records))
+	for i, r := range records {
+		held[i].Record, ids[i] = r, r.Instance
+	}
+	for shard := range int(b.shards.Load()) {
+		grants, err := b.writer.GrantsOf(ctx, shard, ids)
+		if err != nil {
+			return nil, err
+		}
+		for i := range held {
+			held[i].Grants = append(held[i].Grants, grants[ids[i]]...)
+		}
+	}
+	return held, nil
+}
+
+// Release implements admin.Holds.
+func (b *books) Release(ctx context.Context, id string) error {
+	closer := b.closer.Load()
+	if closer == nil {
+		return fmt.Errorf("release instance %s: %w: %w", id, errNoLayout, platform.ErrUnavailable)
+	}
+	return closer.Release(ctx, id)
+}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/admit"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
 	"github.com/lavendershunt/lavendershunt/pkg/gateway"
+	"github.com/lavendershunt/lavendershunt/pkg/journal"
 	"github.com/lavendershunt/lavendershunt/pkg/logging"
 	"github.com/lavendershunt/lavendershunt/pkg/member"
 	"github.com/lavendershunt/lavendershunt/pkg/platform/httpstore"
@@ -117,7 +118,8 @@
 	})
 	r.admin = admin.NewServer(admin.Deps{
 		Platform: r.platform, Config: r.config, Publish: r.spreader.Publish, Ledger: r.books.ledger, Members: r.members,
-		VMs: r.vmList, OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
+		VMs: r.vmList, Holds: r.books, Witnessing: func() (journal.Witnessing, bool) { return r.books.purse.Witnessing(failingAfter) },
+		OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
 	})
 	return r.registerMetrics()
 }
