--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/sourcegraph/conc"
 
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
@@ -21,6 +23,9 @@
 // Guard is the task that owns a router's crash records and the reservations that it grants. Its methods are safe
 // for concurrent use, wait until Run is called, and have no effect after Run has ended.
 type Guard struct {
+	// Log takes a line for each request that ran at an endpoint when it crashed; nil means none. It is set before Run.
+	Log log.Interface
+
 	view     member.View
 	peers    Peers
 	book     *Book
@@ -112,9 +117,22 @@
 			records = append(records, r)
 		}
 	})
+	g.logCrash(vm, running)
 	g.push(context.WithoutCancel(ctx), g.others(), records)
 }
 
+func (g *Guard) logCrash(vm string, running []Fingerprint) {
+	if g.Log == nil {
+		return
+	}
+	for _, f := range running {
+		g.Log.WithFields(log.Fields{
+			"endpoint": vm, "organisation": f.Organisation, "body_hash": strconv.FormatUint(f.BodyHash, 16),
+			"stopped": g.Status(f) == Stopped,
+		}).Warn("endpoint crashed while it ran the request")
+	}
+}
+
 // Completed clears a suspect that has run to its end. The others learn it in the background.
 func (g *Guard) Completed(f Fingerprint) {
 	g.do(func(now time.Time) {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -108,6 +108,7 @@
 	})
 	r.books = newBooks(r.platform, r.members, r.peers, r.settings.Witnesses)
 	r.crashes = poison.NewGuard(r.members, poison.NewPeers(r.peers))
+	r.crashes.Log = r.log
 	relay := relay.New(relay.Relay{
 		Purse: r.books.purse, Claims: r.books.claims, Selector: r.selector, Metrics: relay.NewMetrics(r.metrics.Meter),
 		Admitter: relay.Admission(r.gate), Crashes: r.crashes,
