--- a/pkg/member/instance.go
+++ b/pkg/member/instance.go
@@ -47,6 +47,9 @@
 	return vm + "@" + process
 }
 
+// Supersedes reports whether instance a of a VM was started after instance b of the same VM.
+func Supersedes(a, b string) bool { return VMOf(a) == VMOf(b) && supersedes(a, b) }
+
 // startOf returns the start time in an instance id in Unix ms.
 func startOf(instance string) (int64, bool) {
 	_, rest, found := strings.Cut(instance, "@")
--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/sourcegraph/conc"
 
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
@@ -21,6 +23,9 @@
 // Guard is the task that owns a router's crash records and the reservations that it grants. Its methods are safe
 // for concurrent use, wait until Run is called, and have no effect after Run has ended.
 type Guard struct {
+	// Log takes a line for each request that ran at an endpoint when it crashed; nil means none. It is set before Run.
+	Log log.Interface
+
 	view     member.View
 	peers    Peers
 	book     *Book
@@ -85,6 +90,12 @@
 	return status
 }
 
+// Counts returns the number of requests that are suspects and that are stopped.
+func (g *Guard) Counts() (suspects, stopped int) {
+	g.do(func(now time.Time) { suspects, stopped = g.book.Counts(now) })
+	return suspects, stopped
+}
+
 // StopFailure returns the failure for a stopped request. ran tells whether it was sent to an endpoint on behalf
 // of the caller that gets the failure.
 func StopFailure(ran bool) *outcome.Failure {
@@ -113,12 +124,25 @@
 			records = append(records, r)
 		}
 	})
+	g.logCrash(vm, running)
 	g.push(context.WithoutCancel(ctx), g.others(), records)
 }
 
 // Served records that the VM has answered a request.
 func (g *Guard) Served(vm string) { g.vms.served(vm) }
 
+func (g *Guard) logCrash(vm string, running []Fingerprint) {
+	if g.Log == nil {
+		return
+	}
+	for _, f := range running {
+		g.Log.WithFields(log.Fields{
+			"endpoint": vm, "organisation": f.Organisation, "body_hash": strconv.FormatUint(f.BodyHash, 16),
+			"stopped": g.Status(f) == Stopped,
+		}).Warn("endpoint crashed while it ran the request")
+	}
+}
+
 // Completed clears a suspect that has run to its end. The others learn it in the background.
 func (g *Guard) Completed(f Fingerprint) {
 	g.do(func(now time.Time) {
--- a/pkg/router/books.go
+++ b/pkg/router/books.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
@@ -22,6 +24,10 @@
 // defaultShards is the number of ledger shards that a new deployment gets.
 const defaultShards = 64
 
+// failingAfter is the time without an answer after which a witness is shown as failing, the same as that after which
+// the manager replaces it.
+const failingAfter = 3 * time.Second
+
 // books are the parts of a router that keep budgets, bills and claims.
 type books struct {
 	store    platform.Store
@@ -37,6 +43,8 @@
 	scopes   []instance.Scope
 	manager  atomic.Pointer[instance.Manager]
 	closer   atomic.Pointer[instance.Closer]
+	// shards is the number of ledger shards; 0 while it is not known.
+	shards atomic.Int64
 }
 
 func newBooks(store platform.Store, members member.View, peers *http.Client, witnesses []string) *books {
@@ -75,6 +83,7 @@
 			sleep(ctx, retryInterval)
 			continue
 		}
+		b.shards.Store(int64(shards))
 		b.ledger.client.Store(ledgerwriter.NewClient(b.writer, b.peers, b.members, shards))
 		closer := instance.NewCloser(b.store, b.journals, b.writer, shards, b.members.Self().Instance)
 		manager := instance.NewManager(b.store, b.members, b.purse, b.witness, closer, b.scopes, instance.Intervals{})
@@ -103,6 +112,9 @@
 	mux.Handle(ledgerrpc.NewHandler(b.ledger, b.claims))
 }
 
+// errNoLayout means that the platform has not answered since the start.
+var errNoLayout = errors.New("the number of ledger shards is not known yet")
+
 // lateLedger is a ledger that becomes usable once the number of its shards is known.
 type lateLedger struct {
 	client atomic.Pointer[ledgerwriter.Client]
@@ -112,7 +124,7 @@
 	if client := l.client.Load(); client != nil {
 		return client, nil
 	}
-	return nil, fmt.Errorf("the number of ledger shards is not known yet: %w", platform.ErrUnavailable)
+	return nil, fmt.Errorf("%w: %w", errNoLayout, platform.ErrUnavailable)
 }
 
 // Apply implements budget.Ledger.
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/admit"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
 	"github.com/lavendershunt/lavendershunt/pkg/gateway"
+	"github.com/lavendershunt/lavendershunt/pkg/journal"
 	"github.com/lavendershunt/lavendershunt/pkg/logging"
 	"github.com/lavendershunt/lavendershunt/pkg/member"
 	"github.com/lavendershunt/lavendershunt/pkg/platform/httpstore"
@@ -111,6 +112,7 @@
 	})
 	r.books = newBooks(r.platform, r.members, r.peers, r.settings.Witnesses)
 	r.crashes = poison.NewGuard(r.members, poison.NewPeers(r.peers))
+	r.crashes.Log = r.log
 	relay := relay.New(relay.Relay{
 		Purse: r.books.purse, Claims: r.books.claims, Selector: r.selector, Metrics: relay.NewMetrics(r.metrics.Meter),
 		Admitter: relay.Admission(r.gate), Crashes: r.crashes,
@@ -129,9 +131,11 @@
 	})
 	r.admin = admin.NewServer(admin.Deps{
 		Platform: r.platform, Config: r.config, Publish: r.spreader.Publish, Ledger: r.books.ledger, Members: r.members,
-		VMs: r.vmList, Drains: r.drains, ConfigAge: r.spreader.Age, OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
+		VMs: r.vmList, Drains: r.drains, ConfigAge: r.spreader.Age,
+		Holds: r.books, Witnessing: func() (journal.Witnessing, bool) { return r.books.purse.Witnessing(failingAfter) },
+		OperatorKeys: r.settings.OperatorKeys, Now: time.Now, Log: r.log,
 	})
-	return nil
+	return r.registerMetrics()
 }
 
 // newRequestID returns an id that is unique across the fleet, because instance ids are.
