Stop the process on a broken invariant; bound ledger calls; refuse claims sooner

conc holds a task's panic back until all tasks have ended, so a broken invariant would have left a router running without its purse. Tasks are supervised now. The ledger writers of the fleet share 300 platform calls a second, at least 20 each.

--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/lavendershunt/lavendershunt/internal/counter"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
 // State is what the owner of a claim knows about it.
@@ -43,6 +45,9 @@
 	lastRetry  = 5 * time.Second
 	// maxStore is how long the storing of a claim is retried before the call is refused.
 	maxStore = 2 * time.Second
+	// maxAway is how long it is retried while the platform is unavailable. Callers of non-idempotent calls wait with
+	// someone on the line; with 2 s, many gave up before they were told that nothing ran.
+	maxAway = 400 * time.Millisecond
 	// maxWait is how long a second attempt waits for the result of the first one.
 	maxWait = 2 * time.Second
 	// askInterval is the time between two questions to the owner.
@@ -179,8 +184,14 @@
 func (k *Keeper) store(ctx context.Context, call budget.CallRequest, id string) (budget.Result, error) {
 	op := k.op(budget.OpClaim, call, id)
 	op.ID = id
-	return backoff.Retry(ctx, func() (budget.Result, error) { return k.apply(ctx, op) },
-		append(options(), backoff.WithMaxElapsedTime(maxStore))...)
+	started := time.Now()
+	return backoff.Retry(ctx, func() (budget.Result, error) {
+		result, err := k.apply(ctx, op)
+		if errors.Is(err, platform.ErrUnavailable) && time.Since(started) > maxAway {
+			return result, backoff.Permanent(err)
+		}
+		return result, err
+	}, append(options(), backoff.WithMaxElapsedTime(maxStore))...)
 }
 
 // handOut reports whether the stored claim may be used. The caller's time must not be over, because the caller of
--- a/pkg/router/books.go
+++ b/pkg/router/books.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/claim"
 	"github.com/lavendershunt/lavendershunt/pkg/instance"
@@ -52,7 +50,9 @@
 	for _, scope := range witnesses {
 		b.scopes = append(b.scopes, instance.Scope(scope))
 	}
-	b.writer = ledgerwriter.New(ledgerwriter.Options{Store: store})
+	b.writer = ledgerwriter.New(ledgerwriter.Options{
+		Store: store, Rate: func() float64 { return callRate(members) }, Burst: callBurst,
+	})
 	b.peers = ledgerrpc.NewPeers(peers, members)
 	b.claims = claim.New(members.Self().Instance, b.ledger, b.peers)
 	b.journals = journal.NewClient(peers)
@@ -64,19 +64,34 @@
 	return b
 }
 
-// run works until ctx ends.
-func (b *books) run(ctx context.Context) {
-	var tasks conc.WaitGroup
-	tasks.Go(func() { b.purse.Run(ctx) })
-	tasks.Go(func() { b.load(ctx) })
-	tasks.Wait()
+// close ends what outlives the tasks: the retries of claims and the writer's shards.
+func (b *books) close() {
 	b.claims.Close()
 	b.writer.Close()
 }
 
-// load reads the number of shards, with retries until ctx ends, and starts what needs it. A router can so start
+const (
+	// fleetCallsPerSecond is the part of the platform's writes that all ledger writers use together.
+	fleetCallsPerSecond = 300
+	// minCallsPerSecond keeps one writer usable in a large fleet, where few writers are busy at the same time.
+	minCallsPerSecond = 20
+	callBurst         = 50
+)
+
+// callRate returns the platform calls per second that this router's ledger writer may make.
+func callRate(members member.View) float64 {
+	alive := 0
+	for _, m := range members.Members() {
+		if m.State == member.Alive {
+			alive++
+		}
+	}
+	return max(minCallsPerSecond, fleetCallsPerSecond/float64(max(1, alive)))
+}
+
+// manage reads the number of shards, with retries until ctx ends, and starts what needs it. A router can so start
 // while the platform is unavailable.
-func (b *books) load(ctx context.Context) {
+func (b *books) manage(ctx context.Context) {
 	for ctx.Err() == nil {
 		shards, err := ledgerwriter.Layout(ctx, b.store, defaultShards)
 		if err != nil {
--- a/pkg/router/feed.go
+++ b/pkg/router/feed.go
@@ -14,6 +14,9 @@
 // ErrSuperseded means that a later instance runs on this VM.
 var ErrSuperseded = errors.New("router: superseded by a later instance on this VM")
 
+// ErrInvariant means that an invariant was broken and the process must not go on.
+var ErrInvariant = errors.New("router: broken invariant")
+
 // memberTimeout bounds a message to the membership task.
 const memberTimeout = time.Second
 
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -15,6 +15,7 @@
 
 	"github.com/apex/log"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 
 	"github.com/lavendershunt/lavendershunt/pkg/admin"
 	"github.com/lavendershunt/lavendershunt/pkg/admit"
@@ -159,13 +160,14 @@
 	}
 	tasks, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTasks()
+	defer r.books.close()
 	var running conc.WaitGroup
 	defer running.Wait()
 	for _, task := range []func(context.Context){
-		r.selector.Run, selector.NewPoller(r.selector).Run, r.gate.Run, r.crashes.Run, r.books.run, r.vms.Run,
+		r.selector.Run, selector.NewPoller(r.selector).Run, r.gate.Run, r.crashes.Run, r.books.purse.Run, r.books.manage, r.vms.Run,
 		r.members.Run, r.spreader.Run, r.watchMarks, r.watchOwnVM, r.withdrawal.Run,
 	} {
-		running.Go(func() { task(tasks) })
+		running.Go(func() { r.supervise(func() { task(tasks) }) })
 	}
 	adminServer := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout}
 	peerServer := newPeerServer(r.peerHandler())
@@ -180,6 +182,15 @@
 	return err
 }
 
+// supervise runs a task. A panic stands for a broken invariant and ends the process: conc would hold it back until all
+// other tasks have ended.
+func (r *Router) supervise(task func()) {
+	if caught := panics.Try(task); caught != nil {
+		r.log.WithField("panic", caught.String()).Error("broken invariant")
+		r.failed <- fmt.Errorf("%w: %w", ErrInvariant, caught.AsError())
+	}
+}
+
 // wait returns when the router may stop: after its withdrawal, which ctx's end begins, or after a failure.
 func (r *Router) wait(ctx context.Context) error {
 	for {
