--- a/pkg/load/bench/streams.go
+++ b/pkg/load/bench/streams.go
@@ -22,7 +22,7 @@
 	// steadyTime passes between the first token of the last stream and the measurement.
 	steadyTime = 3 * time.Second
 	// openers is the number of streams that are opened at once.
-	openers = 50
+	openers = 250
 	// streamTokens is large enough for the streams to stay open.
 	streamTokens = 1000
 )
