Return witnesses to the declared scopes

A witness outside the scopes was kept for ever once it was chosen, because a kept witness took any free place. In a trial with 6 routers in 3 zones, a router that started before it knew the other one of its zone had both witnesses in one other zone, and with two other-zone witnesses a router had one in its own zone after a partition. Choose now replaces at most one such witness at a time, so that the instance always relies on the other one. A single witness is kept: its replacement would leave nothing to rely on until the record is written.

TestChooseReturnsToTheScopes fails with the former Choose (r4 in zone b in place of r2 in zone a).

--- a/pkg/instance/choose.go
+++ b/pkg/instance/choose.go
@@ -37,8 +37,9 @@
 
 // Choose returns the witnesses of an instance: the kept ones, and for each scope without one the alive router that
 // comes first for the instance by rendezvous hash. If a scope has no router, any other alive router takes its
-// place. Witnesses in zones of their own are preferred, so that fewer fail together. The result is empty if there is
-// no other router.
+// place until there is one. At most one kept witness gives way to a router that fits better, so that an instance
+// with two witnesses always relies on one of them while the other is replaced; a single one is kept. Witnesses in
+// zones of their own are preferred, so that fewer fail together. The result is empty if there is no other router.
 func Choose(view member.View, instance string, scopes []Scope, keep []journal.Ref) []journal.Ref {
 	self := view.Self()
 	alive := map[string]member.Member{}
@@ -52,50 +53,61 @@
 	ranked := rendezvous.Rank(instance, ids)
 	chosen := make([]journal.Ref, len(scopes))
 	used := map[string]bool{}
+	misplaced := place(chosen, keep, func(i int, r journal.Ref) bool {
+		return scopes[i].matches(self, member.Member{Region: r.Region, Zone: r.Zone})
+	})
 	for _, ref := range keep {
-		if i := slot(scopes, chosen, self, ref); i >= 0 {
-			chosen[i] = ref
-			used[ref.Router] = true
-		}
+		used[ref.Router] = true
+	}
+	vacant := max(0, len(scopes)-len(keep))
+	limit := vacant
+	if len(keep) > 1 && len(misplaced) > 0 {
+		limit++
 	}
-	fill(chosen, ranked, alive, used, func(i int, m member.Member) bool {
+	filled := fill(chosen, ranked, alive, used, limit, func(i int, m member.Member) bool {
 		return scopes[i].matches(self, m) && !slices.ContainsFunc(chosen, func(r journal.Ref) bool {
 			return r.Router != "" && r.Region == m.Region && r.Zone == m.Zone
 		})
 	})
-	fill(chosen, ranked, alive, used, func(i int, m member.Member) bool { return scopes[i].matches(self, m) })
-	fill(chosen, ranked, alive, used, func(int, member.Member) bool { return true })
+	filled += fill(chosen, ranked, alive, used, limit-filled, func(i int, m member.Member) bool { return scopes[i].matches(self, m) })
+	if filled > vacant {
+		misplaced = misplaced[:len(misplaced)-1]
+	}
+	place(chosen, misplaced, func(int, journal.Ref) bool { return true })
+	fill(chosen, ranked, alive, used, len(chosen), func(int, member.Member) bool { return true })
 	return slices.DeleteFunc(chosen, func(r journal.Ref) bool { return r.Router == "" })
 }
 
-// slot returns the first free place whose scope matches the witness.
-func slot(scopes []Scope, chosen []journal.Ref, self member.Member, ref journal.Ref) int {
-	free := -1
-	for i := range chosen {
-		if chosen[i].Router != "" {
-			continue
-		}
-		if scopes[i].matches(self, member.Member{Region: ref.Region, Zone: ref.Zone}) {
-			return i
-		}
-		if free < 0 {
-			free = i
+// place puts each witness into the first free place that it fits, and returns those that fit none.
+func place(chosen, refs []journal.Ref, fits func(int, journal.Ref) bool) (left []journal.Ref) {
+next:
+	for _, ref := range refs {
+		for i := range chosen {
+			if chosen[i].Router == "" && fits(i, ref) {
+				chosen[i] = ref
+				continue next
+			}
 		}
+		left = append(left, ref)
 	}
-	return free
+	return left
 }
 
-func fill(chosen []journal.Ref, ranked []string, alive map[string]member.Member, used map[string]bool, fits func(int, member.Member) bool) {
+// fill puts the first routers that fit into at most limit free places, and returns the number of places filled.
+func fill(chosen []journal.Ref, ranked []string, alive map[string]member.Member, used map[string]bool, limit int, fits func(int, member.Member) bool) int {
+	filled := 0
 	for i := range chosen {
-		if chosen[i].Router != "" {
+		if chosen[i].Router != "" || filled >= limit {
 			continue
 		}
 		for _, id := range ranked {
 			if m := alive[id]; !used[id] && fits(i, m) {
 				chosen[i] = journal.Ref{Router: id, Address: m.PeerAddress, Region: m.Region, Zone: m.Zone}
 				used[id] = true
+				filled++
 				break
 			}
 		}
 	}
+	return filled
 }
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -68,6 +68,27 @@
 	must.SliceEmpty(t, Choose(&view{self: "r1", members: v.members[:1]}, "r1.1", DefaultScopes, nil))
 }
 
+// Guards against a witness outside the declared scopes that is kept for ever because it was chosen while no router
+// of the scope was known, and against giving up both witnesses at once.
+func TestChooseReturnsToTheScopes(t *testing.T) {
+	v := fleet("r1")
+	both := []journal.Ref{ref("r3", "b"), ref("r4", "b")}
+	must.Eq(t, []journal.Ref{ref("r2", "a"), ref("r3", "b")}, Choose(v, "r1.1", DefaultScopes, both))
+	others := []Scope{OtherZone, OtherZone}
+	must.Eq(t, []journal.Ref{ref("r3", "b"), ref("r5", "c")}, Choose(v, "r1.1", others, []journal.Ref{ref("r2", "a"), ref("r3", "b")}))
+	region := Choose(v, "r1.1", []Scope{OtherRegion, OtherRegion}, both)
+	must.Eq(t, both, region)
+	misplaced := []journal.Ref{ref("r2", "a"), ref("r6", "a")}
+	first := Choose(v, "r1.1", others, misplaced)
+	must.Len(t, 2, first)
+	must.SliceContains(t, first, ref("r2", "a"))
+	second := Choose(v, "r1.1", others, first)
+	must.SliceNotContains(t, second, ref("r2", "a"))
+	must.Eq(t, second, Choose(v, "r1.1", others, second))
+	single := []journal.Ref{ref("r2", "a")}
+	must.Eq(t, single, Choose(v, "r1.1", []Scope{OtherZone}, single))
+}
+
 // copies is a fake of the witnesses of a fleet.
 type copies map[string]*journal.Copies
 
