Let the request chart decide how a request may end

The relay fires the chart's events. The chart has no way from a dispatch that may have reached an endpoint to 'not run', so such an outcome becomes 'unknown' and is logged. All relay tests pass with a logger that fails on a forbidden event.

--- a/pkg/relay/chat.go
+++ b/pkg/relay/chat.go
@@ -35,6 +35,7 @@
 // chatRun is the state of one chat completion. Its task owns it.
 type chatRun struct {
 	*Relay
+	progress
 	chat   Chat
 	events chan Event
 	// reserved is what the purse holds for the request.
@@ -61,7 +62,10 @@
 // Chat runs a chat completion. The channel ends with one Event whose End is set. Cancelling ctx means that the
 // caller has hung up: the request is cancelled at the engine and the tokens delivered so far are billed.
 func (r *Relay) Chat(ctx context.Context, chat Chat) <-chan Event {
-	run := &chatRun{Relay: r, chat: chat, events: make(chan Event, eventBuffer)}
+	run := &chatRun{
+		Relay: r, chat: chat, events: make(chan Event, eventBuffer),
+		progress: progress{machine: r.chart.Start(nil), log: r.Log, id: chat.ID},
+	}
 	go run.run(ctx)
 	return run.events
 }
@@ -85,17 +89,20 @@
 
 func (c *chatRun) execute(ctx context.Context) End {
 	if failure := c.checkCrashes(); failure != nil {
-		return End{Failure: failure}
+		return End{Failure: c.fail(failure)}
 	}
 	upper := int64(PromptBound(c.chat.ContentBytes, c.chat.Messages, c.Selector.BytesPerToken(c.chat.Model)) + c.chat.MaxTokens)
+	c.fire(eventAdmit)
 	failure := c.enter(ctx, upper)
 	if failure != nil {
-		return End{Failure: failure}
+		return End{Failure: c.fail(failure)}
 	}
 	defer func() { c.place.leave(c.admitUsage()) }()
+	c.fire(eventReserve)
 	if failure = c.reserve(ctx, upper); failure != nil {
-		return End{Failure: failure}
+		return End{Failure: c.fail(failure)}
 	}
+	c.fire(eventReserved)
 	failure = c.attempts(ctx)
 	return c.conclude(ctx, failure)
 }
@@ -195,7 +202,9 @@
 		c.dispatched = start
 	}
 	before := c.delivered
+	c.progress.send()
 	err := c.exchange(ctx, target, start)
+	c.exchanged(err)
 	c.Selector.Done(target, c.report(ctx, err, before, start))
 	switch {
 	case err == nil:
@@ -210,6 +219,18 @@
 	return c.failedAttempt(ctx, target, start, err)
 }
 
+// exchanged moves the chart on after an exchange.
+func (c *chatRun) exchanged(err error) {
+	switch {
+	case err == nil:
+		c.fire(eventAnswered)
+	case c.sent:
+		c.fire(eventEndpointLost)
+	default:
+		c.fire(eventNotSent)
+	}
+}
+
 func (c *chatRun) report(ctx context.Context, err error, before int, start time.Time) Report {
 	cancelled := err != nil && (ctx.Err() != nil || errors.Is(err, errMoved))
 	return Report{
@@ -396,14 +417,18 @@
 	hungUp := errors.Is(ctx.Err(), context.Canceled) && c.delivered > 0
 	if failure != nil && !hungUp {
 		c.Purse.Cancel(c.reserved)
-		return End{Failure: failure, Usage: c.usage}
+		return End{Failure: c.fail(failure), Usage: c.usage}
+	}
+	if failure != nil {
+		c.fire(eventCallerLeft)
 	}
 	used := c.used()
 	settleCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
 	defer cancel()
 	if err := c.Purse.Settle(settleCtx, c.reserved, used); err != nil {
-		return End{Failure: outcome.Unknownf(outcome.ReasonNotBilled, retryAdvice, "%v", err), Usage: c.usage}
+		return End{Failure: c.fail(outcome.Unknownf(outcome.ReasonNotBilled, retryAdvice, "%v", err)), Usage: c.usage}
 	}
+	c.fire(eventSettled)
 	return End{Failure: failure, Usage: c.usage, FinishReason: c.finish}
 }
 
--- a/pkg/relay/chat_test.go
+++ b/pkg/relay/chat_test.go
@@ -19,7 +19,7 @@
 func TestChatResumesAfterEngineDies(t *testing.T) {
 	first, second := startEngine(t, breaksAfter(4)), startEngine(t, whole(10))
 	purse := &fakePurse{}
-	r := New(Relay{Purse: purse, Selector: listSelector{[]string{first.address, second.address}}})
+	r := newRelay(t, Relay{Purse: purse, Selector: listSelector{[]string{first.address, second.address}}})
 	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
 	must.Nil(t, end.Failure)
 	must.Eq(t, tenTokens, indexes)
@@ -42,7 +42,7 @@
 		return true
 	}
 	engine := startEngine(t, crossed)
-	r := New(Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{engine.address}}})
+	r := newRelay(t, Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{engine.address}}})
 	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
 	must.Nil(t, end.Failure)
 	must.Eq(t, tenTokens, indexes)
@@ -58,7 +58,7 @@
 		return true
 	}
 	broken, good := startEngine(t, gap), startEngine(t, whole(10))
-	r := New(Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{broken.address, good.address}}})
+	r := newRelay(t, Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{broken.address, good.address}}})
 	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
 	must.Nil(t, end.Failure)
 	must.Eq(t, tenTokens, indexes)
@@ -68,7 +68,7 @@
 func TestChatIsNotSentWithoutReservation(t *testing.T) {
 	engine := startEngine(t, whole(10))
 	refusal := outcome.NotRunf(outcome.ReasonBudgetExhausted, 0, "no tokens left")
-	r := New(Relay{Purse: &fakePurse{reserveErr: refusal}, Selector: listSelector{[]string{engine.address}}})
+	r := newRelay(t, Relay{Purse: &fakePurse{reserveErr: refusal}, Selector: listSelector{[]string{engine.address}}})
 	_, end := collect(r.Chat(t.Context(), testChat("r1")))
 	must.Eq(t, refusal, end.Failure)
 	must.Len(t, 0, engine.requests())
@@ -77,7 +77,7 @@
 // Guards against telling a caller that an answer is done while its bill may be lost.
 func TestChatIsNotDoneWithoutBill(t *testing.T) {
 	engine := startEngine(t, whole(10))
-	r := New(Relay{Purse: &fakePurse{settleErr: errTest}, Selector: listSelector{[]string{engine.address}}})
+	r := newRelay(t, Relay{Purse: &fakePurse{settleErr: errTest}, Selector: listSelector{[]string{engine.address}}})
 	_, end := collect(r.Chat(t.Context(), testChat("r1")))
 	must.Eq(t, outcome.Unknown, end.Failure.Outcome)
 	must.Eq(t, outcome.ReasonNotBilled, end.Failure.Reason)
@@ -97,7 +97,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			purse := &fakePurse{}
-			r := New(Relay{Purse: purse, Selector: listSelector{tc.addresses}})
+			r := newRelay(t, Relay{Purse: purse, Selector: listSelector{tc.addresses}})
 			_, end := collect(r.Chat(t.Context(), testChat("r1")))
 			must.Eq(t, tc.want, end.Failure.Outcome)
 			must.Eq(t, 1, purse.cancelled)
@@ -116,7 +116,7 @@
 		return false
 	})
 	good := startEngine(t, whole(10))
-	r := New(Relay{
+	r := newRelay(t, Relay{
 		Purse: &fakePurse{}, Selector: listSelector{[]string{silent.address, good.address}},
 		IdleTimeout: 50 * time.Millisecond,
 	})
@@ -136,7 +136,7 @@
 		return false
 	})
 	purse := &fakePurse{}
-	r := New(Relay{Purse: purse, Selector: listSelector{[]string{engine.address}}, IdleTimeout: 100 * time.Millisecond})
+	r := newRelay(t, Relay{Purse: purse, Selector: listSelector{[]string{engine.address}}, IdleTimeout: 100 * time.Millisecond})
 	ctx, hangUp := context.WithCancel(t.Context())
 	events := r.Chat(ctx, testChat("r1"))
 	<-events
@@ -153,7 +153,7 @@
 	release := make(chan struct{})
 	defer close(release)
 	engine := startEngine(t, func(io.Writer, engineFields) bool { <-release; return false })
-	r := New(Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{engine.address}}, FirstByteTimeout: 200 * time.Millisecond})
+	r := newRelay(t, Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{engine.address}}, FirstByteTimeout: 200 * time.Millisecond})
 	chat := testChat("r1")
 	chat.Class = config.Class{Name: "reply", Target: config.TargetDeadline, DeadlineMS: 100}
 	_, end := collect(r.Chat(t.Context(), chat))
@@ -175,7 +175,7 @@
 	leaving.cancelled = func() { close(cancelled) }
 	staying := startEngine(t, whole(10))
 	reports := make(chan Report, 2)
-	r := New(Relay{
+	r := newRelay(t, Relay{
 		Purse: &fakePurse{}, Selector: evacuating{listSelector{[]string{leaving.address, staying.address}}, evacuate, reports},
 	})
 	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
@@ -192,7 +192,7 @@
 		return true
 	})
 	good := startEngine(t, whole(10))
-	r := New(Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{cancelling.address, good.address}}})
+	r := newRelay(t, Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{cancelling.address, good.address}}})
 	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
 	must.Nil(t, end.Failure)
 	must.Eq(t, tenTokens, indexes)
@@ -202,7 +202,7 @@
 func TestChatRejectedAfterFirstAttempt(t *testing.T) {
 	broken := startEngine(t, breaksAfter(2))
 	rejecting := startEngine(t, nil)
-	r := New(Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{broken.address, rejecting.address}}})
+	r := newRelay(t, Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{broken.address, rejecting.address}}})
 	_, end := collect(r.Chat(t.Context(), testChat("r1")))
 	must.Eq(t, outcome.Unknown, end.Failure.Outcome)
 }
@@ -211,7 +211,7 @@
 func TestChatWaitsForFullEngine(t *testing.T) {
 	engine := startEngine(t, full, full, whole(10))
 	admitter := &strictAdmission{}
-	r := New(Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{engine.address}}, Admitter: admitter})
+	r := newRelay(t, Relay{Purse: &fakePurse{}, Selector: listSelector{[]string{engine.address}}, Admitter: admitter})
 	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
 	must.Nil(t, end.Failure)
 	must.Eq(t, tenTokens, indexes)
@@ -222,7 +222,7 @@
 // Guards against cutting the streams of a dead engine because the retry budget is used up: all of them fail at once.
 func TestChatResumesWithoutRetryBudget(t *testing.T) {
 	first, second := startEngine(t, breaksAfter(4)), startEngine(t, whole(10))
-	r := New(Relay{
+	r := newRelay(t, Relay{
 		Purse: &fakePurse{}, Selector: listSelector{[]string{first.address, second.address}}, Admitter: &strictAdmission{},
 	})
 	indexes, end := collect(r.Chat(t.Context(), testChat("r1")))
--- a/pkg/relay/fakes_test.go
+++ b/pkg/relay/fakes_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/shoenig/test/must"
 
 	"github.com/lavendershunt/lavendershunt/pkg/admit"
@@ -78,9 +79,9 @@
 	return n, err
 }
 
-type discard struct{}
+type quiet struct{}
 
-func (discard) Printf(string, ...any) {}
+func (quiet) Printf(string, ...any) {}
 
 func (e *fakeEngine) requests() []engineFields {
 	e.mu.Lock()
@@ -283,3 +284,12 @@
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
 }
+
+// newRelay returns a relay whose errors fail the test, among them events that the request chart does not allow.
+func newRelay(t *testing.T, parts Relay) *Relay {
+	parts.Log = &log.Logger{Level: log.ErrorLevel, Handler: log.HandlerFunc(func(e *log.Entry) error {
+		t.Errorf("relay logged: %s %v", e.Message, e.Fields)
+		return nil
+	})}
+	return New(parts)
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -6,8 +6,12 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
 	"github.com/lavendershunt/lavendershunt/pkg/admit"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
+	"github.com/lavendershunt/lavendershunt/pkg/chart"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/poison"
@@ -177,7 +181,11 @@
 	// IdleTimeout is the longest silence within an engine's answer.
 	IdleTimeout time.Duration
 
+	// Log takes errors of the relay itself; nil discards them.
+	Log log.Interface
+
 	client *client
+	chart  chart.Chart
 }
 
 // New returns a relay. All fields of parts but Purse, Claims and Selector may be nil.
@@ -198,10 +206,23 @@
 	if r.Metrics == nil {
 		r.Metrics = NewMetrics(nil)
 	}
+	if r.Log == nil {
+		r.Log = &log.Logger{Handler: discard.New()}
+	}
+	r.chart = requestChart()
 	r.client = newClient(r.FirstByteTimeout, r.IdleTimeout)
 	return &r
 }
 
+// requestChart loads the embedded chart, which a test checks.
+func requestChart() chart.Chart {
+	c, err := chart.Load(chart.Request)
+	if err != nil {
+		panic("relay: " + err.Error())
+	}
+	return c
+}
+
 // Defaults of the timeouts.
 const (
 	DefaultFirstByteTimeout = 30 * time.Second
--- a/pkg/relay/service_test.go
+++ b/pkg/relay/service_test.go
@@ -29,7 +29,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	s.address = listener.Addr().String()
-	server := &fasthttp.Server{Logger: discard{}, Handler: func(ctx *fasthttp.RequestCtx) {
+	server := &fasthttp.Server{Logger: quiet{}, Handler: func(ctx *fasthttp.RequestCtx) {
 		if s.refuses {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			return
@@ -60,7 +60,7 @@
 func TestCallRunsOnceAfterLostAnswer(t *testing.T) {
 	lossy, spare := startService(t, &fakeService{loses: true}), startService(t, &fakeService{})
 	claims := newFakeClaims()
-	r := New(Relay{Claims: claims, Selector: listSelector{[]string{lossy.address, spare.address}}})
+	r := newRelay(t, Relay{Claims: claims, Selector: listSelector{[]string{lossy.address, spare.address}}})
 	for _, id := range []string{"r1", "r2"} {
 		_, failure := r.Call(t.Context(), testCall(id, "ride-7", true))
 		must.Eq(t, outcome.Unknown, failure.Outcome)
@@ -72,7 +72,7 @@
 // Guards against a second run of a finished call; the repeated attempt gets the first answer.
 func TestCallReturnsStoredResult(t *testing.T) {
 	service := startService(t, &fakeService{})
-	r := New(Relay{Claims: newFakeClaims(), Selector: listSelector{[]string{service.address}}})
+	r := newRelay(t, Relay{Claims: newFakeClaims(), Selector: listSelector{[]string{service.address}}})
 	first, failure := r.Call(t.Context(), testCall("r1", "ride-7", true))
 	must.Nil(t, failure)
 	second, failure := r.Call(t.Context(), testCall("r2", "ride-7", true))
@@ -87,7 +87,7 @@
 	service := startService(t, &fakeService{})
 	claims := newFakeClaims()
 	claims.claimErr = errTest
-	r := New(Relay{Claims: claims, Selector: listSelector{[]string{service.address}}})
+	r := newRelay(t, Relay{Claims: claims, Selector: listSelector{[]string{service.address}}})
 	_, failure := r.Call(t.Context(), testCall("r1", "ride-7", true))
 	must.Eq(t, outcome.NotRun, failure.Outcome)
 	must.Eq(t, 0, service.runs.Load())
@@ -99,7 +99,7 @@
 	refusing := startService(t, &fakeService{refuses: true})
 	dead := closedAddress(t)
 	claims := newFakeClaims()
-	r := New(Relay{Claims: claims, Selector: listSelector{[]string{dead, refusing.address}}})
+	r := newRelay(t, Relay{Claims: claims, Selector: listSelector{[]string{dead, refusing.address}}})
 	_, failure := r.Call(t.Context(), testCall("r1", "ride-7", true))
 	must.Eq(t, outcome.NotRun, failure.Outcome)
 	must.Eq(t, 1, claims.released)
@@ -113,7 +113,7 @@
 // Guards against delivering another caller's answer.
 func TestCallDropsCrossedAnswer(t *testing.T) {
 	crossing := startService(t, &fakeService{claimsID: "someone-else"})
-	r := New(Relay{Claims: newFakeClaims(), Selector: listSelector{[]string{crossing.address}}})
+	r := newRelay(t, Relay{Claims: newFakeClaims(), Selector: listSelector{[]string{crossing.address}}})
 	answer, failure := r.Call(t.Context(), testCall("r1", "ride-7", true))
 	must.Eq(t, outcome.Unknown, failure.Outcome)
 	must.Len(t, 0, answer.Body)
@@ -122,7 +122,7 @@
 // Guards against giving up on a call that may be repeated.
 func TestCallRepeatsIdempotentCall(t *testing.T) {
 	lossy, spare := startService(t, &fakeService{loses: true}), startService(t, &fakeService{})
-	r := New(Relay{Selector: listSelector{[]string{lossy.address, spare.address}}})
+	r := newRelay(t, Relay{Selector: listSelector{[]string{lossy.address, spare.address}}})
 	answer, failure := r.Call(t.Context(), testCall("r1", "status", false))
 	must.Nil(t, failure)
 	must.Eq(t, "booked status", string(answer.Body))
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -115,7 +115,7 @@
 	r.crashes = poison.NewGuard(r.members, poison.NewPeers(r.peers))
 	r.crashes.Log = r.log
 	relay := relay.New(relay.Relay{
-		Purse: r.books.purse, Claims: r.books.claims, Selector: r.selector, Metrics: relay.NewMetrics(r.metrics.Meter),
+		Log: r.log, Purse: r.books.purse, Claims: r.books.claims, Selector: r.selector, Metrics: relay.NewMetrics(r.metrics.Meter),
 		Admitter: relay.Admission(r.gate), Crashes: r.crashes,
 	})
 	var err error
