--- a/pkg/purse/rpc.go
+++ b/pkg/purse/rpc.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
 
 	"connectrpc.com/connect"
 
@@ -19,14 +18,6 @@
 // ErrNoAddress means that a router is not in the membership view.
 var ErrNoAddress = errors.New("purse: router is not known")
 
-// RouterOf returns the router instance of an instance that holds grants.
-func RouterOf(instance string) string {
-	if i := strings.LastIndexByte(instance, '.'); i >= 0 {
-		return instance[:i]
-	}
-	return instance
-}
-
 // Service answers recalls and transfers of other routers.
 type Service struct {
 	purse *Purse
@@ -95,7 +86,7 @@
 
 // Recall implements Peers.
 func (r *RemotePeers) Recall(ctx context.Context, from, holder string, id budget.ID, need budget.Tokens) (RecallAnswer, error) {
-	client, err := r.to(RouterOf(holder))
+	client, err := r.to(member.ProcessOf(holder))
 	if err != nil {
 		return RecallAnswer{}, err
 	}
--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -4,22 +4,9 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/lavendershunt/lavendershunt/pkg/config"
+	"github.com/lavendershunt/lavendershunt/pkg/admit"
 )
 
-// Priorities at the engine. A larger one is more urgent.
-const (
-	priorityWhole    = 1
-	priorityDeadline = 10
-)
-
-func priorityOf(class config.Class) int {
-	if class.Target == config.TargetDeadline {
-		return priorityDeadline
-	}
-	return priorityWhole
-}
-
 // engineFields are the fields that the relay sets in the body sent to an engine.
 type engineFields struct {
 	RequestID  string `json:"request_id"`
@@ -33,7 +20,7 @@
 func engineBody(chat Chat, delivered int) ([]byte, error) {
 	fields, err := json.Marshal(engineFields{
 		RequestID: chat.ID, MaxTokens: chat.MaxTokens, Stream: true,
-		Priority: priorityOf(chat.Class), ResumeFrom: delivered,
+		Priority: admit.EnginePriority(chat.Class.Target), ResumeFrom: delivered,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("encode engine fields: %w", err)
