--- a/pkg/relay/chat_test.go
+++ b/pkg/relay/chat_test.go
@@ -165,10 +165,11 @@
 // comes from another endpoint.
 func TestChatMovesAwayFromLeavingEngine(t *testing.T) {
 	cancelled := make(chan struct{})
-	evacuate := make(chan struct{})
+	evacuate, switchOff := context.WithCancel(t.Context())
+	defer switchOff()
 	leaving := startEngine(t, func(w io.Writer, f engineFields) bool {
 		writeToken(w, f.RequestID, 0)
-		close(evacuate)
+		switchOff()
 		<-cancelled
 		return false
 	})
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -39,20 +39,9 @@
 	if target.Evacuate == nil {
 		return func() bool { return false }
 	}
-	ended, result := make(chan struct{}), make(chan bool, 1)
-	go func() {
-		select {
-		case <-target.Evacuate:
-			c.client.cancel(target.Address, c.chat.ID)
-			result <- true
-		case <-ended:
-			result <- false
-		}
-	}()
-	return func() bool {
-		close(ended)
-		return <-result
-	}
+	// A context's callback needs no goroutine for each open stream.
+	stop := context.AfterFunc(target.Evacuate, func() { c.client.cancel(target.Address, c.chat.ID) })
+	return func() bool { return !stop() }
 }
 
 func (c *chatRun) open(ctx context.Context, target Target, body []byte) (*stream, error) {
--- a/pkg/relay/fakes_test.go
+++ b/pkg/relay/fakes_test.go
@@ -166,10 +166,10 @@
 // listSelector chooses the first address that was not tried.
 type listSelector struct{ addresses []string }
 
-// evacuating closes the channel of the first address's target.
+// evacuating gives the first address's target a context that the test ends.
 type evacuating struct {
 	listSelector
-	evacuate chan struct{}
+	evacuate context.Context
 	reports  chan Report
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -97,8 +97,8 @@
 	BytesPerToken int
 	// Ticket identifies the choice in calls of Selector.Done.
 	Ticket uint64
-	// Evacuate is closed when streams must be moved away, because the VM is about to be switched off. It may be nil.
-	Evacuate <-chan struct{}
+	// Evacuate ends when streams must be moved away, because the VM is about to be switched off. It may be nil.
+	Evacuate context.Context
 }
 
 // Report tells the selector how a request at an endpoint ended.
--- a/pkg/selector/evacuate.go
+++ b/pkg/selector/evacuate.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"context"
 	"time"
 
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
@@ -15,26 +16,28 @@
 
 // evacuations tells streams when they must leave their VM.
 type evacuations struct {
-	// channels has an entry for each VM that a stream was sent to; it is closed when streams must move.
-	channels map[string]chan struct{}
-	closed   map[string]bool
+	// vms has an entry for each VM that a stream was sent to.
+	vms map[string]evacuation
 }
 
-func newEvacuations() evacuations {
-	return evacuations{channels: map[string]chan struct{}{}, closed: map[string]bool{}}
+type evacuation struct {
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
-// channel returns the VM's channel.
-func (e *evacuations) channel(vm string) <-chan struct{} {
-	c, ok := e.channels[vm]
+func newEvacuations() evacuations { return evacuations{vms: map[string]evacuation{}} }
+
+// context returns the VM's context, which ends when streams must move.
+func (e *evacuations) context(vm string) context.Context {
+	v, ok := e.vms[vm]
 	if !ok {
-		c = make(chan struct{})
-		e.channels[vm] = c
+		v.ctx, v.cancel = context.WithCancel(context.Background())
+		e.vms[vm] = v
 	}
-	return c
+	return v.ctx
 }
 
-// update closes the channels of VMs whose time has come, and opens those of VMs that stay after all.
+// update ends the contexts of VMs whose time has come, and begins new ones for VMs that stay after all.
 func (e *evacuations) update(now time.Time, vms []platform.VM, deadline func(platform.VM) (time.Time, bool)) {
 	listed := make(map[string]bool, len(vms))
 	for _, vm := range vms {
@@ -43,24 +46,22 @@
 		due := vm.State == platform.VMGone || leaving && !now.Before(at.Add(-evacuationMargin))
 		e.set(vm.Name, due)
 	}
-	for vm := range e.channels {
+	for vm, v := range e.vms {
 		if !listed[vm] {
-			e.set(vm, true)
-			delete(e.channels, vm)
-			delete(e.closed, vm)
+			v.cancel()
+			delete(e.vms, vm)
 		}
 	}
 }
 
 func (e *evacuations) set(vm string, due bool) {
-	c, ok := e.channels[vm]
+	v, ok := e.vms[vm]
 	switch {
-	case due && ok && !e.closed[vm]:
-		close(c)
-		e.closed[vm] = true
-	case !due && e.closed[vm]:
-		delete(e.channels, vm)
-		delete(e.closed, vm)
+	case !ok:
+	case due:
+		v.cancel()
+	case v.ctx.Err() != nil:
+		delete(e.vms, vm)
 	}
 }
 
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -144,7 +144,7 @@
 	s.cachedTokens.Add(int64(d.Cached()))
 	s.ticket++
 	s.flights[s.ticket] = s.table.Begin(now, d)
-	target := relay.Target{VM: d.Chosen, Address: d.Address, Ticket: s.ticket, Evacuate: s.moves.channel(d.Chosen)}
+	target := relay.Target{VM: d.Chosen, Address: d.Address, Ticket: s.ticket, Evacuate: s.moves.context(d.Chosen)}
 	m.reply <- chosen{target: target, decision: d}
 }
 
--- a/pkg/selector/selector_test.go
+++ b/pkg/selector/selector_test.go
@@ -48,14 +48,7 @@
 	return platform.VM{Name: name, Region: "r", Zone: "a", Role: platform.RoleEngine, State: platform.VMLive, Address: name, Models: []string{"m"}}
 }
 
-func closed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
+func closed(c context.Context) bool { return c.Err() != nil }
 
 // Guards against new work for a VM that an operator marked, and against a decision without a log line.
 func TestMarkedEndpointGetsNoWork(t *testing.T) {
