Load a model elsewhere when its last endpoint leaves

Cause: a VM that runs the last endpoint of a model could not be withdrawn without losing the model. The holder of a platform lease now chooses another engine, stores the choice as config/placement/<vm>, orders the load, verifies it from the engine's status, and the selectors add the model to the VM list.

Ruled out: relying on the fencing number alone (an engine that has not seen the newer number, or ignores it, accepts an old order), and comparing wall clocks. A holder introduces its number before it relies on a status; at engines that ignore numbers it keeps one place free for each former holder that is not known to be gone.

Contract changes: config.Placement and its kind; the engine stand-in's status shows max_models, and TestFencing compares it too; selector.Options.Placed.

--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -17,10 +17,11 @@
 	KindOrganisation Kind = "organisation"
 	KindKey          Kind = "key"
 	KindVM           Kind = "vm"
+	KindPlacement    Kind = "placement"
 )
 
 // Kinds lists all kinds.
-var Kinds = []Kind{KindClass, KindOrganisation, KindKey, KindVM}
+var Kinds = []Kind{KindClass, KindOrganisation, KindKey, KindVM, KindPlacement}
 
 const (
 	// MaxDeadlineMS is the longest deadline of a class, the time after which any request is ended.
@@ -55,6 +56,8 @@
 		return check(value, func(k Key) error { return checkKey(k, name) })
 	case KindVM:
 		return check(value, func(m VMMark) error { return checkMark(m, name) })
+	case KindPlacement:
+		return check(value, func(p Placement) error { return checkPlacement(p, name) })
 	}
 	return nil, fmt.Errorf("%w: kind %q is unknown; allowed are %v", ErrInvalid, kind, Kinds)
 }
@@ -133,6 +136,20 @@
 	return nil
 }
 
+func checkPlacement(p Placement, name string) error {
+	if err := checkName("vm", p.VM, name); err != nil {
+		return err
+	}
+	seen := map[string]bool{}
+	for _, m := range p.Models {
+		if m.Model == "" || seen[m.Model] {
+			return invalidf("models", "%q is empty or listed twice", m.Model)
+		}
+		seen[m.Model] = true
+	}
+	return nil
+}
+
 func checkName(field, value, name string) error {
 	if value != name || !ValidName(value) {
 		return invalidf(field, "%q is not allowed; allowed are 1 to 63 of a-z, 0-9, '.', '_' and '-', with a letter or digit first and last, and the object's own name", value)
--- a/pkg/config/types.go
+++ b/pkg/config/types.go
@@ -57,6 +57,24 @@
 	Deadline *time.Time `json:"deadline,omitempty"`
 }
 
+// Placement tells which models an engine serves apart from those of the VM list. It is stored at
+// config/placement/<vm> and written by the holder of the placement lease.
+type Placement struct {
+	VM     string        `json:"vm"`
+	Models []PlacedModel `json:"models,omitempty"`
+	// Displaced lists models of the VM list that the engine does not serve.
+	Displaced []string `json:"displaced,omitempty"`
+}
+
+// PlacedModel is a model that an engine was chosen for.
+type PlacedModel struct {
+	Model string `json:"model"`
+	// Version is empty if any version will do.
+	Version string `json:"version,omitempty"`
+	// Ready reports that the engine's status showed the model as loaded. Until then it gets no requests.
+	Ready bool `json:"ready,omitempty"`
+}
+
 // View is a read-only view of the configuration in force. Implementations return immutable values and are
 // safe for concurrent use.
 type View interface {
--- a/pkg/config/view.go
+++ b/pkg/config/view.go
@@ -8,6 +8,7 @@
 	OrganisationPrefix = Prefix + "organisation/"
 	KeyPrefix          = Prefix + "key/"
 	VMPrefix           = Prefix + "vm/"
+	PlacementPrefix    = Prefix + "placement/"
 )
 
 var _ View = (*Store)(nil)
@@ -50,6 +51,17 @@
 	return marks
 }
 
+// Placements returns the placements of all engines that have one, by VM.
+func (s *Store) Placements() map[string]Placement {
+	placements := map[string]Placement{}
+	for _, e := range s.List(PlacementPrefix) {
+		if p, ok := lookup[Placement](s, e.Key); ok {
+			placements[e.Key[len(PlacementPrefix):]] = p
+		}
+	}
+	return placements
+}
+
 // lookup returns the typed value of a key. Values are decoded at their first use, because a router serves only some
 // of the organisations and a typed copy of all of them would add to its memory.
 func lookup[T any](s *Store, key string) (T, bool) {
--- a/pkg/engine/orders.go
+++ b/pkg/engine/orders.go
@@ -52,6 +52,8 @@
 	Role   string        `json:"role"`
 	// Fencing is the newest fencing number seen.
 	Fencing uint64 `json:"fencing"`
+	// MaxModels bounds the loaded models; a load beyond it displaces the first of Models.
+	MaxModels int `json:"max_models"`
 }
 
 // orderState holds what orders have set. Models are sorted by the time of their first load.
@@ -102,8 +104,8 @@
 	return nil
 }
 
-func (o *orderState) status() Status {
-	status := Status{Models: []ModelStatus{}, Role: o.role, Fencing: o.fencing}
+func (o *orderState) status(maxModels int) Status {
+	status := Status{Models: []ModelStatus{}, Role: o.role, Fencing: o.fencing, MaxModels: maxModels}
 	for _, model := range o.models {
 		shown := *model
 		shown.Adapters = slices.Clone(model.Adapters)
@@ -116,7 +118,7 @@
 func (e *Engine) Status() Status {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.orders.status()
+	return e.orders.status(e.config.MaxModels)
 }
 
 // Order accepts or refuses an order. A load goes on in the background; Status shows when it is done.
@@ -134,7 +136,7 @@
 	} else {
 		e.beginLoad(order)
 	}
-	return e.orders.status(), nil
+	return e.orders.status(e.config.MaxModels), nil
 }
 
 func (o Order) validate() error {
--- a/pkg/engine/orders_test.go
+++ b/pkg/engine/orders_test.go
@@ -91,7 +91,7 @@
 				must.Eq(t, 409, refused.Status)
 				must.Eq(t, 5, refused.Fencing)
 				must.Error(t, chatErr)
-				must.Eq(t, Status{Models: []ModelStatus{{Model: "m", Version: "1"}}, Role: "decode", Fencing: 5}, e.Status())
+				must.Eq(t, Status{Models: []ModelStatus{{Model: "m", Version: "1"}}, Role: "decode", Fencing: 5, MaxModels: 1}, e.Status())
 				return
 			}
 			must.NoError(t, orderErr)
--- a/pkg/router/feed.go
+++ b/pkg/router/feed.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lavendershunt/lavendershunt/pkg/admin"
+	"github.com/lavendershunt/lavendershunt/pkg/placement"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
@@ -20,10 +21,18 @@
 // retryInterval is the pause after a failed platform call.
 const retryInterval = 500 * time.Millisecond
 
-// vmList returns the newest VM list for the admin API.
+// vmList returns the newest VM list for the admin API, with the placed models.
 func (r *Router) vmList() admin.VMList {
 	list := r.vms.Current()
-	return admin.VMList{VMs: list.VMs, Read: list.Read}
+	return admin.VMList{VMs: r.placed(list.VMs), Read: list.Read}
+}
+
+// listedVMs returns the newest VM list as the platform gave it.
+func (r *Router) listedVMs() []platform.VM { return r.vms.Current().VMs }
+
+// placed adds the models that placement loaded.
+func (r *Router) placed(vms []platform.VM) []platform.VM {
+	return placement.Apply(vms, r.config.Placements())
 }
 
 // updateVMs passes a newer VM list to the parts that use it.
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/gateway"
 	"github.com/lavendershunt/lavendershunt/pkg/logging"
 	"github.com/lavendershunt/lavendershunt/pkg/member"
+	"github.com/lavendershunt/lavendershunt/pkg/placement"
 	"github.com/lavendershunt/lavendershunt/pkg/platform/httpstore"
 	"github.com/lavendershunt/lavendershunt/pkg/poison"
 	"github.com/lavendershunt/lavendershunt/pkg/relay"
@@ -48,6 +49,7 @@
 	gate     *admit.Gate
 	crashes  *poison.Guard
 	books    *books
+	placer   *placement.Task
 	gateway  *gateway.Gateway
 	admin    *admin.Server
 	requests atomic.Uint64
@@ -98,13 +100,17 @@
 	r.gate = admit.NewGate(admit.Options{})
 	r.selector = selector.New(selector.Options{
 		Here: route.Location{Region: r.self.Region, Zone: r.self.Zone}, Log: r.log, Leaving: r.config.Leaving,
-		Mark: r.config.Mark, OnCapacity: r.gate.SetCapacity,
+		Mark: r.config.Mark, OnCapacity: r.gate.SetCapacity, Placed: r.placed,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	r.vms = vmlist.New(vmlist.Options{
 		Platform: r.platform, Members: r.members, Client: r.peers, Interval: r.settings.Intervals.VMList.Std(),
 		OnList: r.updateVMs, Log: r.log,
 	})
+	r.placer = placement.New(placement.Options{
+		Platform: r.platform, Config: r.config, Publish: r.spreader.Publish, Members: r.members, VMs: r.listedVMs,
+		Engines: placement.NewEngines(), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: r.log,
+	})
 	r.books = newBooks(r.platform, r.members, r.peers)
 	r.crashes = poison.NewGuard(r.members, poison.NewPeers(r.peers))
 	relay := relay.New(relay.Relay{
@@ -147,7 +153,7 @@
 	defer running.Wait()
 	for _, task := range []func(context.Context){
 		r.selector.Run, selector.NewPoller(r.selector).Run, r.gate.Run, r.crashes.Run, r.books.run, r.vms.Run,
-		r.members.Run, r.spreader.Run, r.watchMarks,
+		r.members.Run, r.spreader.Run, r.watchMarks, r.placer.Run,
 	} {
 		running.Go(func() { task(tasks) })
 	}
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -31,6 +31,8 @@
 	Mark func(vm string) (config.VMMark, bool)
 	// OnCapacity is called by the task with the number of requests that may be in progress in a pool. It may be nil.
 	OnCapacity func(pool string, requests int)
+	// Placed adds the models that placement loaded to the VM list. It may be nil.
+	Placed func([]platform.VM) []platform.VM
 	// Rand draws the random candidates.
 	Rand *rand.Rand
 }
@@ -45,8 +47,10 @@
 	table   *route.Table
 	flights map[uint64]*route.Flight
 	ticket  uint64
-	vms     []platform.VM
-	moves   evacuations
+	// listed is the platform's list, vms the same with the placed models.
+	listed []platform.VM
+	vms    []platform.VM
+	moves  evacuations
 }
 
 // message is a request to the task; handle runs in the task.
@@ -245,12 +249,16 @@
 func (s *Selector) UpdateVMs(vms []platform.VM) { s.send(updateVMs{vms: vms}) }
 
 func (m updateVMs) handle(s *Selector, now time.Time) {
-	s.vms = m.vms
+	s.listed = m.vms
 	s.refresh(now)
 }
 
-// refresh brings the table up to date after a change of the VM list or of the marks.
+// refresh brings the table up to date after a change of the VM list, the marks or the placements.
 func (s *Selector) refresh(now time.Time) {
+	s.vms = s.listed
+	if s.Placed != nil {
+		s.vms = s.Placed(s.listed)
+	}
 	s.table.Update(now, s.vms, s.Leaving)
 	s.moves.update(now, s.vms, s.deadlineOf)
 	s.reportCapacity(now)
