--- /dev/null
+++ b/pkg/rendezvous/bench_test.go
@@ -0,0 +1,21 @@
+package rendezvous
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkRank gives the CPU time of one choice among the routers of a fleet.
+func BenchmarkRank(b *testing.B) {
+	for _, n := range []int{8, 64, 370} {
+		ids := make([]string, n)
+		for i := range ids {
+			ids[i] = fmt.Sprintf("entry-%03d@1796367536807-9c6442c5", i)
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				Rank("organisation-00001", ids)
+			}
+		})
+	}
+}
