--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -4,6 +4,7 @@
 #
 # usage: scripts/capacity.sh fleet [ROUTERS...]   idle fleets with 12 engines, default 1 4 8 16 32
 #        scripts/capacity.sh vms [VMS...]         one router and a VM list of that size, default 20 500 4870
+#        scripts/capacity.sh ledger [ORGANISATIONS...]  writes of one loaded router of three, default 4 16 64
 #
 # Each run takes WARM + SECONDS_EACH seconds (10 + 30). BIN, OUT and NET (first three numbers of the addresses) can be
 # set. Engines in a long VM list beyond the 12 that run answer no poll.
@@ -15,6 +16,12 @@
 services=0 engines=12
 . demo/fleet.sh
 
+# pause SECONDS waits so that a signal ends it at once.
+pause() { sleep "$1" & nap=$!; wait "$nap"; }
+nap=
+end() { [[ -n $nap ]] && kill "$nap" 2>/dev/null; stop_all; }
+traps() { trap 'end; exit 130' INT TERM; trap end EXIT; }
+
 # write_vms ROUTERS VMS writes the settings of the platform with a VM list of that size, or the running VMs only.
 write_vms() {
 	local i n=$1 vms=$2 role address
@@ -85,11 +92,11 @@
 		start "e$i" "$bin/lsrouter" -settings "$dir/e$i.yaml"
 		routers_pids+=("$pid")
 	done
-	sleep "$warm"
+	pause "$warm"
 	check_started
 	snapshot
 	local a=("${shot[@]}") before=$calls
-	sleep "$seconds"
+	pause "$seconds"
 	check_started
 	snapshot
 	local b=("${shot[@]}")
@@ -104,16 +111,50 @@
 		print ""
 	}'
 	stop_all
-	trap 'stop_all; exit 130' INT TERM
-	trap stop_all EXIT
+	traps
+}
+
+# measure_ledger ORGANISATIONS sends requests of that many organisations to one router, one connection at first as fast as
+# it can, then 100/s, and prints the platform calls of each second.
+measure_ledger() {
+	local n=$1 i load before after
+	dir=$out/ledger-$n
+	rm -rf "$dir"
+	mkdir -p "$dir"
+	pids=()
+	routers=3 engines=2 slow_engine=2 token_time=0s prefill_time=0s engine_slots=4096
+	start_fleet
+	await_router
+	must class create bench -target whole
+	for ((i = 1; i <= n; i++)); do organisation "org-$i" bench avoid-overspend 100000000000; done
+	"$bin/lsload" wait -fleet "$dir/fleet.yaml" >>"$dir/setup.log" 2>&1 || exit 3
+	echo "organisations=$n; calls in each second of the load:"
+	"$bin/lsload" router-bench -fleet "$dir/fleet.yaml" -out "$dir" -connections 4 -streams 1 -rate 100 -duration 8s >"$dir/bench.txt" 2>&1 &
+	load=$!
+	pids+=("$load")
+	before=$(counters)
+	for ((i = 0; i < 60; i++)); do
+		kill -0 "$load" 2>/dev/null || break
+		pause 1
+		after=$(counters)
+		awk -v before="$before" -v after="$after" 'BEGIN {
+			m = split(before, p, " "); split(after, q, " ")
+			for (k = 1; k <= m; k++) { split(p[k], u, ":"); split(q[k], v, ":"); if (u[1] ~ /reads|writes|throttled/) printf "%s=%d ", u[1], v[2]-u[2] }
+			print ""
+		}'
+		before=$after
+	done
+	head -n 2 "$dir/bench.txt"
+	stop_all
+	traps
 }
 
 mode=${1:-}
 shift
-trap 'stop_all; exit 130' INT TERM
-trap stop_all EXIT
+traps
 case $mode in
 fleet) for n in "${@:-1 4 8 16 32}"; do for k in $n; do measure "$k" $((k + engines)); done; done ;;
 vms) for n in "${@:-20 500 4870}"; do for k in $n; do measure 1 "$k"; done; done ;;
-*) sed -n '2,10s/^# \{0,1\}//p' "$0" >&2; exit 2 ;;
+ledger) for n in "${@:-4 16 64}"; do for k in $n; do measure_ledger "$k"; done; done ;;
+*) sed -n '2,12s/^# \{0,1\}//p' "$0" >&2; exit 2 ;;
 esac
