--- a/pkg/instance/closer.go
+++ b/pkg/instance/closer.go
@@ -5,10 +5,10 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
 
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/journal"
+	"github.com/lavendershunt/lavendershunt/pkg/member"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
@@ -50,17 +50,22 @@
 	witnesses Witnesses
 	writer    ShardWriter
 	shards    int
-	router    string
+	view      member.View
 }
 
-// NewCloser returns a closer that acts for a router instance. The number of shards is that of the stored layout.
-func NewCloser(store platform.Store, witnesses Witnesses, writer ShardWriter, shards int, router string) *Closer {
-	return &Closer{store: store, witnesses: witnesses, writer: writer, shards: shards, router: router}
+// NewCloser returns a closer that acts for the router of the view. The number of shards is that of the stored layout.
+func NewCloser(store platform.Store, witnesses Witnesses, writer ShardWriter, shards int, view member.View) *Closer {
+	return &Closer{store: store, witnesses: witnesses, writer: writer, shards: shards, view: view}
 }
 
 // Close closes an instance: its record is set to closing, every named witness closes the journal, the ledger settles
 // the bills and takes back the rest, and the record is deleted. It returns a *HeldError if a witness or the ledger
 // does not allow it now.
+//
+// If some witnesses are gone for good and all others have closed the journal, nobody can acknowledge an entry any more.
+// The bills that the others have are then settled, and the rest stays held until an operator releases it, because the
+// witnesses that are gone may have had more. What an instance and a witness that died together can lose is what only
+// that witness had acknowledged and the other one had not received yet: if it answered, of the last two round trips.
 func (c *Closer) Close(ctx context.Context, instance string) error {
 	return c.close(ctx, instance, false)
 }
@@ -77,7 +82,7 @@
 	if err != nil {
 		return ignoreNotFound(err)
 	}
-	return c.finish(ctx, r, nil, "", false)
+	return c.finish(ctx, r, collected{}, false)
 }
 
 func ignoreNotFound(err error) error {
@@ -92,19 +97,34 @@
 	if err != nil {
 		return ignoreNotFound(err)
 	}
-	copies, reason := c.collect(ctx, r)
-	return c.finish(ctx, r, copies, reason, force)
+	return c.finish(ctx, r, c.collect(ctx, r), force)
 }
 
-func (c *Closer) finish(ctx context.Context, r Record, copies []journal.Copy, reason string, force bool) error {
-	var err error
-	if reason == "" || force {
-		if reason, err = c.closeHolder(ctx, r.Instance, journal.Merge(copies)); err != nil {
+// finish closes the holder if all witnesses have closed the journal or an operator forces it. If a copy is missing, the
+// bills are settled by operations of their own, which can be repeated for as long as the holder is open.
+func (c *Closer) finish(ctx context.Context, r Record, got collected, force bool) error {
+	f, reason, fenced := journal.Merge(got.copies), got.reason(), got.fenced()
+	closing := reason == "" || force
+	if fenced && !r.Settled || closing && (r.Settled || reason != "") {
+		refused, err := c.apply(ctx, r.Instance, settleOps(r.Instance, f, c.shards))
+		if err != nil {
+			return err
+		}
+		if refused != "" {
+			return c.hold(ctx, r, refused, false)
+		}
+		f.Settles, f.Bills = nil, nil
+	}
+	if closing {
+		var err error
+		if reason, err = c.apply(ctx, r.Instance, closeOps(r.Instance, f, c.shards)); err != nil {
 			return err
 		}
+	} else if fenced {
+		return c.hold(ctx, r, reason+"; the bills of the other witnesses are settled, an operator may release the rest", true)
 	}
 	if reason != "" {
-		return c.hold(ctx, r, reason)
+		return c.hold(ctx, r, reason, false)
 	}
 	if err := c.remove(ctx, r.Instance); err != nil {
 		return err
@@ -118,7 +138,7 @@
 
 func (c *Closer) setClosing(r *Record) {
 	if r.State != Closing {
-		r.State, r.Closer = Closing, c.router
+		r.State, r.Closer = Closing, c.view.Self().Instance
 	}
 }
 
@@ -141,7 +161,7 @@
 		if err != nil {
 			return Record{}, err
 		}
-		if r.State == old.State && r.Held == old.Held {
+		if r.State == old.State && r.Held == old.Held && r.Settled == old.Settled {
 			return r, nil
 		}
 		if _, last = c.store.Put(ctx, Key(instance), value, o.Revision); last == nil {
@@ -154,28 +174,11 @@
 	return Record{}, fmt.Errorf("instance %s: change record: %w", instance, last)
 }
 
-// collect closes the journal at all witnesses. The reason is empty if all have answered.
-func (c *Closer) collect(ctx context.Context, r Record) (copies []journal.Copy, reason string) {
-	var reasons []string
-	for _, w := range r.Witnesses {
-		content, err := c.witnesses.Close(ctx, w, r.Instance)
-		switch {
-		case errors.Is(err, journal.ErrNotWitness):
-			reasons = append(reasons, fmt.Sprintf("witness %s has restarted and lost its copy", w.Router))
-		case err != nil:
-			reasons = append(reasons, fmt.Sprintf("witness %s at %s is not reachable", w.Router, w.Address))
-		default:
-			copies = append(copies, content)
-		}
-	}
-	return copies, strings.Join(reasons, "; ")
-}
-
-// closeHolder ends the holder in every shard. The operation has the same id for every closer, and the journals are
-// closed, so every closer sends the same content.
-func (c *Closer) closeHolder(ctx context.Context, instance string, f journal.Final) (reason string, err error) {
-	for shard, ops := range closeOps(instance, f, c.shards) {
-		for batch := range slices.Chunk(ops, maxOps) {
+// apply applies operations by shard. The operations have the same ids for every closer, and the journals are closed,
+// so every closer sends the same content.
+func (c *Closer) apply(ctx context.Context, instance string, ops [][]budget.Op) (reason string, err error) {
+	for shard := range ops {
+		for batch := range slices.Chunk(ops[shard], maxOps) {
 			results, err := c.writer.Apply(ctx, shard, batch)
 			if err != nil {
 				return "", fmt.Errorf("instance %s: close in shard %d: %w", instance, shard, err)
@@ -208,13 +211,14 @@
 	return ""
 }
 
-// hold records why the closing does not go on.
-func (c *Closer) hold(ctx context.Context, r Record, reason string) error {
+// hold records why the closing does not go on, and whether the bills that are known are settled.
+func (c *Closer) hold(ctx context.Context, r Record, reason string, settled bool) error {
 	held := &HeldError{Instance: r.Instance, Reason: reason}
-	if r.Held == reason {
+	settled = settled || r.Settled
+	if r.Held == reason && r.Settled == settled {
 		return held
 	}
-	if _, err := c.update(ctx, r.Instance, func(r *Record) { r.Held = reason }); err != nil {
+	if _, err := c.update(ctx, r.Instance, func(r *Record) { r.Held, r.Settled = reason, settled }); err != nil {
 		return errors.Join(held, err)
 	}
 	return held
--- a/pkg/instance/ops.go
+++ b/pkg/instance/ops.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
@@ -12,6 +13,23 @@
 // bills that follow it may be older.
 const flushedUnknown = 1000
 
+// settleOps returns the operations, by shard, that settle the bills of an instance whose grants stay held: the
+// transfers that may pay for them, the settle operations that the instance may have sent, unchanged, and one for each
+// other bill. Its id depends on nothing but the bill, because a later attempt may find the copies of fewer witnesses
+// and must not settle a bill again after the ledger has dropped its record.
+func settleOps(instance string, f journal.Final, shards int) [][]budget.Op {
+	for _, e := range f.Bills {
+		id := fmt.Sprintf("%s/%s/closing/%d", instance, e.Budget.Organisation, e.Seq)
+		f.Settles = append(f.Settles, journal.Settle{Op: id, Budget: e.Budget, Bills: []journal.Entry{e}})
+	}
+	f.Bills, f.TransfersOut = nil, nil
+	ops := closeOps(instance, f, shards)
+	for shard := range ops {
+		ops[shard] = ops[shard][:len(ops[shard])-1]
+	}
+	return ops
+}
+
 // closeOps returns the operations that close an instance, by shard: transfers, which may pay for bills, then the
 // settle operations that the instance may have sent, unchanged, and the closing with the bills that it has not sent.
 func closeOps(instance string, f journal.Final, shards int) [][]budget.Op {
--- a/pkg/instance/record.go
+++ b/pkg/instance/record.go
@@ -45,6 +45,8 @@
 	Closer string `json:"closer,omitempty"`
 	// Held tells operators why the closing does not go on; the tokens stay held.
 	Held string `json:"held,omitempty"`
+	// Settled tells that the bills which the remaining witnesses had are settled, although others are gone for good.
+	Settled bool `json:"settled,omitempty"`
 }
 
 func (r Record) encode() ([]byte, error) {
--- a/pkg/journal/change.go
+++ b/pkg/journal/change.go
@@ -79,12 +79,14 @@
 	if !ok {
 		return
 	}
+	former := l.set
 	l.set = set
-	l.target = ""
-	l.spread = len(set) > 1
-	for router := range l.links {
+	for router, k := range l.links {
 		if !l.isRecorded(router) {
 			delete(l.links, router)
+		} else if !slices.ContainsFunc(former, func(r Ref) bool { return r.Router == router }) {
+			// What a new witness stored before the record named it was not an acknowledgement.
+			k.lose()
 		}
 	}
 }
--- a/pkg/journal/lanes.go
+++ b/pkg/journal/lanes.go
@@ -6,8 +6,6 @@
 	unsettled []position
 	// mark is the last position up to which the ledger has everything.
 	mark uint64
-	// recorded is the mark that a witness has.
-	recorded uint64
 }
 
 type position struct {
@@ -34,6 +32,3 @@
 		l.unsettled = nil
 	}
 }
-
-// due reports whether a witness lacks the mark.
-func (l *laneLog) due() bool { return l.mark > l.recorded }
--- a/pkg/journal/log.go
+++ b/pkg/journal/log.go
@@ -17,21 +17,15 @@
 
 // Timing are the intervals of a Log. Zero values are replaced by the defaults.
 type Timing struct {
-	// Fallback is the time without an answer after which entries are also sent to the other witness.
-	Fallback time.Duration
 	// Retry is the time after which a witness that failed is tried again.
 	Retry time.Duration
 	// Idle is the longest time that entries which nobody waits for, and marks, are held back.
 	Idle time.Duration
-	// Clean is the least time between two messages that clear what other witnesses have.
-	Clean time.Duration
 }
 
 func (t Timing) withDefaults() Timing {
-	setDuration(&t.Fallback, 50*time.Millisecond)
 	setDuration(&t.Retry, time.Second)
 	setDuration(&t.Idle, 100*time.Millisecond)
-	setDuration(&t.Clean, 5*time.Second)
 	return t
 }
 
@@ -46,9 +40,12 @@
 
 // Log is an instance's side of its journal. It is not safe for concurrent use.
 //
-// An entry is acknowledged once any witness on which the instance relies has stored it. The instance relies on
-// the witnesses that every possible version of its instance record names: while the record is being changed,
-// these are the witnesses in both the former and the new set.
+// Every entry is sent to all witnesses, in order, and is acknowledged once any witness on which the instance relies
+// has stored it. The instance relies on the witnesses that every possible version of its instance record names: while
+// the record is being changed, these are the witnesses in both the former and the new set. An entry waits only
+// for the message in flight to a witness, so a witness that answers has it within two round trips: that of this message
+// and its own. The death of the instance together with one witness can lose only what that witness alone acknowledged
+// within this time. A witness that failed gets all that is open once it answers again.
 type Log struct {
 	timing   Timing
 	instance string
@@ -58,24 +55,15 @@
 	seq uint64
 	// number is the number of the last message to any witness; it also increases across a removal and a return of a
 	// witness.
-	number  uint64
+	number uint64
+	// pending lists the entries that are not acknowledged.
 	pending []Entry
-	// urgent is set if somebody waits for a pending entry.
-	urgent bool
-	// pendingSince is the time of the oldest pending entry or mark.
-	pendingSince time.Time
 
 	links  map[string]*link
 	set    []Ref
 	change *change
 	lanes  [Lanes]laneLog
-	// marksDue is set if a lane may have a mark that no witness has.
-	marksDue bool
-	// spread is set if more than one witness may have entries, and cleanAt is when the next cleaning may start.
-	spread  bool
-	cleanAt time.Time
-	target  string
-	closed  bool
+	closed bool
 }
 
 // link is the exchange with one witness.
@@ -87,9 +75,18 @@
 	lost    bool
 	retryAt time.Time
 	failing time.Time
-	// clear is the position up to which the witness is to drop its entries.
-	clear   uint64
-	cleared uint64
+	// backlog lists the entries that were not sent to the witness. It is empty while resync is set: the witness is
+	// then to get all that is open, because a message to it may have been lost.
+	backlog []Entry
+	resync  bool
+	// urgent is set if somebody waits for an entry of the backlog, and since is the time of its oldest entry or mark.
+	urgent bool
+	since  time.Time
+	// behind is a time before which every entry is known to be stored by the witness; zero if all are.
+	behind time.Time
+	// marks are the marks that the witness has, and marksDue is set if it may lack one.
+	marks    [Lanes]uint64
+	marksDue bool
 }
 
 // message is a message in flight.
@@ -98,6 +95,8 @@
 	sentAt time.Time
 	// full is set if the message holds all that is open up to its Through.
 	full bool
+	// rest is set if entries of the backlog were left for the next message.
+	rest bool
 }
 
 // change is a change of the witnesses in progress.
@@ -137,27 +136,68 @@
 		l.lanes[LaneOf(e.Budget.Organisation)].add(e.Seq)
 	}
 	if l.Witnessed() || l.change != nil {
-		l.wait(now)
 		l.pending = append(l.pending, e)
-		l.urgent = l.urgent || urgent
+	}
+	for _, k := range l.links {
+		if l.mirrored(k) {
+			k.add(now, e, urgent)
+		}
 	}
 	return e
 }
 
-func (l *Log) wait(now time.Time) {
-	if l.pendingSince.IsZero() {
-		l.pendingSince = now
+// mirrored reports whether the witness is to get every entry: the record names it, or may soon do so and the witness
+// has been sent all that was open.
+func (l *Log) mirrored(k *link) bool {
+	switch {
+	case k.lost:
+		return false
+	case l.isRecorded(k.ref.Router):
+		return true
+	}
+	return l.change != nil && (l.change.full[k.ref.Router] || k.inFlight != nil && k.inFlight.full)
+}
+
+func (k *link) add(now time.Time, e Entry, urgent bool) {
+	k.wait(now)
+	k.urgent = k.urgent || urgent
+	if k.behind.IsZero() {
+		k.behind = now
+	}
+	if !k.resync {
+		k.backlog = append(k.backlog, e)
+	}
+}
+
+func (k *link) wait(now time.Time) {
+	if k.since.IsZero() {
+		k.since = now
+	}
+}
+
+// Behind returns the time before which every witness has stored every entry, and reports whether one of them lacks
+// any. A bill that the ledger settled after this time may be open in the copy of a witness that lags.
+func (l *Log) Behind() (since time.Time, ok bool) {
+	for _, k := range l.links {
+		if l.mirrored(k) && !k.behind.IsZero() && (!ok || k.behind.Before(since)) {
+			since, ok = k.behind, true
+		}
 	}
+	return since, ok
 }
 
 // Settled records that the ledger has the entry.
 func (l *Log) Settled(now time.Time, organisation string, seq uint64) {
 	lane := &l.lanes[LaneOf(organisation)]
+	before := lane.mark
 	lane.settle(seq)
-	if lane.due() {
-		l.marksDue = true
-		if l.Witnessed() {
-			l.wait(now)
+	if lane.mark == before {
+		return
+	}
+	for _, k := range l.links {
+		if l.mirrored(k) {
+			k.marksDue = true
+			k.wait(now)
 		}
 	}
 }
@@ -180,18 +220,27 @@
 	return slices.ContainsFunc(l.reliance(), func(r Ref) bool { return r.Router == router })
 }
 
-func (l *Log) dueMarks(all bool) []Mark {
-	if !all && !l.marksDue {
+// dueMarks returns the marks that the witness lacks.
+func (l *Log) dueMarks(k *link) []Mark {
+	if !k.marksDue {
 		return nil
 	}
 	var marks []Mark
 	for i := range l.lanes {
-		if lane := &l.lanes[i]; lane.due() || all && lane.mark > 0 {
-			marks = append(marks, Mark{Lane: uint32(i), Seq: lane.mark})
+		if mark := l.lanes[i].mark; mark > k.marks[i] {
+			marks = append(marks, Mark{Lane: uint32(i), Seq: mark})
 		}
 	}
-	if !all {
-		l.marksDue = len(marks) > 0
+	k.marksDue = len(marks) > 0
+	return marks
+}
+
+func (l *Log) allMarks() []Mark {
+	var marks []Mark
+	for i := range l.lanes {
+		if mark := l.lanes[i].mark; mark > 0 {
+			marks = append(marks, Mark{Lane: uint32(i), Seq: mark})
+		}
 	}
 	return marks
 }
--- a/pkg/journal/send.go
+++ b/pkg/journal/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -18,9 +19,7 @@
 	}
 	var out []Append
 	out = l.joiners(now, out)
-	out = l.entries(now, out)
-	out = l.cleaning(now, out)
-	return l.probes(now, out)
+	return l.entries(now, out)
 }
 
 // ready reports whether a message may be sent to the witness.
@@ -36,9 +35,15 @@
 	return m.append
 }
 
-// full returns a message with all that is open.
-func (l *Log) full() message {
-	return message{append: Append{Through: l.seq, Entries: l.open(), Marks: l.dueMarks(true)}, full: true}
+// sendFull sends all that is open in place of what the witness lacks.
+func (l *Log) sendFull(now time.Time, k *link) Append {
+	k.backlog, k.resync, k.urgent, k.since = nil, false, false, time.Time{}
+	return l.send(now, k, message{append: Append{Through: l.seq, Entries: l.open(), Marks: l.allMarks()}, full: true})
+}
+
+// lose makes the next message hold all that is open.
+func (k *link) lose() {
+	k.backlog, k.resync = nil, true
 }
 
 // joiners sends all that is open to new witnesses before the record names them.
@@ -50,77 +55,64 @@
 		k := l.links[ref.Router]
 		full, joining := l.change.full[ref.Router]
 		if !full && (joining || len(l.change.full) == 0 && !l.change.covered) && k.ready(now) {
-			out = append(out, l.send(now, k, l.full()))
+			out = append(out, l.sendFull(now, k))
 		}
 	}
 	return out
 }
 
-// entries sends the pending entries to the preferred witness, and to the other one if that does not answer.
+// entries sends to every witness what it lacks.
 func (l *Log) entries(now time.Time, out []Append) []Append {
-	marks := l.dueMarks(false)
-	if len(l.pending) == 0 && len(marks) == 0 {
-		l.pendingSince, l.urgent = time.Time{}, false
-		return out
+	refs := l.set
+	if l.change != nil {
+		refs = slices.Concat(l.set, l.change.set)
 	}
-	if !l.urgent && now.Sub(l.pendingSince) < l.timing.Idle {
-		return out
-	}
-	for _, ref := range l.reliance() {
+	for _, ref := range refs {
 		k := l.links[ref.Router]
-		if k.ready(now) && (!k.suspect || l.allSuspect()) {
-			l.useTarget(ref.Router)
-			n := min(len(l.pending), maxEntries)
-			entries := append([]Entry(nil), l.pending[:n]...)
-			return append(out, l.send(now, k, message{append: Append{Entries: entries, Marks: marks}}))
+		if !l.mirrored(k) || !k.ready(now) {
+			continue
 		}
-		if k.inFlight != nil && now.Sub(k.inFlight.sentAt) < l.timing.Fallback {
-			return out
+		switch {
+		case k.suspect && (len(l.pending) == 0 || !l.allSuspect()):
+			// Finds out whether the witness answers again, without the cost of all that is open.
+			out = append(out, l.send(now, k, message{}))
+		case k.resync:
+			out = append(out, l.sendFull(now, k))
+		default:
+			out = l.increment(now, k, out)
 		}
 	}
 	return out
 }
 
-func (l *Log) allSuspect() bool {
-	for _, ref := range l.reliance() {
-		if k := l.links[ref.Router]; !k.suspect && !k.lost {
-			return false
-		}
-	}
-	return true
-}
-
-func (l *Log) useTarget(router string) {
-	if l.target != "" && l.target != router {
-		l.spread = true
+// increment sends the backlog of a witness, if it is urgent or was held back for long enough.
+func (l *Log) increment(now time.Time, k *link, out []Append) []Append {
+	marks := l.dueMarks(k)
+	if len(k.backlog) == 0 && len(marks) == 0 {
+		k.since, k.urgent = time.Time{}, false
+		return out
 	}
-	l.target = router
-}
-
-// cleaning gives the current witness all that is open, so that the others can drop their entries.
-func (l *Log) cleaning(now time.Time, out []Append) []Append {
-	if l.spread && l.change == nil && !now.Before(l.cleanAt) && l.relies(l.target) {
-		if k := l.links[l.target]; k.ready(now) && !k.suspect {
-			l.cleanAt = now.Add(l.timing.Clean)
-			out = append(out, l.send(now, k, l.full()))
-		}
+	if !k.urgent && now.Sub(k.since) < l.timing.Idle {
+		return out
 	}
-	for _, ref := range l.reliance() {
-		if k := l.links[ref.Router]; k.clear > k.cleared && k.ready(now) {
-			out = append(out, l.send(now, k, message{append: Append{Through: k.clear}}))
-		}
+	n := min(len(k.backlog), maxEntries)
+	entries := slices.Clone(k.backlog[:n])
+	k.backlog = slices.Clone(k.backlog[n:])
+	rest := len(k.backlog) > 0
+	k.since = now
+	if !rest {
+		k.since, k.urgent = time.Time{}, false
 	}
-	return out
+	return append(out, l.send(now, k, message{append: Append{Entries: entries, Marks: marks}, rest: rest}))
 }
 
-// probes finds out whether a witness that failed answers again.
-func (l *Log) probes(now time.Time, out []Append) []Append {
+func (l *Log) allSuspect() bool {
 	for _, ref := range l.reliance() {
-		if k := l.links[ref.Router]; k.suspect && k.ready(now) {
-			out = append(out, l.send(now, k, message{}))
+		if k := l.links[ref.Router]; !k.suspect && !k.lost {
+			return false
 		}
 	}
-	return out
+	return true
 }
 
 // Answered takes the answer to a message and returns the entries that it has acknowledged, in order. It reports
@@ -142,7 +134,7 @@
 		return nil, true
 	default:
 		k.suspect, k.failing = false, time.Time{}
-		return l.stored(now, k, m), false
+		return l.stored(k, m), false
 	}
 	return nil, false
 }
@@ -152,42 +144,28 @@
 		k.failing = now
 	}
 	k.suspect = true
+	k.lose()
 	k.retryAt = now.Add(l.timing.Retry)
 }
 
-func (l *Log) stored(now time.Time, k *link, m *message) []Entry {
-	k.cleared = max(k.cleared, m.append.Through)
+func (l *Log) stored(k *link, m *message) []Entry {
+	switch {
+	case k.resync:
+	case len(k.backlog) == 0:
+		k.behind = time.Time{}
+	case !m.rest:
+		k.behind = m.sentAt
+	}
+	for _, mark := range m.append.Marks {
+		k.marks[mark.Lane] = max(k.marks[mark.Lane], mark.Seq)
+	}
 	if l.change != nil && m.full && m.append.Number > l.change.after {
 		l.change.join(k.ref.Router)
 	}
 	if !l.relies(k.ref.Router) {
 		return nil
 	}
-	for _, mark := range m.append.Marks {
-		lane := &l.lanes[mark.Lane]
-		lane.recorded = max(lane.recorded, mark.Seq)
-	}
-	if m.full {
-		l.cleaned(k, m.append.Through)
-	}
-	acked := l.acknowledge(m)
-	if len(l.pending) > 0 {
-		l.pendingSince = now
-	}
-	return acked
-}
-
-// cleaned lets the other witnesses drop what the current one has.
-func (l *Log) cleaned(k *link, through uint64) {
-	if k.ref.Router != l.target {
-		return
-	}
-	l.spread = false
-	for _, ref := range l.reliance() {
-		if ref.Router != l.target {
-			l.links[ref.Router].clear = through
-		}
-	}
+	return l.acknowledge(m)
 }
 
 func (l *Log) acknowledge(m *message) []Entry {
--- a/pkg/member/instance.go
+++ b/pkg/member/instance.go
@@ -54,3 +54,8 @@
 	}
 	return startA > startB || startA == startB && a > b
 }
+
+// Supersedes reports whether both instances are of the same VM and a was started after b, so that b has ended.
+func Supersedes(a, b string) bool {
+	return VMOf(a) != "" && VMOf(a) == VMOf(b) && supersedes(a, b)
+}
--- a/pkg/purse/flush.go
+++ b/pkg/purse/flush.go
@@ -100,6 +100,19 @@
 	return until.Add(-clockMargin)
 }
 
+// journaledUntil returns the time, or an earlier one if a witness lags: a bill that this witness has as open may belong
+// to a request that began by the longest request before the lag, and the closing of this instance may know it only
+// from there. The ledger keeps the records of bills until their holder has flushed later. The retention time is longer
+// than the longest request, so a short lag costs the ledger nothing.
+func (c *core) journaledUntil(until time.Time) time.Time {
+	if behind, ok := c.log.Behind(); ok {
+		if began := behind.Add(-budget.LongestRequest - clockMargin); began.Before(until) {
+			return began
+		}
+	}
+	return until
+}
+
 func (f *flush) pending() bool {
 	return f.inProgress || f.settling > 0 || len(f.queue) > 0 || len(f.sent) > 0 || len(f.billed) > 0
 }
@@ -180,7 +193,7 @@
 		for i, b := range bills {
 			op.Bills[i] = b.record()
 		}
-		op.FlushedMS = f.flushedUntil(now, bills).UnixMilli()
+		op.FlushedMS = c.journaledUntil(f.flushedUntil(now, bills)).UnixMilli()
 		c.journalFlush(now, f, &pendingOp{op: op, account: a, bills: bills})
 		a.unflushed = a.unflushed[n:]
 		f.bills -= n
--- a/pkg/purse/reference_test.go
+++ b/pkg/purse/reference_test.go
@@ -1,6 +1,8 @@
 package purse
 
 import (
+	"time"
+
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/instance"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
@@ -11,6 +13,7 @@
 	holder string
 	budget budget.ID
 	tokens budget.Tokens
+	at     time.Time
 }
 
 // reference is a ledger that never forgets, and what callers were told.
@@ -25,12 +28,23 @@
 	served    int
 	changed   int
 	given     int
+	// lost counts the bills that were told and went down with the only witness that had them.
+	lost int
+	// answered holds the told bills whose messages to a witness that answers have all been delivered and answered.
+	answered map[witnessedBill]bool
+}
+
+// witnessedBill is a bill at a witness.
+type witnessedBill struct {
+	key    billKey
+	router string
 }
 
 func newReference(w *world) *reference {
 	return &reference{
 		w: w, toppedUp: map[budget.ID]budget.Tokens{}, bills: map[billKey]budget.Tokens{}, transfers: map[string]bool{},
 		closed: map[string]bool{}, told: map[billKey]told{}, refusals: map[outcome.Reason]int{},
+		answered: map[witnessedBill]bool{},
 	}
 }
 
--- a/pkg/router/books.go
+++ b/pkg/router/books.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		b.ledger.client.Store(ledgerwriter.NewClient(b.writer, b.peers, b.members, shards))
-		closer := instance.NewCloser(b.store, b.journals, b.writer, shards, b.members.Self().Instance)
+		closer := instance.NewCloser(b.store, b.journals, b.writer, shards, b.members)
 		manager := instance.NewManager(b.store, b.members, b.purse, b.witness, closer, b.scopes, instance.Intervals{})
 		b.closer.Store(closer)
 		b.manager.Store(manager)
