--- a/pkg/instance/closer.go
+++ b/pkg/instance/closer.go
@@ -5,11 +5,11 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
 
 	"github.com/lavendershunt/lavendershunt/internal/counter"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/journal"
+	"github.com/lavendershunt/lavendershunt/pkg/member"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
@@ -40,18 +40,23 @@
 	witnesses Witnesses
 	writer    ShardWriter
 	shards    int
-	router    string
+	view      member.View
 	results   counter.ByLabel
 }
 
-// NewCloser returns a closer that acts for a router instance. The number of shards is that of the stored layout.
-func NewCloser(store platform.Store, witnesses Witnesses, writer ShardWriter, shards int, router string) *Closer {
-	return &Closer{store: store, witnesses: witnesses, writer: writer, shards: shards, router: router}
+// NewCloser returns a closer that acts for the router of the view. The number of shards is that of the stored layout.
+func NewCloser(store platform.Store, witnesses Witnesses, writer ShardWriter, shards int, view member.View) *Closer {
+	return &Closer{store: store, witnesses: witnesses, writer: writer, shards: shards, view: view}
 }
 
 // Close closes an instance: its record is set to closing, every named witness closes the journal, the ledger settles
 // the bills and takes back the rest, and the record is deleted. It returns a *HeldError if a witness or the ledger
 // does not allow it now.
+//
+// If some witnesses are gone for good and all others have closed the journal, nobody can acknowledge an entry any more.
+// The bills that the others have are then settled, and the rest stays held until an operator releases it, because the
+// witnesses that are gone may have had more. What an instance and a witness that died together can lose is what only
+// that witness had acknowledged and the other one had not received yet: if it answered, of the last two round trips.
 func (c *Closer) Close(ctx context.Context, instance string) error {
 	return c.close(ctx, instance, false)
 }
@@ -68,7 +73,7 @@
 	if err != nil {
 		return ignoreNotFound(err)
 	}
-	return c.finish(ctx, r, nil, obstacle{}, false)
+	return c.finish(ctx, r, collected{}, false)
 }
 
 func ignoreNotFound(err error) error {
@@ -99,19 +104,35 @@
 	if err != nil {
 		return ignoreNotFound(err)
 	}
-	copies, found := c.collect(ctx, r)
-	return c.finish(ctx, r, copies, found, force)
+	return c.finish(ctx, r, c.collect(ctx, r), force)
 }
 
-func (c *Closer) finish(ctx context.Context, r Record, copies []journal.Copy, found obstacle, force bool) error {
-	var err error
-	if found.text == "" || force {
-		if found, err = c.closeHolder(ctx, r.Instance, journal.Merge(copies)); err != nil {
+// finish closes the holder if all witnesses have closed the journal or an operator forces it. If a copy is missing, the
+// bills are settled by operations of their own, which can be repeated for as long as the holder is open.
+func (c *Closer) finish(ctx context.Context, r Record, got collected, force bool) error {
+	f, found, fenced := journal.Merge(got.copies), got.obstacle(), got.fenced()
+	closing := found.text == "" || force
+	if fenced && !r.Settled || closing && (r.Settled || found.text != "") {
+		refused, err := c.apply(ctx, r.Instance, settleOps(r.Instance, f, c.shards))
+		if err != nil {
+			return err
+		}
+		if refused.text != "" {
+			return c.hold(ctx, r, refused, false)
+		}
+		f.Settles, f.Bills = nil, nil
+	}
+	if closing {
+		var err error
+		if found, err = c.apply(ctx, r.Instance, closeOps(r.Instance, f, c.shards)); err != nil {
 			return err
 		}
+	} else if fenced {
+		found.text += "; the bills of the other witnesses are settled, an operator may release the rest"
+		return c.hold(ctx, r, found, true)
 	}
 	if found.text != "" {
-		return c.hold(ctx, r, found)
+		return c.hold(ctx, r, found, false)
 	}
 	if err := c.remove(ctx, r.Instance); err != nil {
 		return err
@@ -125,7 +146,7 @@
 
 func (c *Closer) setClosing(r *Record) {
 	if r.State != Closing {
-		r.State, r.Closer = Closing, c.router
+		r.State, r.Closer = Closing, c.view.Self().Instance
 	}
 }
 
@@ -148,7 +169,7 @@
 		if err != nil {
 			return Record{}, err
 		}
-		if r.State == old.State && r.Held == old.Held {
+		if r.State == old.State && r.Held == old.Held && r.Settled == old.Settled {
 			return r, nil
 		}
 		if _, last = c.store.Put(ctx, Key(instance), value, o.Revision); last == nil {
@@ -161,33 +182,11 @@
 	return Record{}, fmt.Errorf("instance %s: change record: %w", instance, last)
 }
 
-// collect closes the journal at all witnesses. There is no obstacle if all have answered.
-func (c *Closer) collect(ctx context.Context, r Record) (copies []journal.Copy, found obstacle) {
-	var reasons []string
-	for _, w := range r.Witnesses {
-		content, err := c.witnesses.Close(ctx, w, r.Instance)
-		switch {
-		case errors.Is(err, journal.ErrNotWitness):
-			reasons = append(reasons, fmt.Sprintf("witness %s has restarted and lost its copy", w.Router))
-			if found.cause == "" {
-				found.cause = WitnessRestarted
-			}
-		case err != nil:
-			reasons = append(reasons, fmt.Sprintf("witness %s at %s is not reachable", w.Router, w.Address))
-			found.cause = WitnessUnreachable
-		default:
-			copies = append(copies, content)
-		}
-	}
-	found.text = strings.Join(reasons, "; ")
-	return copies, found
-}
-
-// closeHolder ends the holder in every shard. The operation has the same id for every closer, and the journals are
-// closed, so every closer sends the same content.
-func (c *Closer) closeHolder(ctx context.Context, instance string, f journal.Final) (obstacle, error) {
-	for shard, ops := range closeOps(instance, f, c.shards) {
-		for batch := range slices.Chunk(ops, maxOps) {
+// apply applies operations by shard. The operations have the same ids for every closer, and the journals are closed,
+// so every closer sends the same content.
+func (c *Closer) apply(ctx context.Context, instance string, ops [][]budget.Op) (obstacle, error) {
+	for shard := range ops {
+		for batch := range slices.Chunk(ops[shard], maxOps) {
 			results, err := c.writer.Apply(ctx, shard, batch)
 			if err != nil {
 				return obstacle{}, fmt.Errorf("instance %s: close in shard %d: %w", instance, shard, err)
@@ -220,13 +219,14 @@
 	return ""
 }
 
-// hold records why the closing does not go on.
-func (c *Closer) hold(ctx context.Context, r Record, found obstacle) error {
+// hold records why the closing does not go on, and whether the bills that are known are settled.
+func (c *Closer) hold(ctx context.Context, r Record, found obstacle, settled bool) error {
 	held := &HeldError{Instance: r.Instance, Reason: found.text, Cause: found.cause}
-	if r.Held == found.text {
+	settled = settled || r.Settled
+	if r.Held == found.text && r.Settled == settled {
 		return held
 	}
-	if _, err := c.update(ctx, r.Instance, func(r *Record) { r.Held = found.text }); err != nil {
+	if _, err := c.update(ctx, r.Instance, func(r *Record) { r.Held, r.Settled = found.text, settled }); err != nil {
 		return errors.Join(held, err)
 	}
 	return held
--- a/pkg/member/instance.go
+++ b/pkg/member/instance.go
@@ -47,9 +47,6 @@
 	return vm + "@" + process
 }
 
-// Supersedes reports whether instance a of a VM was started after instance b of the same VM.
-func Supersedes(a, b string) bool { return VMOf(a) == VMOf(b) && supersedes(a, b) }
-
 // startOf returns the start time in an instance id in Unix ms.
 func startOf(instance string) (int64, bool) {
 	_, rest, found := strings.Cut(instance, "@")
@@ -68,3 +65,8 @@
 	}
 	return startA > startB || startA == startB && a > b
 }
+
+// Supersedes reports whether both instances are of the same VM and a was started after b, so that b has ended.
+func Supersedes(a, b string) bool {
+	return VMOf(a) != "" && VMOf(a) == VMOf(b) && supersedes(a, b)
+}
--- a/pkg/router/books.go
+++ b/pkg/router/books.go
@@ -100,7 +100,7 @@
 		}
 		b.shards.Store(int64(shards))
 		b.ledger.client.Store(ledgerwriter.NewClient(b.writer, b.peers, b.members, shards))
-		closer := instance.NewCloser(b.store, b.journals, b.writer, shards, b.members.Self().Instance)
+		closer := instance.NewCloser(b.store, b.journals, b.writer, shards, b.members)
 		manager := instance.NewManager(b.store, b.members, b.purse, b.witness, closer, b.scopes, instance.Intervals{})
 		b.closer.Store(closer)
 		b.manager.Store(manager)
