Bound address answers and the turns of routers that close a failed instance

An answer with 370 addresses would have 17 KB; it has at most 16 now. The rank among 370 routers was calculated each second for each of 34 remembered failures, 1.2% of a core by docs/CAPACITY.md; it is calculated only during the turns of the first three routers.

--- a/pkg/gateway/addresses.go
+++ b/pkg/gateway/addresses.go
@@ -1,14 +1,16 @@
 package gateway
 
 import (
-	"slices"
-
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/lavendershunt/lavendershunt/pkg/member"
 	"github.com/lavendershunt/lavendershunt/pkg/rendezvous"
 )
 
+// maxAddresses bounds an answer. In a fleet of 370 routers all addresses would be 17 KB for each lookup; a caller uses
+// the first that answers.
+const maxAddresses = 16
+
 // addressAnswer is the answer of the address lookup.
 type addressAnswer struct {
 	// TTLMS is how long the caller may keep the answer, in ms.
@@ -29,10 +31,15 @@
 		return writeFailure(c, "", failure)
 	}
 	usable := g.usableMembers()
-	entries := make([]addressEntry, 0, len(usable))
-	for _, vm := range rendezvous.Rank(from.organisation.ID, vmNames(usable)) {
-		i := slices.IndexFunc(usable, func(m member.Member) bool { return m.VM == vm })
-		entries = append(entries, addressEntry{Address: usable[i].CallerAddress, Zone: usable[i].Zone})
+	byVM := make(map[string]member.Member, len(usable))
+	for _, m := range usable {
+		byVM[m.VM] = m
+	}
+	ranked := rendezvous.Rank(from.organisation.ID, vmNames(usable))
+	ranked = ranked[:min(len(ranked), maxAddresses)]
+	entries := make([]addressEntry, len(ranked))
+	for i, vm := range ranked {
+		entries[i] = addressEntry{Address: byVM[vm].CallerAddress, Zone: byVM[vm].Zone}
 	}
 	return c.JSON(addressAnswer{TTLMS: g.AddressTTL.Milliseconds(), Addresses: entries})
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -159,6 +160,21 @@
 	must.SliceContainsAll(t, []string{"10.0.0.1:8080", "10.0.0.2:8080"}, got)
 }
 
+// Guards against answers that grow with the fleet.
+func TestAddressAnswerIsBounded(t *testing.T) {
+	g := newGateway(configuration(t))
+	var many view
+	for i := range 3 * maxAddresses {
+		name := fmt.Sprintf("entry%d", i)
+		many = append(many, member.Member{VM: name, CallerAddress: name, State: member.Alive})
+	}
+	g.Members = many
+	_, data := g.do(t, http.MethodGet, "/v1/addresses", callerText, "")
+	var answer addressAnswer
+	must.NoError(t, json.Unmarshal(data, &answer))
+	must.Len(t, maxAddresses, answer.Addresses)
+}
+
 // FuzzChatBody guards against bodies that crash the parser or pass its checks with an impossible output limit.
 func FuzzChatBody(f *testing.F) {
 	for _, seed := range []string{goodBody, `{"model":"m","messages":[{"role":"u","content":[{"type":"text","text":"x"}]}]}`, "{", "null", `{"max_tokens":1e99}`} {
--- a/pkg/instance/manager.go
+++ b/pkg/instance/manager.go
@@ -61,6 +61,10 @@
 	return i
 }
 
+// closingTurns is the number of routers that try to close a failed instance in turn; later attempts are left to the
+// sweep.
+const closingTurns = 3
+
 // sweepers is the number of routers that look at all records, so that the load does not grow with the fleet.
 const sweepers = 2
 
@@ -194,6 +198,10 @@
 		if _, ok := m.failedSince[r.Instance]; !ok {
 			m.failedSince[r.Instance] = now
 		}
+		// The rank is costly in a large fleet, so it is not asked for once the turns of the first routers are over.
+		if now.Sub(m.failedSince[r.Instance]) > closingTurns*m.intervals.Turn {
+			continue
+		}
 		turn := m.failedSince[r.Instance].Add(time.Duration(m.rank("close/"+r.Instance)) * m.intervals.Turn)
 		// Later attempts are left to the sweep.
 		if !now.Before(turn) && now.Sub(turn) < 2*m.intervals.Check {
