Refuse to release a holder that has an instance record

Releasing the grant of such a holder by budget dropped the bills that its witnesses had not passed on. Closing the instance settles them. With the check off TestHeldTokensAndWithdrawal fails.

--- a/pkg/admin/budgets.go
+++ b/pkg/admin/budgets.go
@@ -11,6 +11,8 @@
 	adminv1 "github.com/lavendershunt/lavendershunt/api/ls/admin/v1"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
+	"github.com/lavendershunt/lavendershunt/pkg/instance"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
 // maxTopUpTokens bounds one top-up, so that sums of top-ups stay within an int64.
@@ -102,6 +104,9 @@
 	if evidence := s.evidence(req.Msg.GetInstance()); !evidence.releasable {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, fmt.Errorf("the tokens of %s are not released: %s", req.Msg.GetInstance(), evidence.reason))
 	}
+	if err := s.withoutRecord(ctx, req.Msg.GetInstance()); err != nil {
+		return nil, err
+	}
 	op := budget.Op{ID: "release/" + id.String() + "/" + req.Msg.GetInstance() + "/" + req.Msg.GetId(), Kind: budget.OpRelease, Budget: id, Holder: req.Msg.GetInstance()}
 	if _, err := s.apply(ctx, op); err != nil {
 		return nil, err
@@ -113,6 +118,20 @@
 	return connect.NewResponse(&adminv1.ReleaseGrantsResponse{Budget: status}), nil
 }
 
+// withoutRecord refuses a holder that has an instance record: its journal may have bills that are not settled, and only
+// closing the instance settles them.
+func (s *Server) withoutRecord(ctx context.Context, holder string) error {
+	_, err := s.deps.Platform.Get(ctx, instance.Key(holder))
+	switch {
+	case err == nil:
+		return connect.NewError(connect.CodeFailedPrecondition,
+			fmt.Errorf("%s has an instance record and maybe bills that are not settled; use budget release -instance %s", holder, holder))
+	case errors.Is(err, platform.ErrNotFound):
+		return nil
+	}
+	return toError(err)
+}
+
 func (s *Server) apply(ctx context.Context, op budget.Op) (budget.Result, error) {
 	results, err := s.deps.Ledger.Apply(ctx, op.Budget.Organisation, []budget.Op{op})
 	if err == nil && len(results) != 1 {
--- a/pkg/admin/cli/cli_test.go
+++ b/pkg/admin/cli/cli_test.go
@@ -18,6 +18,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/admin"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
+	"github.com/lavendershunt/lavendershunt/pkg/instance"
 	"github.com/lavendershunt/lavendershunt/pkg/member"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/platform/memstore"
@@ -224,6 +225,11 @@
 	must.StrContains(t, b.ok("budget held velocar"), "kept: VM entry-b1 is live")
 	must.NoError(t, b.store.SetVMState("entry-b1", platform.VMGone, nil))
 	must.StrContains(t, b.ok("budget held velocar"), "may be released")
+	// While the instance has a record, its journal may have bills that only a closing settles.
+	record, err := b.store.Client("test").Put(t.Context(), instance.Key("entry-b1@5-cc.1"), []byte("{}"), 0)
+	must.NoError(t, err)
+	b.fails(ExitFailed, release, "use budget release -instance entry-b1@5-cc.1")
+	must.NoError(t, b.store.Client("test").Delete(t.Context(), record.Key, record.Revision))
 	b.ok(release)
 
 	must.StrNotContains(t, b.ok("vm leave engine-1 -in 15m"), "blocked")
