Spend less processor time in an idle router

A profile of an idle router in a fleet of 8 showed 44% of its samples in the scheduler's wake-ups and about a fifth in gzip of answers below 100 bytes. Ruled out: the poller, which reads at most 20 times a second.

--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -10,7 +10,7 @@
 )
 
 // expireEvery is the period at which queued requests are checked against their deadlines.
-const expireEvery = 50 * time.Millisecond
+const expireEvery = 100 * time.Millisecond
 
 // Gate is the task that owns a Core. Its methods are safe for concurrent use and return after Run has ended.
 type Gate struct {
--- a/pkg/purse/purse.go
+++ b/pkg/purse/purse.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// tickInterval is the time between checks of deadlines and retries.
-	tickInterval = 20 * time.Millisecond
+	// tickInterval is the time between checks of deadlines and retries. Each wake-up costs an idle router processor time.
+	tickInterval = 50 * time.Millisecond
 	// applyTimeout bounds one call to the ledger; it is repeated after that.
 	applyTimeout = 5 * time.Second
 	// peerTimeout bounds one call to another router.
