--- a/pkg/ledgerwriter/task.go
+++ b/pkg/ledgerwriter/task.go
@@ -174,7 +174,7 @@
 	health := t.w.health
 	if errors.Is(err, platform.ErrUnavailable) {
 		r.unavailable++
-		if r.unavailable >= patience || health.isDown() {
+		if r.unavailable >= unavailableAfter || health.isDown() {
 			health.fail()
 			return false
 		}
--- a/pkg/ledgerwriter/writer.go
+++ b/pkg/ledgerwriter/writer.go
@@ -41,8 +41,8 @@
 	callTimeout = 2 * time.Second
 	// idleTime is how long the state of a shard without operations stays cached.
 	idleTime = time.Minute
-	// patience is the number of failed calls in a row after which the platform counts as unavailable.
-	patience = 3
+	// unavailableAfter is the number of failed calls in a row after which the platform counts as unavailable.
+	unavailableAfter = 3
 )
 
 // Bounds of the waiting times between attempts.
--- a/pkg/load/caller/caller.go
+++ b/pkg/load/caller/caller.go
@@ -39,11 +39,11 @@
 	Budget string
 }
 
-// Do sends the request until its outcome is known or its caller's patience is over, and returns the evidence.
+// Do sends the request until its outcome is known or the retry timeout of its caller has passed, and returns the evidence.
 func (c *Caller) Do(ctx context.Context, item work.Item, intended time.Time) *evidence.Request {
 	r := newRequest(item, intended)
 	r.Budget = c.Budget
-	ctx, cancel := context.WithDeadline(ctx, intended.Add(item.Mix.Patience))
+	ctx, cancel := context.WithDeadline(ctx, intended.Add(item.Mix.RetryTimeout))
 	defer cancel()
 	pause := pauseMin
 	for next := 0; ctx.Err() == nil && len(r.Attempts) < maxAttempts; next++ {
--- a/pkg/load/caller/caller_test.go
+++ b/pkg/load/caller/caller_test.go
@@ -39,7 +39,7 @@
 func chatItem(t *testing.T, stream bool) work.Item {
 	s := &scenario.Scenario{Seed: 1, Duration: time.Hour, Rate: 1, Model: "demo", BytesPerToken: 4, Mixes: []scenario.Mix{{
 		Name: "chats", Organisation: "velocar", Class: "briefing", Rate: 1000, Burst: 1, Callers: 1, Stream: stream,
-		Patience: 20 * time.Second, Silence: 10 * time.Second,
+		RetryTimeout: 20 * time.Second, Silence: 10 * time.Second,
 		PromptTokens: scenario.Range{Min: 5, Max: 5}, OutputTokens: scenario.Range{Min: 10, Max: 10},
 	}}}
 	item, ok := work.NewSource(s, 0, "test").Next()
--- a/pkg/load/caller/direct.go
+++ b/pkg/load/caller/direct.go
@@ -16,7 +16,7 @@
 
 // Direct runs a chat completion at an engine without a router, and reads the whole answer.
 func Direct(ctx context.Context, item work.Item, address, requestID string) error {
-	ctx, cancel := context.WithTimeout(ctx, item.Mix.Patience)
+	ctx, cancel := context.WithTimeout(ctx, item.Mix.RetryTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+engine.PathChat, bytes.NewReader(item.Body))
 	if err != nil {
--- a/pkg/load/scenario/scenario.go
+++ b/pkg/load/scenario/scenario.go
@@ -54,8 +54,8 @@
 	Limit int `yaml:"limit"`
 	// Deadline is the class's deadline, 0 if the class promises the whole answer.
 	Deadline time.Duration `yaml:"deadline"`
-	// Patience is how long a caller retries; default is the deadline, or 45 s without one.
-	Patience time.Duration `yaml:"patience"`
+	// RetryTimeout is how long a caller retries; default is the deadline, or 45 s without one.
+	RetryTimeout time.Duration `yaml:"retry_timeout"`
 	// Silence is how long a caller waits for a next byte before it tries elsewhere.
 	Silence time.Duration `yaml:"silence"`
 	// Callers is the number of callers with an address answer of their own; 0 means 1.
@@ -80,9 +80,9 @@
 
 // Default values of mixes.
 const (
-	DefaultPatience = 45 * time.Second
-	DefaultSilence  = 5 * time.Second
-	DefaultSettle   = 15 * time.Second
+	DefaultRetryTimeout = 45 * time.Second
+	DefaultSilence      = 5 * time.Second
+	DefaultSettle       = 15 * time.Second
 )
 
 // Load reads and checks a scenario file. Errors name the field.
@@ -120,10 +120,10 @@
 	if m.Callers == 0 {
 		m.Callers = 1
 	}
-	if m.Patience == 0 {
-		m.Patience = DefaultPatience
+	if m.RetryTimeout == 0 {
+		m.RetryTimeout = DefaultRetryTimeout
 		if m.Deadline > 0 {
-			m.Patience = m.Deadline
+			m.RetryTimeout = m.Deadline
 		}
 	}
 	if m.Silence == 0 {
--- a/pkg/load/scenario/scenario_test.go
+++ b/pkg/load/scenario/scenario_test.go
@@ -52,8 +52,8 @@
 	s, err := load(t, valid)
 	must.NoError(t, err)
 	must.Eq(t, scenario.DefaultSettle, s.Settle)
-	must.Eq(t, scenario.DefaultPatience, s.Mixes[0].Patience)
-	must.Eq(t, s.Mixes[1].Deadline, s.Mixes[1].Patience)
+	must.Eq(t, scenario.DefaultRetryTimeout, s.Mixes[0].RetryTimeout)
+	must.Eq(t, s.Mixes[1].Deadline, s.Mixes[1].RetryTimeout)
 	must.Eq(t, s.Mixes[1].Deadline/2, s.Mixes[1].Silence)
 }
 
