Work out bytes per token once per VM list; share one wait and one request to the routing task

Found in a reading of the whole change; behaviour is the same. - The routing task went through all VMs twice for each request to find a model's least bytes per token, which is linear in the fleet beside a choice that is not. The values are worked out once for each list and read without a message. - The wait for a time or the end of a context stood in eight places; seven use internal/sleep now. The ledger writer keeps its own, which returns the error. - The exchange of a message and its reply with the routing task stood three times. - Target.BytesPerToken, Report.Refused, Report.Elapsed and Gateway.now were not used.

--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lavendershunt/lavendershunt/internal/counter"
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
@@ -235,7 +236,7 @@
 		if err != nil || state != InProgress {
 			break
 		}
-		sleep(ctx, askInterval)
+		sleep.For(ctx, askInterval)
 	}
 	return c, false, outcome.Unknownf(outcome.ReasonInProgress, retryAfter,
 		"instance %s owns the call and gave no result (state %d)", record.Owner, state)
--- a/pkg/claim/record.go
+++ b/pkg/claim/record.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"strings"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/cenkalti/backoff/v5"
@@ -124,12 +123,3 @@
 	}
 	return Unknown, nil, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/config/spread.go
+++ b/pkg/config/spread.go
@@ -11,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/member"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/rendezvous"
@@ -140,14 +141,14 @@
 			watcher.Relist()
 		} else if !s.mustWatch() {
 			watcher.Reset()
-			sleep(ctx, idlePoll)
+			sleep.For(ctx, idlePoll)
 			continue
 		}
 		started := time.Now()
 		accepted, err := watcher.Step(ctx)
 		if err != nil {
 			s.options.Log.WithError(err).Debug("configuration watch failed")
-			sleep(ctx, pause.NextBackOff())
+			sleep.For(ctx, pause.NextBackOff())
 			continue
 		}
 		pause.Reset()
@@ -198,7 +199,7 @@
 func (s *Spreader) exchangeAll(ctx context.Context) {
 	declined := 0
 	// Routers that start together must not ask all at the same moment.
-	sleep(ctx, time.Duration(s.float64()*float64(s.options.Interval)))
+	sleep.For(ctx, time.Duration(s.float64()*float64(s.options.Interval)))
 	for ctx.Err() == nil {
 		if peers := s.peers(1); len(peers) > 0 {
 			if s.exchange(ctx, peers[0], declined >= maxDeclined) {
@@ -207,7 +208,7 @@
 				declined = 0
 			}
 		}
-		sleep(ctx, s.options.Interval)
+		sleep.For(ctx, s.options.Interval)
 	}
 }
 
@@ -288,12 +289,3 @@
 	s.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return addresses[:min(n, len(addresses))]
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/gateway/auth.go
+++ b/pkg/gateway/auth.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v3"
@@ -76,7 +77,7 @@
 	}
 	return relay.Request{
 		ID: id, Organisation: from.organisation, Class: class, IdempotencyKey: key,
-		Fingerprint: fingerprint(c), Arrived: g.now(),
+		Fingerprint: fingerprint(c), Arrived: time.Now(),
 	}, nil
 }
 
--- a/pkg/gateway/chat.go
+++ b/pkg/gateway/chat.go
@@ -57,8 +57,6 @@
 	return nil
 }
 
-func (g *Gateway) now() time.Time { return time.Now() }
-
 func (g *Gateway) chat(c fiber.Ctx) error {
 	id := g.NewID()
 	chat, stream, failure := g.parseChat(c, id)
--- a/pkg/load/caller/caller.go
+++ b/pkg/load/caller/caller.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/load/evidence"
 	"github.com/lavendershunt/lavendershunt/pkg/load/work"
 )
@@ -49,7 +50,7 @@
 	for next := 0; ctx.Err() == nil && len(r.Attempts) < maxAttempts; next++ {
 		addresses := c.Book.Addresses(ctx)
 		if len(addresses) == 0 {
-			sleep(ctx, pause)
+			sleep.For(ctx, pause)
 			continue
 		}
 		a := c.attempt(ctx, item, r, addresses[next%len(addresses)])
@@ -59,10 +60,10 @@
 		}
 		if (next+1)%len(addresses) == 0 {
 			c.Book.Forget()
-			sleep(ctx, max(pause, a.RetryAfter))
+			sleep.For(ctx, max(pause, a.RetryAfter))
 			pause = min(2*pause, pauseMax)
 		} else if a.RetryAfter > 0 && a.Reason != "" {
-			sleep(ctx, min(a.RetryAfter, pause))
+			sleep.For(ctx, min(a.RetryAfter, pause))
 		}
 	}
 	conclude(r)
@@ -122,12 +123,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/load/observe/configs.go
+++ b/pkg/load/observe/configs.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/config"
 	"github.com/lavendershunt/lavendershunt/pkg/load/control"
 	"github.com/lavendershunt/lavendershunt/pkg/load/evidence"
@@ -57,7 +58,7 @@
 				}
 			}
 		}
-		pause(ctx, configInterval)
+		sleep.For(ctx, configInterval)
 	}
 }
 
--- a/pkg/load/observe/ledger.go
+++ b/pkg/load/observe/ledger.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	ledgerv1 "github.com/lavendershunt/lavendershunt/api/ls/ledger/v1"
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/load/evidence"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
@@ -63,7 +64,7 @@
 			listed = err == nil
 		}
 		if err != nil {
-			pause(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 			continue
 		}
 		l.takeAll(objects)
@@ -221,12 +222,3 @@
 		e.Lost = append(e.Lost, fmt.Sprintf("ledger: %d gaps in the watch; several versions count as one there", l.gaps))
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -87,7 +87,7 @@
 	c.progress.send()
 	err := c.exchange(ctx, target, start)
 	c.exchanged(err)
-	c.Selector.Done(target, c.report(ctx, err, before, start))
+	c.Selector.Done(target, c.report(ctx, err, before))
 	switch {
 	case err == nil:
 		c.completed()
@@ -113,14 +113,12 @@
 	}
 }
 
-func (c *chatRun) report(ctx context.Context, err error, before int, start time.Time) Report {
+func (c *chatRun) report(ctx context.Context, err error, before int) Report {
 	cancelled := err != nil && (ctx.Err() != nil || errors.Is(err, errMoved))
 	return Report{
 		Cancelled: cancelled,
 		Failed:    !cancelled && (errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent)),
-		Refused:   errors.Is(err, ErrRefused),
 		Tokens:    c.delivered - before,
-		Elapsed:   time.Since(start),
 	}
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/admit"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/chart"
@@ -93,8 +94,6 @@
 type Target struct {
 	VM      string
 	Address string
-	// BytesPerToken is the least number of prompt bytes in one token of the endpoint's tokenizer.
-	BytesPerToken int
 	// Ticket identifies the choice in calls of Selector.Done.
 	Ticket uint64
 	// Evacuate ends when streams must be moved away, because the VM is about to be switched off. It may be nil.
@@ -103,15 +102,11 @@
 
 // Report tells the selector how a request at an endpoint ended.
 type Report struct {
-	// Failed is set if the endpoint did not behave, Refused if it turned the request away unrun, and
-	// Cancelled if the caller or the deadline ended the request.
+	// Failed is set if the endpoint did not behave, and Cancelled if the caller or the deadline ended the request.
 	Failed    bool
-	Refused   bool
 	Cancelled bool
 	// Tokens is the number of tokens received from the endpoint.
 	Tokens int
-	// Elapsed is the time from dispatch to the end.
-	Elapsed time.Duration
 }
 
 // Selector chooses endpoints and keeps account of the work sent to them.
@@ -238,12 +233,8 @@
 type openPlace struct{}
 
 func (openPlace) Requeue(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(requeuePause):
-		return nil
-	}
+	sleep.For(ctx, requeuePause)
+	return ctx.Err()
 }
 
 func (openPlace) Done(admit.Usage) {}
--- a/pkg/relay/service.go
+++ b/pkg/relay/service.go
@@ -167,12 +167,8 @@
 	if failure != nil {
 		return Answer{}, "", failure
 	}
-	start := time.Now()
 	answer, err := r.client.call(ctx, target.Address, call)
-	r.Selector.Done(target, Report{
-		Failed:  errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent),
-		Refused: errors.Is(err, ErrRefused), Elapsed: time.Since(start),
-	})
+	r.Selector.Done(target, Report{Failed: errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent)})
 	return answer, target.VM, err
 }
 
--- a/pkg/relay/suspect.go
+++ b/pkg/relay/suspect.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/poison"
 )
@@ -51,12 +52,5 @@
 		return false
 	}
 	c.tried = nil
-	timer := time.NewTimer(suspectPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return sleep.For(ctx, suspectPause)
 }
--- a/pkg/router/books.go
+++ b/pkg/router/books.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/budget"
 	"github.com/lavendershunt/lavendershunt/pkg/claim"
 	"github.com/lavendershunt/lavendershunt/pkg/instance"
@@ -95,7 +96,7 @@
 	for ctx.Err() == nil {
 		shards, err := ledgerwriter.Layout(ctx, b.store, defaultShards)
 		if err != nil {
-			sleep(ctx, retryInterval)
+			sleep.For(ctx, retryInterval)
 			continue
 		}
 		b.shards.Store(int64(shards))
--- a/pkg/router/feed.go
+++ b/pkg/router/feed.go
@@ -90,12 +90,3 @@
 	default:
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/selector/poll.go
+++ b/pkg/selector/poll.go
@@ -139,15 +139,8 @@
 // due returns the engines whose load should be polled next.
 func (s *Selector) due(limit int) []engineAddress {
 	m := dueQuery{limit: limit, reply: make(chan []engineAddress, 1)}
-	if !s.send(m) {
-		return nil
-	}
-	select {
-	case due := <-m.reply:
-		return due
-	case <-s.stopped:
-		return nil
-	}
+	due, _ := ask(s, m, m.reply)
+	return due
 }
 
 func (m dueQuery) handle(s *Selector, _ time.Time) {
@@ -171,15 +164,8 @@
 // false if no events were read.
 func (s *Selector) apply(r polled) (next uint64, ok bool) {
 	m := applyPoll{polled: r, reply: make(chan uint64, 1)}
-	if !s.send(m) {
-		return 0, false
-	}
-	select {
-	case next = <-m.reply:
-		return next, r.hasEvents
-	case <-s.stopped:
-		return 0, false
-	}
+	next, ok = ask(s, m, m.reply)
+	return next, ok && r.hasEvents
 }
 
 func (m applyPoll) handle(s *Selector, now time.Time) {
--- a/pkg/selector/selector.go
+++ b/pkg/selector/selector.go
@@ -47,6 +47,9 @@
 	// decisions counts decisions by reason; promptTokens and cachedTokens belong to those that chose an engine.
 	decisions                  counter.ByLabel
 	promptTokens, cachedTokens atomic.Int64
+	// bytesPerToken holds the least bytes per token of each model. It is worked out once for each list, because every
+	// request asks for it.
+	bytesPerToken atomic.Pointer[map[string]int]
 
 	// The fields below are owned by the task.
 	table   *route.Table
@@ -103,6 +106,19 @@
 	}
 }
 
+// ask passes a message to the task and waits for its reply. ok is false if the task has ended.
+func ask[T any](s *Selector, m message, reply <-chan T) (answer T, ok bool) {
+	if !s.send(m) {
+		return answer, false
+	}
+	select {
+	case answer = <-reply:
+		return answer, true
+	case <-s.stopped:
+		return answer, false
+	}
+}
+
 type choose struct {
 	request relay.Choosing
 	blocks  []uint64
@@ -123,17 +139,12 @@
 	if c.Model != "" {
 		m.blocks, m.ends = route.Blocks(c.Model, c.Prompt)
 	}
-	stopping := outcome.NotRunf(outcome.ReasonLeaving, time.Second, "this router is stopping")
-	if !s.send(m) {
-		return relay.Target{}, stopping
-	}
-	select {
-	case answer := <-m.reply:
-		s.logDecision(&answer.decision)
-		return answer.target, answer.failure
-	case <-s.stopped:
-		return relay.Target{}, stopping
+	answer, ok := ask(s, m, m.reply)
+	if !ok {
+		return relay.Target{}, outcome.NotRunf(outcome.ReasonLeaving, time.Second, "this router is stopping")
 	}
+	s.logDecision(&answer.decision)
+	return answer.target, answer.failure
 }
 
 func (m choose) handle(s *Selector, now time.Time) {
@@ -160,7 +171,7 @@
 	}
 	if c.Model != "" {
 		r.Pool, r.Blocks, r.BlockEnds = route.Model(c.Model), m.blocks, m.ends
-		r.PromptTokens = relay.PromptBound(len(c.Prompt), 1, s.bytesPerToken(c.Model))
+		r.PromptTokens = relay.PromptBound(len(c.Prompt), 1, s.BytesPerToken(c.Model))
 	}
 	return r
 }
@@ -218,38 +229,26 @@
 	s.table.Done(now, flight, m.result, m.tokens)
 }
 
-type bytesQuery struct {
-	model string
-	reply chan int
-}
-
 // BytesPerToken implements relay.Selector.
 func (s *Selector) BytesPerToken(model string) int {
-	m := bytesQuery{model: model, reply: make(chan int, 1)}
-	if !s.send(m) {
-		return 1
-	}
-	select {
-	case n := <-m.reply:
-		return n
-	case <-s.stopped:
-		return 1
+	if known := s.bytesPerToken.Load(); known != nil {
+		return max(1, (*known)[model])
 	}
+	return 1
 }
 
-func (m bytesQuery) handle(s *Selector, _ time.Time) { m.reply <- s.bytesPerToken(m.model) }
-
-// bytesPerToken returns the least value over the model's endpoints, because a request may be sent to any.
-func (s *Selector) bytesPerToken(model string) int {
-	least := 0
-	for i := range s.vms {
-		for _, m := range s.vms[i].Models {
-			if n := max(1, s.vms[i].BytesPerToken); m == model && (least == 0 || n < least) {
-				least = n
+// leastBytesPerToken returns the least value over each model's endpoints, because a request may be sent to any.
+func leastBytesPerToken(vms []platform.VM) map[string]int {
+	least := map[string]int{}
+	for i := range vms {
+		n := max(1, vms[i].BytesPerToken)
+		for _, model := range vms[i].Models {
+			if known, ok := least[model]; !ok || n < known {
+				least[model] = n
 			}
 		}
 	}
-	return max(1, least)
+	return least
 }
 
 type updateVMs struct{ vms []platform.VM }
@@ -268,6 +267,8 @@
 	if s.Placed != nil {
 		s.vms = s.Placed(s.listed)
 	}
+	least := leastBytesPerToken(s.vms)
+	s.bytesPerToken.Store(&least)
 	s.table.Update(now, s.vms, s.Leaving)
 	s.moves.update(now, s.vms, s.deadlineOf)
 	s.reportCapacity(now)
--- a/pkg/withdraw/withdraw.go
+++ b/pkg/withdraw/withdraw.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/chart"
 )
 
@@ -186,7 +187,7 @@
 	if stayed || !w.announce(cancellable, true) || !w.step(cancellable, "announced") {
 		return false
 	}
-	if !sleep(cancellable, w.lameDuck()) || !w.step(cancellable, "addresses_expired") {
+	if !sleep.For(cancellable, w.lameDuck()) || !w.step(cancellable, "addresses_expired") {
 		return false
 	}
 	return w.drain(ctx) && w.step(ctx, "drained")
@@ -200,7 +201,7 @@
 			return true
 		}
 		w.options.Log.WithError(err).Warn("the peers were not told of the withdrawal")
-		if !sleep(ctx, announcePause) {
+		if !sleep.For(ctx, announcePause) {
 			return false
 		}
 	}
@@ -215,7 +216,7 @@
 		if len(w.options.Router.Awaited()) == 0 {
 			return true
 		}
-		if !sleep(ctx, drainPause) {
+		if !sleep.For(ctx, drainPause) {
 			return false
 		}
 	}
@@ -240,15 +241,3 @@
 	w.options.Log.WithFields(log.Fields{"from": from, "to": w.machine.State(), "event": event}).Info("withdrawal state changed")
 	return true
 }
-
-// sleep waits for d and reports whether ctx is still in force.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
