--- /dev/null
+++ b/pkg/catalog/catalog.go
@@ -0,0 +1,200 @@
+// Package catalog holds the operator's configuration of routes, services, organisations and keys as an immutable
+// snapshot.
+package catalog
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// ErrInvalid is wrapped by every error about the content of a configuration.
+var ErrInvalid = errors.New("catalog: invalid configuration")
+
+// Repeat tells how often a request of a route may run.
+type Repeat int
+
+// Values of Repeat.
+const (
+	// Idempotent requests may run any number of times.
+	Idempotent Repeat = iota
+	// AtMostOnce requests must not run twice.
+	AtMostOnce
+)
+
+// Backend is a service that a route sends a share of its requests to.
+type Backend struct {
+	Service string
+	// Weight is the share relative to the route's other backends.
+	Weight int
+}
+
+// Route describes the requests of one host and path prefix.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Repeat Repeat
+	// Streaming routes answer with a sequence of events.
+	Streaming bool
+	// Resumable streams may continue at another endpoint after their last delivered event.
+	Resumable bool
+	// Timeout bounds the time until the end of the answer.
+	Timeout time.Duration
+	// Objective is the latency objective of the answer, for streams of its first event.
+	Objective time.Duration
+	// Priority is the urgency of the route, 0 is the most urgent.
+	Priority int
+	// MaxAttempts bounds the endpoints that one request is sent to.
+	MaxAttempts int
+	// Public routes need no key.
+	Public   bool
+	Backends []Backend
+}
+
+// Organisation owns keys and a prepaid budget.
+type Organisation struct {
+	Name string
+	Keys []string
+	// Priority replaces that of the route if HasPriority is set.
+	Priority    int
+	HasPriority bool
+	// Prepaid is the number of tokens that the organisation may use; Limited tells that there is such a limit.
+	Prepaid int64
+	Limited bool
+}
+
+// Service describes the endpoints of one name.
+type Service struct {
+	Name string
+	// TokensPerEvent is the number of output tokens in an event of a stream; 0 if the service is not a model engine.
+	TokensPerEvent int
+	// Slots is the number of requests that an engine runs at once, 0 if unknown.
+	Slots int
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Config is the content of one version of the configuration.
+type Config struct {
+	Version       uint64
+	Routes        []Route
+	Services      []Service
+	Organisations []Organisation
+	Limits        Limits
+}
+
+// Snapshot is an immutable, indexed configuration.
+type Snapshot struct {
+	// Version is the operator's version and Revision the store's revision of it.
+	Version, Revision uint64
+	Limits            Limits
+	hosts             map[string][]Route
+	services          map[string]Service
+	keys              map[string]*Organisation
+	organisations     []Organisation
+}
+
+// New checks and indexes a configuration. Its errors wrap ErrInvalid and name the field.
+func New(c Config, revision uint64) (*Snapshot, error) {
+	s := &Snapshot{
+		Version: c.Version, Revision: revision, Limits: c.Limits, organisations: slices.Clone(c.Organisations),
+		hosts: map[string][]Route{}, services: make(map[string]Service, len(c.Services)), keys: map[string]*Organisation{},
+	}
+	for _, service := range c.Services {
+		s.services[service.Name] = service
+	}
+	for _, r := range c.Routes {
+		if err := checkRoute(r); err != nil {
+			return nil, err
+		}
+		host := strings.ToLower(r.Host)
+		s.hosts[host] = append(s.hosts[host], r)
+	}
+	for _, routes := range s.hosts {
+		// The longest prefix is tried first.
+		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range s.organisations {
+		for _, key := range s.organisations[i].Keys {
+			s.keys[key] = &s.organisations[i]
+		}
+	}
+	return s, nil
+}
+
+func checkRoute(r Route) error {
+	switch {
+	case r.Host == "":
+		return fmt.Errorf("%w: route %q: host is missing", ErrInvalid, r.Name)
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return fmt.Errorf("%w: route %q: prefix %q does not begin and end with a slash", ErrInvalid, r.Name, r.Prefix)
+	case len(r.Backends) == 0:
+		return fmt.Errorf("%w: route %q: no service", ErrInvalid, r.Name)
+	case r.Timeout <= 0:
+		return fmt.Errorf("%w: route %q: timeout must be positive", ErrInvalid, r.Name)
+	}
+	return nil
+}
+
+// Match returns the route of the host with the longest prefix of the path.
+func (s *Snapshot) Match(host, path string) (Route, bool) {
+	routes, ok := s.hosts[strings.ToLower(host)]
+	if !ok {
+		if i := strings.LastIndexByte(host, ':'); i > 0 {
+			routes = s.hosts[strings.ToLower(host[:i])]
+		}
+	}
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// KeysRequired reports whether requests of routes that are not public need a key.
+func (s *Snapshot) KeysRequired() bool { return len(s.organisations) > 0 }
+
+// ByKey returns the organisation that holds the key.
+func (s *Snapshot) ByKey(key string) (*Organisation, bool) {
+	o, ok := s.keys[key]
+	return o, ok
+}
+
+// Organisations returns all organisations. The result must not be changed.
+func (s *Snapshot) Organisations() []Organisation { return s.organisations }
+
+// Service returns the service with the name.
+func (s *Snapshot) Service(name string) (Service, bool) {
+	service, ok := s.services[name]
+	return service, ok
+}
+
+// Pick returns the service for a number drawn uniformly from [0, 1).
+func (r Route) Pick(drawn float64) string {
+	total := 0
+	for _, b := range r.Backends {
+		total += max(0, b.Weight)
+	}
+	if total == 0 {
+		return r.Backends[0].Service
+	}
+	at := drawn * float64(total)
+	for _, b := range r.Backends {
+		at -= float64(max(0, b.Weight))
+		if at < 0 {
+			return b.Service
+		}
+	}
+	return r.Backends[len(r.Backends)-1].Service
+}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -42,7 +42,8 @@
 	// Get returns the object, or ErrNotFound.
 	Get(ctx context.Context, key string) (Object, error)
 	// Put writes the value if the object's revision is ifRevision; 0 means that the object must not exist.
-	// It returns the new object, or ErrConflict, ErrUncertain or another error of this package.
+	// It returns the new object, or ErrConflict, ErrUncertain or another error of this package. With ErrConflict the
+	// object is the stored one if the platform tells it, and zero otherwise.
 	Put(ctx context.Context, key string, value []byte, ifRevision uint64) (Object, error)
 	// Delete removes the object if its revision is ifRevision. The errors are those of Put.
 	Delete(ctx context.Context, key string, ifRevision uint64) error
@@ -105,6 +106,8 @@
 	Fencing Fencing `json:"fencing,omitempty"`
 	// MaxInFlight limits the requests that the endpoint takes at once; 0 means no limit.
 	MaxInFlight int `json:"max_in_flight,omitempty"`
+	// Started tells starts of a VM under the same name apart, as a Unix time in ms; 0 if the platform doesn't say.
+	Started int64 `json:"started,omitempty"`
 	// Deadline is the time of the planned switch-off of a leaving VM, if it is known.
 	Deadline *time.Time `json:"deadline,omitempty"`
 }
--- a/pkg/route/options.go
+++ b/pkg/route/options.go
@@ -11,6 +11,9 @@
 	PrefixCandidates int
 	// HomeCandidates is the number of endpoints taken from the consistent-hashing ring; negative means none.
 	HomeCandidates int
+	// HomeHolds makes the first usable endpoint on the ring count as holding the whole indexed prefix, because all
+	// routers place it there. It suits a router that sees only a small share of a prefix's requests.
+	HomeHolds bool
 	// PrefillTokensPerMS is the assumed prompt speed of an engine.
 	PrefillTokensPerMS float64
 	// The time of the request's own uncached prompt is multiplied by PromptWeight plus Crowding for each request at
--- a/pkg/route/ring.go
+++ b/pkg/route/ring.go
@@ -62,21 +62,27 @@
 		p.rebuild()
 	}
 	key := r.Blocks[min(homeBlock, len(r.Blocks)-1)]
-	first, _ := slices.BinarySearchFunc(p.ring, key, func(a point, key uint64) int { return cmp.Compare(a.hash, key) })
-	want := len(into) + t.options.HomeCandidates
+	start, _ := slices.BinarySearchFunc(p.ring, key, func(a point, key uint64) int { return cmp.Compare(a.hash, key) })
+	want, first := len(into)+t.options.HomeCandidates, true
 	for i := range min(maxSteps, len(p.ring)) {
-		e := p.ring[(first+i)%len(p.ring)].endpoint
+		e := p.ring[(start+i)%len(p.ring)].endpoint
 		if len(into) == want {
 			break
 		}
 		if !e.openIn(p) || !usable(e, r) {
 			continue
 		}
-		if contains(into, e) {
+		depth := t.prefix.depth(at, e, r.Blocks)
+		if first && t.options.HomeHolds {
+			depth = len(r.Blocks)
+		}
+		first = false
+		if i := slices.IndexFunc(into, func(c considered) bool { return c.endpoint == e }); i >= 0 {
+			into[i].depth = max(into[i].depth, depth)
 			want--
 			continue
 		}
-		into = append(into, considered{endpoint: e, depth: t.prefix.depth(at, e, r.Blocks)})
+		into = append(into, considered{endpoint: e, depth: depth})
 	}
 	return into
 }
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -139,7 +139,7 @@
 }
 
 func sameWork(a, b platform.VM) bool {
-	return a.Address == b.Address && a.Role == b.Role && a.Service == b.Service && slices.Equal(a.Models, b.Models)
+	return a.Started == b.Started && a.Address == b.Address && a.Role == b.Role && a.Service == b.Service && slices.Equal(a.Models, b.Models)
 }
 
 func (t *Table) add(vm platform.VM) *endpoint {
--- /dev/null
+++ b/pkg/task/task.go
@@ -0,0 +1,57 @@
+// Package task runs functions one at a time in a goroutine that owns a piece of state.
+package task
+
+import "context"
+
+// queueLength is the number of calls that may wait without blocking their callers.
+const queueLength = 64
+
+// Owner serializes access to a value of type T. Create it with New and start it with Run.
+type Owner[T any] struct {
+	state   *T
+	calls   chan func(*T)
+	stopped chan struct{}
+}
+
+// New returns an Owner of state. After the call, only functions passed to Do and Post may use state.
+func New[T any](state *T) *Owner[T] {
+	return &Owner[T]{state: state, calls: make(chan func(*T), queueLength), stopped: make(chan struct{})}
+}
+
+// Run executes calls until ctx ends. It must be called once.
+func (o *Owner[T]) Run(ctx context.Context) {
+	defer close(o.stopped)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case call := <-o.calls:
+			call(o.state)
+		}
+	}
+}
+
+// Do runs f in the owner's goroutine and waits for it. It reports false if the owner has stopped; f may then not
+// have run.
+func (o *Owner[T]) Do(f func(*T)) bool {
+	done := make(chan struct{})
+	if !o.Post(func(s *T) { f(s); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-o.stopped:
+		return false
+	}
+}
+
+// Post queues f and does not wait for it. It reports false if the owner has stopped.
+func (o *Owner[T]) Post(f func(*T)) bool {
+	select {
+	case o.calls <- f:
+		return true
+	case <-o.stopped:
+		return false
+	}
+}
