--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -2,7 +2,9 @@
 //
 // The store holds one object per organisation with the number of tokens that routers have drawn. A router draws an
 // amount by conditional update before it spends it, so drawn ≤ prepaid holds at every revision, and spending by all
-// routers together is at most drawn. What a router that died had drawn and not spent counts as spent.
+// routers together is at most drawn. What a router that died had drawn and not spent counts as spent. Routers move
+// drawn tokens between each other without the store: the giver takes them off its own account before it answers, so a
+// lost answer can lose tokens but can't spend them twice.
 package allowance
 
 import (
@@ -11,22 +13,31 @@
 )
 
 const (
-	// horizon is the time for which a draw lasts at the present demand. A longer one costs fewer calls, and loses more
-	// when a router dies.
-	horizon = 3 * time.Second
-	// lowWater is the part of the horizon below which more is drawn ahead of need.
-	lowWater = horizon / 3
+	// horizon is the time for which a draw lasts at the present demand. It covers a partition from the store of about
+	// 9 s; a longer one loses more when a router dies.
+	horizon = 12 * time.Second
+	// refillShare is the part of the horizon below which more is drawn ahead of need.
+	refillShare = 0.6
+	// worthShare is the least part of the horizon that is drawn ahead of need; less is not worth a call.
+	worthShare = 0.25
 	// demandWindow is the time constant of the average of the demand.
-	demandWindow = 4 * time.Second
-	// shares is the number of equal draws per router that would use up the remainder; it keeps tokens from being
-	// held by many routers when little is left.
-	shares = 4
+	demandWindow = 5 * time.Second
+	// floorShare is the part of the remainder that all routers together hold whatever the demand was so far, because a
+	// partition may come before the demand is known.
+	floorShare = 0.25
+	// shares is the number of equal draws per router that would use up the remainder, so that one router can't hold
+	// most of what is left.
+	shares = 2
+	// keepTime is the time of its own demand for which a router keeps tokens when another one asks.
+	keepTime = time.Second
 	// idleAfter is the time without requests after which unspent tokens are returned if little is left.
 	idleAfter = 1500 * time.Millisecond
 	// scarceShare is the share of the budget below which little is left.
 	scarceShare = 0.1
 	// backoff is the pause after a failed call to the store.
 	backoff = 300 * time.Millisecond
+	// dryTime is how long a refusal holds for later requests that need as much, unless the operator raises the budget.
+	dryTime = 700 * time.Millisecond
 )
 
 // Verdict is the answer to a reservation.
@@ -38,16 +49,24 @@
 	Granted Verdict = iota
 	// Exhausted means that the remaining budget does not cover the request.
 	Exhausted
-	// Unavailable means that the store did not answer; the request may come again.
+	// Unavailable means that the store or another router that may hold tokens did not answer; the request may come
+	// again.
 	Unavailable
 )
 
-// waiter is a request that waits for a draw.
+// waiter is a request that waits for tokens.
 type waiter struct {
 	tokens  int64
 	verdict chan Verdict
 }
 
+// write is a draw whose effect on the store is not known.
+type write struct {
+	amount int64
+	// base is the revision that the write was conditional on.
+	base uint64
+}
+
 // account is one organisation's budget as this router sees it. It does no I/O and reads no clock.
 type account struct {
 	// prepaid is the operator's total and drawn what the store last showed; known tells that it was read.
@@ -56,52 +75,70 @@
 	// free are tokens that were drawn and are neither spent nor reserved.
 	free    int64
 	waiting []waiter
-	// drawing tells that a call to the store is in progress.
-	drawing bool
-	retryAt time.Time
-	// demand is the average of reserved tokens per second.
-	demand  float64
-	updated time.Time
-	lastUse time.Time
+	// drawing and asking tell that a call to the store or to other routers is in progress.
+	drawing, asking bool
+	retryAt         time.Time
+	// open are the draws without an answer by their writer's mark.
+	open map[string]write
+	// demand is the sum of reserved tokens, decayed with demandWindow, and seconds the decayed time of observation.
+	demand, seconds float64
+	updated         time.Time
+	lastUse         time.Time
+	// Until dryUntil requests for dryTokens or more get dryVerdict at once.
+	dryUntil   time.Time
+	dryTokens  int64
+	dryVerdict Verdict
+}
+
+// setPrepaid takes the operator's total.
+func (a *account) setPrepaid(total int64) {
+	if total != a.prepaid {
+		a.dryUntil = time.Time{}
+	}
+	a.prepaid = total
 }
 
 // reserve takes tokens or queues the waiter.
 func (a *account) reserve(now time.Time, w waiter) {
 	a.lastUse = now
-	a.observe(now, w.tokens)
-	if len(a.waiting) == 0 && w.tokens <= a.free {
+	switch {
+	case len(a.waiting) == 0 && w.tokens <= a.free:
+		a.observe(now, w.tokens)
 		a.free -= w.tokens
 		w.verdict <- Granted
-		return
-	}
-	if now.Before(a.retryAt) && !a.drawing {
-		w.verdict <- Unavailable
-		return
+	case now.Before(a.dryUntil) && w.tokens >= a.dryTokens:
+		w.verdict <- a.dryVerdict
+	default:
+		a.observe(now, w.tokens)
+		a.waiting = append(a.waiting, w)
 	}
-	a.waiting = append(a.waiting, w)
 }
 
-// observe adds tokens to the average demand, which decays with demandWindow.
+// observe adds tokens to the average demand.
 func (a *account) observe(now time.Time, tokens int64) {
 	a.decay(now)
-	a.demand += float64(tokens) / demandWindow.Seconds()
+	a.demand += float64(tokens)
 }
 
 func (a *account) decay(now time.Time) {
 	if !a.updated.IsZero() {
-		a.demand *= math.Exp(-now.Sub(a.updated).Seconds() / demandWindow.Seconds())
+		passed := now.Sub(a.updated).Seconds()
+		kept := math.Exp(-passed / demandWindow.Seconds())
+		a.demand *= kept
+		a.seconds = a.seconds*kept + demandWindow.Seconds()*(1-kept)
 	}
 	a.updated = now
 }
 
-// release returns tokens of a reservation that were not used.
-func (a *account) release(tokens int64) {
-	a.free += tokens
-	a.serve()
+// rate is the average of reserved tokens per second since the first one.
+func (a *account) rate(now time.Time) float64 {
+	a.decay(now)
+	return a.demand / max(1, a.seconds)
 }
 
-// serve grants the waiting requests that the free tokens cover, in order.
-func (a *account) serve() {
+// credit adds tokens that were released, drawn or given, and serves the waiting requests that they cover, in order.
+func (a *account) credit(tokens int64) {
+	a.free += tokens
 	for len(a.waiting) > 0 && a.waiting[0].tokens <= a.free {
 		a.free -= a.waiting[0].tokens
 		a.waiting[0].verdict <- Granted
@@ -109,81 +146,126 @@
 	}
 }
 
-func (a *account) needed() int64 {
-	var sum int64
+// shortage is what the waiting requests lack.
+func (a *account) shortage() int64 {
+	sum := -a.free
 	for _, w := range a.waiting {
 		sum += w.tokens
 	}
 	return sum
 }
 
-// wants tells whether the account should draw now.
-func (a *account) wants(now time.Time) bool {
+// target is what the account would hold if the budget allowed it.
+func (a *account) target(now time.Time, routers int) int64 {
+	floor := floorShare * float64(a.prepaid-a.drawn) / float64(max(1, routers))
+	return int64(max(a.rate(now)*horizon.Seconds(), floor))
+}
+
+// wantsDraw tells whether the account should call the store now.
+func (a *account) wantsDraw(now time.Time, routers int) bool {
 	if a.drawing || now.Before(a.retryAt) {
 		return false
 	}
 	if len(a.waiting) > 0 {
-		return true
+		return !a.asking
 	}
-	a.decay(now)
-	ahead := int64(a.demand * lowWater.Seconds())
-	return a.known && a.free < ahead && a.prepaid-a.drawn > 0 && now.Sub(a.lastUse) < horizon
+	target := a.target(now, routers)
+	if !a.known || float64(a.free) > refillShare*float64(target) || now.Sub(a.lastUse) > horizon {
+		return false
+	}
+	return float64(a.amount(now, routers)) >= max(1, worthShare*float64(target))
+}
+
+// wantsAsk tells whether the account should ask other routers now because the store can't be reached.
+func (a *account) wantsAsk(now time.Time) bool {
+	return len(a.waiting) > 0 && !a.asking && !a.drawing && now.Before(a.retryAt)
 }
 
 // amount is how much to draw from the remainder, 0 if it doesn't cover the first waiting request.
 func (a *account) amount(now time.Time, routers int) int64 {
 	remainder := a.prepaid - a.drawn
-	need := max(0, a.needed()-a.free)
-	if need > remainder {
-		// The first request that fits is served rather than none.
-		need = 0
-		if len(a.waiting) > 0 {
-			need = a.waiting[0].tokens - a.free
-		}
-		if need > remainder {
-			return 0
+	need := max(0, a.shortage())
+	if len(a.waiting) > 0 && need > remainder {
+		// The first request is served rather than none.
+		need = a.waiting[0].tokens - a.free
+	}
+	if need > remainder || remainder <= 0 {
+		return 0
+	}
+	ahead := min(a.target(now, routers)-a.free, remainder/int64(shares*max(1, routers)))
+	return min(remainder, max(need, ahead))
+}
+
+// seen takes the store's object: drawn is its total, mark this router's last write in it.
+func (a *account) seen(drawn int64, mark string, revision uint64) {
+	a.drawn, a.known = drawn, true
+	if w, ok := a.open[mark]; ok {
+		// The write took effect, so the others, which had the same condition or an older one, did not.
+		clear(a.open)
+		a.credit(w.amount)
+		return
+	}
+	for m, w := range a.open {
+		if w.base < revision {
+			delete(a.open, m)
 		}
 	}
-	a.decay(now)
-	ahead := int64(a.demand*horizon.Seconds()) - a.free
-	limit := remainder / int64(shares*max(1, routers))
-	return min(remainder, max(need, min(ahead, limit)))
 }
 
-// granted takes the result of a successful draw.
-func (a *account) granted(tokens int64) {
-	a.free += tokens
-	a.serve()
+// wrote takes the result of a successful draw.
+func (a *account) wrote(drawn, tokens int64) {
+	a.drawn, a.known = drawn, true
+	clear(a.open)
+	a.credit(tokens)
 }
 
-// exhausted refuses the waiting requests that the remainder and the free tokens don't cover.
-func (a *account) exhausted() {
-	remainder := a.prepaid - a.drawn
-	kept := a.waiting[:0]
+// refuse gives the verdict to the waiting requests and to later ones that need as much.
+func (a *account) refuse(now time.Time, v Verdict) {
+	if len(a.waiting) == 0 {
+		return
+	}
+	least := a.waiting[0].tokens
 	for _, w := range a.waiting {
-		if w.tokens > remainder+a.free {
-			w.verdict <- Exhausted
-			continue
+		least = min(least, w.tokens)
+		w.verdict <- v
+	}
+	a.waiting = nil
+	a.dryUntil, a.dryTokens, a.dryVerdict = now.Add(dryTime), least, v
+	if v == Unavailable {
+		a.dryUntil = now.Add(backoff)
+	}
+}
+
+// withdraw takes a waiter out that has gone.
+func (a *account) withdraw(verdict chan Verdict) {
+	for i := range a.waiting {
+		if a.waiting[i].verdict == verdict {
+			a.waiting = append(a.waiting[:i:i], a.waiting[i+1:]...)
+			a.credit(0)
+			return
 		}
-		kept = append(kept, w)
 	}
-	a.waiting = kept
-	a.serve()
 }
 
-// failed refuses all waiting requests because the store did not answer.
-func (a *account) failed(now time.Time) {
-	a.retryAt = now.Add(backoff)
-	for _, w := range a.waiting {
-		w.verdict <- Unavailable
+// give takes tokens off the account for another router that lacks need tokens and would hold want. What would not
+// serve such a request here is given in full; of more, the tokens for keepTime are kept.
+func (a *account) give(now time.Time, need, want int64) int64 {
+	if len(a.waiting) > 0 || a.free <= 0 || need <= 0 {
+		return 0
 	}
-	a.waiting = nil
+	spare := a.free
+	if spare >= need {
+		spare -= int64(a.rate(now) * keepTime.Seconds())
+	}
+	given := max(0, min(spare, max(need, min(want, spare/2))))
+	a.free -= given
+	return given
 }
 
 // surplus is what should be returned to the store: all free tokens when little is left and nothing was asked for.
 func (a *account) surplus(now time.Time) int64 {
 	scarce := a.known && float64(a.prepaid-a.drawn) < scarceShare*float64(a.prepaid)
-	if a.drawing || !scarce || len(a.waiting) > 0 || now.Sub(a.lastUse) < idleAfter {
+	if a.drawing || !scarce || len(a.waiting) > 0 || now.Sub(a.lastUse) < idleAfter || now.Before(a.retryAt) {
 		return 0
 	}
 	return a.free
--- /dev/null
+++ b/pkg/allowance/peers.go
@@ -0,0 +1,100 @@
+package allowance
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/apex/log"
+
+	pursev1 "github.com/lavendershunt/lavendershunt/api/ls/purse/v1"
+	"github.com/lavendershunt/lavendershunt/api/ls/purse/v1/pursev1connect"
+)
+
+const (
+	// maxAsked bounds the routers that are asked for one shortage; askedAtOnce are asked at the same time.
+	maxAsked    = 12
+	askedAtOnce = 4
+	// answerTimeout bounds one question.
+	answerTimeout = 80 * time.Millisecond
+	// budgetName is the budget of an organisation that the operator's configuration states.
+	budgetName = "prepaid"
+)
+
+// Service answers questions of other routers.
+type Service struct {
+	pursev1connect.UnimplementedPurseServiceHandler
+	book *Book
+}
+
+// NewService returns the service of a book.
+func NewService(b *Book) *Service { return &Service{book: b} }
+
+// Handler returns the path and the handler for the peer API.
+func (s *Service) Handler(options ...connect.HandlerOption) (string, http.Handler) {
+	return pursev1connect.NewPurseServiceHandler(s, options...)
+}
+
+// Transfer implements PurseService.
+func (s *Service) Transfer(_ context.Context, req *connect.Request[pursev1.TransferRequest]) (*connect.Response[pursev1.TransferResponse], error) {
+	given := s.book.Give(req.Msg.GetOrganisation(), req.Msg.GetNeed(), req.Msg.GetWant())
+	return connect.NewResponse(&pursev1.TransferResponse{From: s.book.VM, Tokens: given}), nil
+}
+
+// RemotePeers implements Peers over the network.
+type RemotePeers struct {
+	// Addresses returns the peer addresses of the other routers.
+	Addresses func() []string
+	Client    connect.HTTPClient
+	VM        string
+	Log       log.Interface
+}
+
+var _ Peers = (*RemotePeers)(nil)
+
+// Ask implements Peers. Routers are asked in random order, a few at a time, until the need is met.
+func (r *RemotePeers) Ask(ctx context.Context, organisation string, need, want int64) (int64, bool) {
+	addresses := r.Addresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	complete := len(addresses) <= maxAsked
+	addresses = addresses[:min(len(addresses), maxAsked)]
+	var got int64
+	for len(addresses) > 0 && got < need && ctx.Err() == nil {
+		batch := addresses[:min(askedAtOnce, len(addresses))]
+		addresses = addresses[len(batch):]
+		given, answered := r.askBatch(ctx, batch, organisation, need-got, max(need, want-got)/int64(len(batch)))
+		got += given
+		complete = complete && answered
+	}
+	return got, complete && (len(addresses) == 0 || got >= need)
+}
+
+func (r *RemotePeers) askBatch(ctx context.Context, addresses []string, organisation string, need, want int64) (int64, bool) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	var sum int64
+	complete := true
+	for _, address := range addresses {
+		wait.Go(func() {
+			client := pursev1connect.NewPurseServiceClient(r.Client, "http://"+address)
+			response, err := client.Transfer(ctx, connect.NewRequest(&pursev1.TransferRequest{
+				Organisation: organisation, Budget: budgetName, Need: need, Want: want, To: r.VM,
+			}))
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				complete = false
+				r.Log.WithFields(log.Fields{"peer": address, "organisation": organisation}).WithError(err).Info("allowance_peer_silent")
+				return
+			}
+			sum += max(0, response.Msg.GetTokens())
+		})
+	}
+	wait.Wait()
+	return sum, complete
+}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -99,8 +99,11 @@
 	r.placement = forward.NewPlacement(s.Zone, routeOptions)
 	r.config = &configuration{key: a.ConfigKey, decode: a.DecodeConfig, store: a.Store, log: logger}
 	r.endpoints = newEndpoints(a.DecodeEndpoint, logger, r.publish)
-	r.roster = roster.New(a.Store, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, State: roster.Starting}, logger)
-	r.books = allowance.NewBook(allowance.Options{Store: a.Store, Instance: instance, Log: logger, Routers: r.roster.Count})
+	r.roster = roster.New(a.Store, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting}, logger)
+	r.books = allowance.NewBook(allowance.Options{
+		Store: a.Store, VM: s.VM, Instance: instance, Log: logger, Routers: r.roster.Count,
+		Peers: &allowance.RemotePeers{Addresses: r.roster.Peers, Client: newPeerClient(), VM: s.VM, Log: logger},
+	})
 	r.server = forward.NewServer(forward.Options{
 		Configuration: r.config, Dialect: a.Dialect, Placement: r.placement, Client: r.client, Allowances: r.books,
 		Retries: retry.New(retry.Limits(s.Retry), time.Now(), s.FirstStart),
@@ -113,6 +116,8 @@
 // prefix's requests, so the home of a prefix is trusted to hold it.
 var routeOptions = route.Options{
 	HomeHolds:          true,
+	PromptWeight:       3,
+	Crowding:           -1,
 	PrefillTokensPerMS: 50,
 	PrefixAge:          20 * time.Second,
 	MaxPrefixEntries:   20_000,
@@ -150,7 +155,9 @@
 	tasks.Go(func() { r.announce(background) })
 
 	callers := r.httpServer(r.server)
-	failed := make(chan error, 4)
+	peers := r.httpServer(r.peerHandler())
+	peers.Protocols = unencryptedHTTP2()
+	failed := make(chan error, 5)
 	listeners := []struct {
 		address string
 		server  *http.Server
@@ -158,6 +165,7 @@
 		{r.settings.CallerAddress, callers},
 		{r.settings.ReadyAddress, r.httpServer(http.HandlerFunc(r.serveReady))},
 		{r.settings.LookupAddress, r.httpServer(http.HandlerFunc(r.serveLookup))},
+		{r.settings.PeerAddress, peers},
 		{r.settings.MetricsAddress, r.httpServer(r.metrics.Handler)},
 	}
 	for _, l := range listeners {
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -18,6 +18,8 @@
 	CallerAddress, ReadyAddress string
 	// LookupAddress answers callers that ask which addresses to use. Optional.
 	LookupAddress string
+	// PeerAddress is where other routers connect. Optional.
+	PeerAddress string
 	// MetricsAddress serves the metrics. Optional.
 	MetricsAddress        string
 	ReadyPath, LookupPath string
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -46,8 +46,10 @@
 	// Instance is unique for each start of a router.
 	Instance string `json:"instance"`
 	Zone     string `json:"zone"`
-	Address  string `json:"address"`
-	State    State  `json:"state"`
+	// Address is where callers connect, Peer where other routers do.
+	Address string `json:"address"`
+	Peer    string `json:"peer"`
+	State   State  `json:"state"`
 	// Renewal increases with each write.
 	Renewal uint64 `json:"renewal"`
 }
@@ -252,6 +254,19 @@
 	return n
 }
 
+// Peers returns the peer addresses of the other routers that are taken for alive.
+func (r *Roster) Peers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var addresses []string
+	for _, m := range r.view.members {
+		if m.record.Peer != "" && r.view.alive(m) {
+			addresses = append(addresses, m.record.Peer)
+		}
+	}
+	return addresses
+}
+
 // Addresses returns the caller addresses of the ready routers, those of the caller's zone first, at most limit. If no
 // router is known to be ready, it returns those that are starting.
 func (r *Roster) Addresses(zone string, limit int) []string {
