Switch off the factor for slow endpoints on the platform: a few tokens of a busy engine are no measure

Cause: time between events of a dozen tokens varies with prefills of others, so 1.5 times the pool's average marked healthy engines as slow and scattered prefixes.

--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -118,6 +118,7 @@
 	HomeHolds:          true,
 	PromptWeight:       3,
 	Crowding:           -1,
+	SpeedHalfLife:      time.Millisecond,
 	PrefillTokensPerMS: 50,
 	PrefixAge:          20 * time.Second,
 	MaxPrefixEntries:   20_000,
