--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -78,6 +78,8 @@
 	// drawing and asking tell that a call to the store or to other routers is in progress.
 	drawing, asking bool
 	retryAt         time.Time
+	// asked tells that the homes were asked for the waiting requests and did not give enough.
+	asked bool
 	// open are the draws without an answer by their writer's mark.
 	open map[string]write
 	// demand is the sum of reserved tokens, decayed with demandWindow, and seconds the decayed time of observation.
@@ -144,6 +146,9 @@
 		a.waiting[0].verdict <- Granted
 		a.waiting = a.waiting[1:]
 	}
+	if len(a.waiting) == 0 {
+		a.asked = false
+	}
 }
 
 // shortage is what the waiting requests lack.
@@ -161,13 +166,17 @@
 	return int64(max(a.rate(now)*horizon.Seconds(), floor))
 }
 
-// wantsDraw tells whether the account should call the store now.
-func (a *account) wantsDraw(now time.Time, routers int) bool {
+// wantsDraw tells whether the account should call the store now. A router that is not a home of the organisation asks
+// the homes first.
+func (a *account) wantsDraw(now time.Time, routers int, home bool) bool {
 	if a.drawing || now.Before(a.retryAt) {
 		return false
 	}
 	if len(a.waiting) > 0 {
-		return !a.asking
+		return !a.asking && (home || a.asked)
+	}
+	if !home {
+		return false
 	}
 	target := a.target(now, routers)
 	if !a.known || float64(a.free) > refillShare*float64(target) || now.Sub(a.lastUse) > horizon {
@@ -176,9 +185,10 @@
 	return float64(a.amount(now, routers)) >= max(1, worthShare*float64(target))
 }
 
-// wantsAsk tells whether the account should ask other routers now because the store can't be reached.
-func (a *account) wantsAsk(now time.Time) bool {
-	return len(a.waiting) > 0 && !a.asking && !a.drawing && now.Before(a.retryAt)
+// wantsAsk tells whether the account should ask other routers now: because the store can't be reached, or because the
+// homes draw for it.
+func (a *account) wantsAsk(now time.Time, home bool) bool {
+	return len(a.waiting) > 0 && !a.asking && !a.drawing && (now.Before(a.retryAt) || !home && !a.asked)
 }
 
 // amount is how much to draw from the remainder, 0 if it doesn't cover the first waiting request.
@@ -229,7 +239,7 @@
 		least = min(least, w.tokens)
 		w.verdict <- v
 	}
-	a.waiting = nil
+	a.waiting, a.asked = nil, false
 	a.dryUntil, a.dryTokens, a.dryVerdict = now.Add(dryTime), least, v
 	if v == Unavailable {
 		a.dryUntil = now.Add(backoff)
@@ -259,6 +269,9 @@
 	}
 	given := max(0, min(spare, max(need, min(want, spare/2))))
 	a.free -= given
+	// What others take counts as demand, so that a home holds enough for them.
+	a.observe(now, given)
+	a.lastUse = now
 	return given
 }
 
--- a/pkg/allowance/book.go
+++ b/pkg/allowance/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -27,7 +28,8 @@
 type Peers interface {
 	// Ask returns the tokens that other routers gave, and whether all of them answered. need is what is lacking and want
 	// what would be held.
-	Ask(ctx context.Context, organisation string, need, want int64) (tokens int64, complete bool)
+	// The homes are asked first.
+	Ask(ctx context.Context, homes []string, organisation string, need, want int64) (tokens int64, complete bool)
 }
 
 // Book holds the budgets of all organisations at this router. It is safe for concurrent use.
@@ -41,6 +43,8 @@
 	// stored is the last object seen of each organisation.
 	stored map[string]stored
 	writes int
+	// closing tells that the router stops: free tokens are returned and none are drawn.
+	closing bool
 }
 
 func (s *state) account(name string) *account {
@@ -59,8 +63,9 @@
 	// VM is the router's name and Instance unique for each start of it.
 	VM, Instance string
 	Log          log.Interface
-	// Routers returns the number of routers that draw from the budgets.
-	Routers func() int
+	// Homes returns the names of the routers that draw an organisation's tokens from the store, this one perhaps among
+	// them. The others get theirs from these.
+	Homes func(organisation string) []string
 }
 
 // NewBook returns a Book; its methods wait until Run is called.
@@ -97,12 +102,16 @@
 
 // advance starts the next call for the account, if it needs one.
 func (b *Book) advance(s *state, name string, a *account) {
-	now := time.Now()
+	now, homes := time.Now(), b.Homes(name)
 	switch {
-	case a.wantsDraw(now, b.Routers()):
+	case s.closing:
+		if a.free > 0 && !a.drawing && !now.Before(a.retryAt) {
+			b.giveBack(s, name, a, a.free)
+		}
+	case a.wantsDraw(now, len(homes), slices.Contains(homes, b.VM)):
 		a.drawing = true
 		go b.draw(name, s.stored[name])
-	case a.wantsAsk(now):
+	case a.wantsAsk(now, slices.Contains(homes, b.VM)):
 		b.ask(name, a, Unavailable)
 	}
 }
@@ -123,6 +132,8 @@
 	select {
 	case v := <-verdict:
 		return v
+	case <-b.owner.Stopped():
+		return Unavailable
 	case <-ctx.Done():
 	}
 	b.owner.Post(func(s *state) {
@@ -148,7 +159,11 @@
 // Give takes tokens off the organisation's account for another router that lacks need tokens.
 func (b *Book) Give(organisation string, need, want int64) int64 {
 	var given int64
-	b.owner.Do(func(s *state) { given = s.account(organisation).give(time.Now(), need, want) })
+	b.owner.Do(func(s *state) {
+		a := s.account(organisation)
+		given = a.give(time.Now(), need, want)
+		b.advance(s, organisation, a)
+	})
 	if given > 0 {
 		b.Log.WithFields(log.Fields{"organisation": organisation, "tokens": given, "need": need}).Info("allowance_given")
 	}
@@ -156,7 +171,7 @@
 }
 
 // askAhead is the time of its demand for which a router asks others beyond its need.
-const askAhead = 2 * time.Second
+const askAhead = 4 * time.Second
 
 // askTimeout bounds the questions to other routers, which answer within a few ms.
 const askTimeout = 250 * time.Millisecond
@@ -167,10 +182,11 @@
 	a.asking = true
 	need := a.shortage()
 	want := need + int64(a.rate(time.Now())*askAhead.Seconds())
+	homes := b.Homes(name)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
-		tokens, complete := b.Peers.Ask(ctx, name, need, want)
+		tokens, complete := b.Peers.Ask(ctx, homes, name, need, want)
 		b.owner.Post(func(s *state) {
 			a.asking = false
 			a.credit(tokens)
@@ -180,7 +196,12 @@
 			b.Log.WithFields(log.Fields{
 				"organisation": name, "need": need, "tokens": tokens, "complete": complete, "refused": len(a.waiting), "drawn": a.drawn, "prepaid": a.prepaid,
 			}).Info("allowance_asked")
-			a.refuse(time.Now(), otherwise)
+			if len(a.waiting) > 0 && !a.asked {
+				// The homes have nothing left, or were not reached: the store decides.
+				a.asked = true
+			} else {
+				a.refuse(time.Now(), otherwise)
+			}
 			b.advance(s, name, a)
 		})
 	}()
@@ -189,10 +210,9 @@
 // ReturnAll returns all unspent tokens before the router stops. It waits until the store has answered or ctx ends.
 func (b *Book) ReturnAll(ctx context.Context) {
 	b.owner.Do(func(s *state) {
+		s.closing = true
 		for name, a := range s.accounts {
-			if a.free > 0 && !a.drawing {
-				b.giveBack(s, name, a, a.free)
-			}
+			b.advance(s, name, a)
 		}
 	})
 	for ctx.Err() == nil {
--- /dev/null
+++ b/pkg/allowance/book_test.go
@@ -0,0 +1,280 @@
+package allowance
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/platform/memstore"
+)
+
+const organisation = "velocar"
+
+func quietLog() log.Interface { return &log.Logger{Handler: discard.New(), Level: log.ErrorLevel} }
+
+// lateStore loses the responses of some writes and executes some of these seconds later.
+type lateStore struct {
+	platform.Store
+	mu     sync.Mutex
+	random *rand.Rand
+	// lost is the share of writes without an answer, of which half are done late.
+	lost float64
+}
+
+func (s *lateStore) draw() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64()
+}
+
+func (s *lateStore) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (platform.Object, error) {
+	x := s.draw()
+	switch {
+	case x < s.lost/2:
+		go func() {
+			time.Sleep(time.Duration(1+2*s.draw()) * time.Second)
+			_, _ = s.Store.Put(context.Background(), key, value, ifRevision)
+		}()
+		return platform.Object{}, platform.ErrUncertain
+	case x < s.lost:
+		_, _ = s.Store.Put(ctx, key, value, ifRevision)
+		return platform.Object{}, platform.ErrUncertain
+	}
+	return s.Store.Put(ctx, key, value, ifRevision)
+}
+
+// fleet is some books over one store that ask each other.
+type fleet struct {
+	mu    sync.Mutex
+	books map[string]*Book
+	// cut are the books that reach no other one.
+	cut map[string]bool
+}
+
+func (f *fleet) others(vm string) []*Book {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found []*Book
+	for name, b := range f.books {
+		if name != vm && !f.cut[name] && !f.cut[vm] {
+			found = append(found, b)
+		}
+	}
+	return found
+}
+
+// peersOf implements Peers; one answer in five is lost after the giver gave.
+type peersOf struct {
+	*fleet
+	vm     string
+	random func() float64
+}
+
+func (p peersOf) Ask(_ context.Context, _ []string, organisation string, need, want int64) (int64, bool) {
+	var got int64
+	complete := true
+	for _, b := range p.others(p.vm) {
+		if got >= need {
+			break
+		}
+		given := b.Give(organisation, need-got, want-got)
+		if p.random() < 0.2 {
+			complete = false
+			continue
+		}
+		got += given
+	}
+	return got, complete
+}
+
+// Guards against overspend: what the requests of all routers have used never exceeds the budget, while writes and
+// answers are lost or done late, routers die and start again, and the budget is raised.
+func TestNeverOverspent(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		lost := rapid.SampledFrom([]float64{0, 0.2, 0.6}).Draw(rt, "lost")
+		var spent, prepaid int64
+		synctest.Test(t, func(t *testing.T) { spent, prepaid = spend(t, seed, lost) })
+		if spent > prepaid {
+			rt.Fatalf("spent %d of %d", spent, prepaid)
+		}
+	})
+}
+
+func spend(t *testing.T, seed uint64, lost float64) (spent, prepaid int64) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	store := &lateStore{Store: memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1}).Client("test"), random: rand.New(rand.NewPCG(seed, 1)), lost: lost}
+	f := &fleet{books: map[string]*Book{}, cut: map[string]bool{}}
+	ctx, stopAll := context.WithCancel(t.Context())
+	stops := map[string]context.CancelFunc{}
+	starts := 0
+	// vm3 gets its tokens from the others.
+	homes := []string{"vm1", "vm2"}
+	start := func(vm string) {
+		starts++
+		b := NewBook(Options{
+			Store: store, VM: vm, Instance: vm + string(rune('a'+starts)), Log: quietLog(), Homes: func(string) []string { return homes },
+			Peers: peersOf{fleet: f, vm: vm, random: store.draw},
+		})
+		var bookCtx context.Context
+		bookCtx, stops[vm] = context.WithCancel(ctx)
+		go b.Run(bookCtx)
+		f.mu.Lock()
+		f.books[vm] = b
+		f.mu.Unlock()
+	}
+	vms := []string{"vm1", "vm2", "vm3"}
+	for _, vm := range vms {
+		start(vm)
+	}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	prepaid = 20_000
+	for range 120 {
+		vm := vms[random.IntN(len(vms))]
+		switch random.IntN(20) {
+		case 0:
+			stops[vm]()
+			start(vm)
+		case 1:
+			f.mu.Lock()
+			f.cut[vm] = !f.cut[vm]
+			f.mu.Unlock()
+		case 2:
+			prepaid += 1000
+		default:
+			f.mu.Lock()
+			b := f.books[vm]
+			f.mu.Unlock()
+			tokens, used, total := 50+random.Int64N(800), random.Float64(), prepaid
+			wait.Go(func() {
+				if b.Reserve(ctx, organisation, total, tokens) != Granted {
+					return
+				}
+				use := int64(used * float64(tokens))
+				mu.Lock()
+				spent += use
+				mu.Unlock()
+				time.Sleep(300 * time.Millisecond)
+				b.Release(organisation, tokens-use)
+			})
+		}
+		time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
+	}
+	wait.Wait()
+	stopAll()
+	time.Sleep(10 * time.Second)
+	return spent, prepaid
+}
+
+// Guards against refusing requests that the budget covers while the store can't be reached: the routers' own tokens and
+// those of others bridge a partition of 9 s.
+func TestBridgesPartitionFromStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+		f := &fleet{books: map[string]*Book{}, cut: map[string]bool{}}
+		ctx, stop := context.WithCancel(t.Context())
+		vms := []string{"vm1", "vm2", "vm3", "vm4"}
+		for _, vm := range vms {
+			f.books[vm] = NewBook(Options{
+				Store: memory.Client(vm), VM: vm, Instance: vm, Log: quietLog(), Homes: func(string) []string { return vms },
+				Peers: peersOf{fleet: f, vm: vm, random: func() float64 { return 1 }},
+			})
+			go f.books[vm].Run(ctx)
+		}
+		// 4,000 tokens a second for 6 s with the store and 9 s without it, out of 150,000.
+		refused := 0
+		for i := range 150 {
+			if i == 60 {
+				_, err := memory.Inject(memstore.Fault{Kind: memstore.FaultDown})
+				must.NoError(t, err)
+			}
+			// Three quarters of the requests meet the same router.
+			vm := vms[0]
+			if i%4 == 3 {
+				vm = vms[1+i%3]
+			}
+			if f.books[vm].Reserve(ctx, organisation, 150_000, 400) != Granted {
+				refused++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.Zero(t, refused)
+		stop()
+	})
+}
+
+// Guards against stranding the end of a budget: tokens that other routers hold are found when the store has none left.
+func TestSpendsTheLastTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+		f := &fleet{books: map[string]*Book{}, cut: map[string]bool{}}
+		ctx, stop := context.WithCancel(t.Context())
+		vms := []string{"vm1", "vm2", "vm3", "vm4"}
+		for _, vm := range vms {
+			f.books[vm] = NewBook(Options{
+				Store: memory.Client(vm), VM: vm, Instance: vm, Log: quietLog(), Homes: func(string) []string { return vms },
+				Peers: peersOf{fleet: f, vm: vm, random: func() float64 { return 1 }},
+			})
+			go f.books[vm].Run(ctx)
+		}
+		const prepaid, size = 100_000, 1_000
+		granted := 0
+		for i := range 2 * prepaid / size {
+			if f.books[vms[i%len(vms)]].Reserve(ctx, organisation, prepaid, size) == Granted {
+				granted++
+			}
+			time.Sleep(30 * time.Millisecond)
+		}
+		// A request is owed while it fits into 97 in 100 of the budget.
+		must.GreaterEq(t, prepaid*97/100/size, granted)
+		must.LessEq(t, prepaid/size, granted)
+		must.EqOp(t, Exhausted, f.books["vm1"].Reserve(ctx, organisation, prepaid, size))
+		// A raised budget is used at once, whatever was refused before.
+		must.EqOp(t, Granted, f.books["vm1"].Reserve(ctx, organisation, prepaid+10*size, size))
+		stop()
+	})
+}
+
+// Guards against losing what a router holds at a planned stop.
+func TestReturnAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+		ctx, stop := context.WithCancel(t.Context())
+		b := NewBook(Options{
+			Store: memory.Client("vm1"), VM: "vm1", Instance: "vm1", Log: quietLog(), Homes: func(string) []string { return []string{"vm1"} },
+			Peers: peersOf{fleet: &fleet{}, vm: "vm1", random: func() float64 { return 1 }},
+		})
+		go b.Run(ctx)
+		must.EqOp(t, Granted, b.Reserve(ctx, organisation, 10_000, 100))
+		b.Release(organisation, 60)
+		b.ReturnAll(ctx)
+		o, err := memory.Client("vm1").Get(ctx, kind+"/"+organisation)
+		must.NoError(t, err)
+		must.StrContains(t, string(o.Value), `"drawn":40,`)
+		stop()
+	})
+}
+
+// Guards against counting a write twice, or not at all, whose response was lost.
+func TestAccountRecognisesOwnWrite(t *testing.T) {
+	a := &account{open: map[string]write{"vm1a/1": {amount: 500, base: 7}}, prepaid: 1000}
+	a.seen(900, "vm1a/1", 8)
+	must.EqOp(t, 500, a.free)
+	a.seen(900, "vm1a/1", 8)
+	must.EqOp(t, 500, a.free)
+
+	a = &account{open: map[string]write{"vm1a/1": {amount: 500, base: 7}}, prepaid: 1000}
+	a.seen(900, "", 9)
+	must.EqOp(t, 0, a.free)
+	must.MapEmpty(t, a.open)
+}
--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -97,7 +97,7 @@
 		}
 		s.stored[name] = seen
 		now := time.Now()
-		p.amount = a.amount(now, b.Routers())
+		p.amount = a.amount(now, len(b.Homes(name)))
 		switch {
 		case p.amount > 0 && (len(a.waiting) > 0 || !fresh):
 			s.writes++
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,8 +47,8 @@
 
 // RemotePeers implements Peers over the network.
 type RemotePeers struct {
-	// Addresses returns the peer addresses of the other routers.
-	Addresses func() []string
+	// Addresses returns the peer addresses of the other routers by name.
+	Addresses func() map[string]string
 	Client    connect.HTTPClient
 	VM        string
 	Log       log.Interface
@@ -55,10 +56,10 @@
 
 var _ Peers = (*RemotePeers)(nil)
 
-// Ask implements Peers. Routers are asked in random order, a few at a time, until the need is met.
-func (r *RemotePeers) Ask(ctx context.Context, organisation string, need, want int64) (int64, bool) {
-	addresses := r.Addresses()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+// Ask implements Peers. The homes are asked first and then the others in random order, a few at a time, until the need
+// is met.
+func (r *RemotePeers) Ask(ctx context.Context, homes []string, organisation string, need, want int64) (int64, bool) {
+	addresses := order(r.Addresses(), homes)
 	complete := len(addresses) <= maxAsked
 	addresses = addresses[:min(len(addresses), maxAsked)]
 	var got int64
@@ -72,6 +73,22 @@
 	return got, complete && (len(addresses) == 0 || got >= need)
 }
 
+// order returns the addresses of the homes and then the others, both shuffled, so that the homes share the work.
+func order(known map[string]string, homes []string) []string {
+	var first, rest []string
+	for name, address := range known {
+		if slices.Contains(homes, name) {
+			first = append(first, address)
+		} else {
+			rest = append(rest, address)
+		}
+	}
+	for _, list := range [][]string{first, rest} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return append(first, rest...)
+}
+
 func (r *RemotePeers) askBatch(ctx context.Context, addresses []string, organisation string, need, want int64) (int64, bool) {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -40,6 +40,9 @@
 	memoryShare = 0.6
 	// gcPercent trades processor time for memory: live data is a few MB.
 	gcPercent = 50
+	// homesPerOrganisation is the number of routers that draw an organisation's tokens from the store. More of them lose
+	// less when one dies; fewer make fewer calls.
+	homesPerOrganisation = 8
 	// maxAddresses is the largest number of addresses that callers take from an answer.
 	maxAddresses = 64
 )
@@ -101,7 +104,8 @@
 	r.endpoints = newEndpoints(a.DecodeEndpoint, logger, r.publish)
 	r.roster = roster.New(a.Store, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting}, logger)
 	r.books = allowance.NewBook(allowance.Options{
-		Store: a.Store, VM: s.VM, Instance: instance, Log: logger, Routers: r.roster.Count,
+		Store: a.Store, VM: s.VM, Instance: instance, Log: logger,
+		Homes: func(organisation string) []string { return r.roster.Homes(organisation, homesPerOrganisation) },
 		Peers: &allowance.RemotePeers{Addresses: r.roster.Peers, Client: newPeerClient(), VM: s.VM, Log: logger},
 	})
 	r.server = forward.NewServer(forward.Options{
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// buckets is the number of parts in which a window is counted.
-	buckets = 20
+	// parts is the number of parts in which a window is counted. One bucket more is kept, because the newest one has
+	// only begun.
+	parts   = 20
+	buckets = parts + 1
 	// margin is the part of the fleet's budget that the routers use; the rest covers that windows of callers and of
 	// routers don't begin together.
 	margin = 0.8
@@ -73,7 +75,7 @@
 }
 
 func (b *Budget) bucket(now time.Time) int64 {
-	return int64(now.Sub(b.started) / max(1, b.limits.Window/buckets))
+	return int64(now.Sub(b.started) / max(1, b.limits.Window/parts))
 }
 
 // window returns the service's counts with the buckets that have left the window cleared.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -16,6 +16,7 @@
 	"github.com/apex/log"
 
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/rendezvous"
 )
 
 const (
@@ -24,9 +25,13 @@
 	// Interval is the period of renewals and of lists; each interval varies by up to jitter.
 	Interval = 2 * time.Second
 	jitter   = 0.2
-	// deadAfter is the time without a renewal after which a router is taken for dead. It covers two lost renewals and
-	// a list that is 3 s old.
-	deadAfter = 8 * time.Second
+	// fullRate is the number of routers up to which each renews its record in every interval; in a larger fleet each
+	// renews less often, so that the calls of the fleet stay the same.
+	fullRate = 16
+	// missedRenewals is the number of renewals after which a router is taken for dead, on top of listAge, the age that a
+	// list may have.
+	missedRenewals = 2.5
+	listAge        = 3 * time.Second
 	// forgetAfter is the time after which the record of a dead router is deleted.
 	forgetAfter = time.Minute
 )
@@ -103,7 +108,15 @@
 }
 
 // alive reports whether the member has renewed its record recently.
-func (v *view) alive(m member) bool { return v.origin.Add(v.clock).Sub(m.changed) < deadAfter }
+func (v *view) alive(m member) bool {
+	limit := listAge + time.Duration(missedRenewals*float64(v.renewalInterval()))
+	return v.origin.Add(v.clock).Sub(m.changed) < limit
+}
+
+// renewalInterval is the time between two renewals of a router's record.
+func (v *view) renewalInterval() time.Duration {
+	return Interval * time.Duration(max(1, (len(v.members)+fullRate)/fullRate))
+}
 
 func (v *view) old(m member) bool { return v.origin.Add(v.clock).Sub(m.changed) >= forgetAfter }
 
@@ -147,17 +160,32 @@
 
 // Run renews the record and lists the others until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
+	var renewed time.Time
+	woken := true
 	for ctx.Err() == nil {
-		r.noteResult(errors.Join(r.renew(ctx), r.list(ctx)))
+		var err error
+		if woken || time.Since(renewed) >= r.renewalInterval() {
+			renewed = time.Now()
+			err = r.renew(ctx)
+		}
+		r.noteResult(errors.Join(err, r.list(ctx)))
+		woken = err != nil
 		pause := time.Duration(float64(Interval) * (1 + jitter*(2*rand.Float64()-1)))
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
 		case <-r.wake:
+			woken = true
 		}
 	}
 }
 
+func (r *Roster) renewalInterval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.renewalInterval() - Interval/2
+}
+
 func (r *Roster) noteResult(err error) {
 	r.mu.Lock()
 	was := r.lost
@@ -254,19 +282,36 @@
 	return n
 }
 
-// Peers returns the peer addresses of the other routers that are taken for alive.
-func (r *Roster) Peers() []string {
+// Peers returns the peer addresses of the other routers that are taken for alive, by name.
+func (r *Roster) Peers() map[string]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var addresses []string
-	for _, m := range r.view.members {
+	addresses := make(map[string]string, len(r.view.members))
+	for name, m := range r.view.members {
 		if m.record.Peer != "" && r.view.alive(m) {
-			addresses = append(addresses, m.record.Peer)
+			addresses[name] = m.record.Peer
 		}
 	}
 	return addresses
 }
 
+// Homes returns the names of at most n routers by rendezvous hashing of the key over those that are alive and don't
+// leave, this one included.
+func (r *Roster) Homes(key string, n int) []string {
+	r.mu.Lock()
+	names := []string{r.name}
+	for name, m := range r.view.members {
+		if m.record.State != Leaving && r.view.alive(m) {
+			names = append(names, name)
+		}
+	}
+	r.mu.Unlock()
+	if len(names) <= n {
+		return names
+	}
+	return rendezvous.Rank(key, names)[:n]
+}
+
 // Addresses returns the caller addresses of the ready routers, those of the caller's zone first, at most limit. If no
 // router is known to be ready, it returns those that are starting.
 func (r *Roster) Addresses(zone string, limit int) []string {
--- a/pkg/task/task.go
+++ b/pkg/task/task.go
@@ -31,6 +31,9 @@
 	}
 }
 
+// Stopped is closed when Run has ended.
+func (o *Owner[T]) Stopped() <-chan struct{} { return o.stopped }
+
 // Do runs f in the owner's goroutine and waits for it. It reports false if the owner has stopped; f may then not
 // have run.
 func (o *Owner[T]) Do(f func(*T)) bool {
