--- a/pkg/entry/configuration.go
+++ b/pkg/entry/configuration.go
@@ -78,15 +78,21 @@
 	}
 }
 
-func (c *configuration) listed(objects []platform.Object, _ time.Duration) { c.changed(objects) }
+// configFeed is the configuration as the consumer of a feed.
+type configFeed struct{ *configuration }
 
-func (c *configuration) changed(objects []platform.Object) {
+// Listed implements feed.Consumer.
+func (c configFeed) Listed(objects []platform.Object, _ time.Duration) { c.Changed(objects) }
+
+// Changed implements feed.Consumer.
+func (c configFeed) Changed(objects []platform.Object) {
 	for _, o := range objects {
 		c.apply(o)
 	}
 }
 
-func (c *configuration) current() {}
+// Current implements feed.Consumer.
+func (c configFeed) Current() {}
 
 // errNoConfiguration is reported by the readiness check before the first configuration.
 var errNoConfiguration = errors.New("no configuration has been read yet")
--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -48,7 +48,8 @@
 	return e.loaded
 }
 
-func (e *endpoints) listed(objects []platform.Object, away time.Duration) {
+// Listed implements feed.Consumer.
+func (e *endpoints) Listed(objects []platform.Object, away time.Duration) {
 	e.mu.Lock()
 	now := time.Now()
 	if away > lapseAfter {
@@ -69,7 +70,8 @@
 	e.refresh()
 }
 
-func (e *endpoints) changed(objects []platform.Object) {
+// Changed implements feed.Consumer.
+func (e *endpoints) Changed(objects []platform.Object) {
 	e.mu.Lock()
 	now := time.Now()
 	for _, o := range objects {
@@ -83,7 +85,8 @@
 	e.refresh()
 }
 
-func (e *endpoints) current() { e.refresh() }
+// Current implements feed.Consumer.
+func (e *endpoints) Current() { e.refresh() }
 
 func (e *endpoints) set(o platform.Object) {
 	delete(e.lapsed, o.Key)
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
+	"github.com/lavendershunt/lavendershunt/pkg/feed"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
 
@@ -28,5 +29,36 @@
 func (r *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(allowance.NewService(r.books).Handler())
+	mux.Handle(feed.NewService(r.endpointFeed).Handler())
 	return mux
 }
+
+const (
+	// smallFleet is the number of routers up to which each one watches the store itself.
+	smallFleet = 16
+	// leadersPerZone is the number of routers of an availability zone that watch the store for the others of it.
+	leadersPerZone = 2
+	// watchWait is how long the store holds a watch without changes. A watch that went silent is noticed after it, so it
+	// is of the order of the bounds within which changes must be in force. Routers of a large fleet wait longer.
+	watchWait      = 3 * time.Second
+	watchWaitLarge = 6 * time.Second
+)
+
+// newFeeds creates the feeds of the configuration and of the endpoints. The configuration is large and seldom changes,
+// so every router watches it; endpoints change often and are passed on within an availability zone.
+func (r *Router) newFeeds(peers feed.Follower) {
+	r.configFeed = feed.New(feed.Options{
+		Kind: r.adapter.ConfigKind, Store: r.adapter.Store, Log: r.log, Consumer: configFeed{r.config},
+		WatchWait: func() time.Duration {
+			if r.roster.Count() > smallFleet {
+				return watchWaitLarge
+			}
+			return watchWait
+		},
+	})
+	r.endpointFeed = feed.New(feed.Options{
+		Kind: r.adapter.EndpointKind, Store: r.adapter.Store, Log: r.log, Consumer: r.endpoints,
+		WatchWait: func() time.Duration { return watchWait },
+		Leaders:   func() []string { return r.roster.Leaders(smallFleet, leadersPerZone) }, Client: peers,
+	})
+}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
+	"github.com/lavendershunt/lavendershunt/pkg/feed"
 	"github.com/lavendershunt/lavendershunt/pkg/forward"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/retry"
@@ -80,6 +81,8 @@
 	client    *upstream.Client
 	metrics   *telemetry.Metrics
 	draining  atomic.Bool
+
+	configFeed, endpointFeed *feed.Feed
 }
 
 // New assembles a router.
@@ -103,11 +106,13 @@
 	r.config = &configuration{key: a.ConfigKey, decode: a.DecodeConfig, store: a.Store, log: logger}
 	r.endpoints = newEndpoints(a.DecodeEndpoint, logger, r.publish)
 	r.roster = roster.New(a.Store, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting}, logger)
+	peers := newPeerClient()
 	r.books = allowance.NewBook(allowance.Options{
 		Store: a.Store, VM: s.VM, Instance: instance, Log: logger,
 		Homes: func(organisation string) []string { return r.roster.Homes(organisation, homesPerOrganisation) },
-		Peers: &allowance.RemotePeers{Addresses: r.roster.Peers, Client: newPeerClient(), VM: s.VM, Log: logger},
+		Peers: &allowance.RemotePeers{Addresses: r.roster.Peers, Client: peers, VM: s.VM, Log: logger},
 	})
+	r.newFeeds(peers)
 	r.server = forward.NewServer(forward.Options{
 		Configuration: r.config, Dialect: a.Dialect, Placement: r.placement, Client: r.client, Allowances: r.books,
 		Retries: retry.New(retry.Limits(s.Retry), time.Now(), s.FirstStart),
@@ -151,12 +156,8 @@
 	tasks.Go(func() { r.placement.Run(background) })
 	tasks.Go(func() { r.books.Run(background) })
 	tasks.Go(func() { r.roster.Run(background) })
-	tasks.Go(func() {
-		(&feed{kind: r.adapter.ConfigKind, store: r.adapter.Store, log: r.log, consumer: r.config}).run(background)
-	})
-	tasks.Go(func() {
-		(&feed{kind: r.adapter.EndpointKind, store: r.adapter.Store, log: r.log, consumer: r.endpoints}).run(background)
-	})
+	tasks.Go(func() { r.configFeed.Run(background) })
+	tasks.Go(func() { r.endpointFeed.Run(background) })
 	tasks.Go(func() { r.announce(background) })
 
 	callers := r.httpServer(r.server)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -312,6 +312,32 @@
 	return rendezvous.Rank(key, names)[:n]
 }
 
+// Leaders returns the peer addresses of the routers of this availability zone that watch the store for the others of it,
+// at most n. It returns none if this router is one of them, or if the fleet has at most small routers.
+func (r *Roster) Leaders(small, n int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.view.members)+1 <= small {
+		return nil
+	}
+	names := []string{r.name}
+	for name, m := range r.view.members {
+		if m.record.State == Ready && m.record.Zone == r.self.Zone && r.view.alive(m) {
+			names = append(names, name)
+		}
+	}
+	ranked := rendezvous.Rank("leaders/"+r.self.Zone, names)
+	ranked = ranked[:min(n, len(ranked))]
+	if slices.Contains(ranked, r.name) {
+		return nil
+	}
+	var addresses []string
+	for _, name := range ranked {
+		addresses = append(addresses, r.view.members[name].record.Peer)
+	}
+	return addresses
+}
+
 // Addresses returns the caller addresses of the ready routers, those of the caller's zone first, at most limit. If no
 // router is known to be ready, it returns those that are starting.
 func (r *Roster) Addresses(zone string, limit int) []string {
