--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -34,8 +34,9 @@
 	idleAfter = 1500 * time.Millisecond
 	// scarceShare is the share of the budget below which little is left.
 	scarceShare = 0.1
-	// backoff is the pause after a failed call to the store.
-	backoff = 300 * time.Millisecond
+	// backoff is the pause after a failed call to the store; it doubles up to maxBackoff.
+	backoff    = 300 * time.Millisecond
+	maxBackoff = 1200 * time.Millisecond
 	// dryTime is how long a refusal holds for later requests that need as much, unless the operator raises the budget.
 	dryTime = 700 * time.Millisecond
 )
--- a/pkg/allowance/book.go
+++ b/pkg/allowance/book.go
@@ -43,6 +43,10 @@
 	// stored is the last object seen of each organisation.
 	stored map[string]stored
 	writes int
+	// pause is the time between calls while the store does not answer, 0 while it does; probing tells that one account's
+	// draw tries the store meanwhile.
+	pause   time.Duration
+	probing bool
 	// closing tells that the router stops: free tokens are returned and none are drawn.
 	closing bool
 }
@@ -109,6 +113,13 @@
 			b.giveBack(s, name, a, a.free)
 		}
 	case a.wantsDraw(now, len(homes), slices.Contains(homes, b.VM)):
+		if s.pause > 0 && s.probing {
+			// One draw at a time finds out whether the store is back.
+			a.retryAt = now.Add(s.pause)
+			b.advance(s, name, a)
+			return
+		}
+		s.probing = s.pause > 0
 		a.drawing = true
 		go b.draw(name, s.stored[name])
 	case a.wantsAsk(now, slices.Contains(homes, b.VM)):
--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -108,6 +108,7 @@
 			p.step = get
 		default:
 			a.drawing = false
+			s.answered()
 			if len(a.waiting) > 0 {
 				b.ask(name, a, Exhausted)
 			}
@@ -162,6 +163,7 @@
 	b.owner.Post(func(s *state) {
 		a := s.account(name)
 		a.drawing = false
+		s.answered()
 		s.stored[name] = seen
 		a.wrote(seen.record.Drawn, amount)
 		b.Log.WithFields(log.Fields{
@@ -176,12 +178,31 @@
 	b.owner.Post(func(s *state) {
 		a := s.account(name)
 		a.drawing = false
-		a.retryAt = time.Now().Add(backoff)
+		a.retryAt = time.Now().Add(s.unanswered())
 		b.Log.WithFields(log.Fields{"organisation": name, "waiting": len(a.waiting)}).WithError(err).Warn("allowance_draw_failed")
 		b.advance(s, name, a)
 	})
 }
 
+// unanswered notes a call without an answer and returns the time until the next one.
+func (s *state) unanswered() time.Duration {
+	s.pause = min(max(backoff, 2*s.pause), maxBackoff)
+	s.probing = false
+	return s.pause
+}
+
+// answered notes that the store answers; the accounts that waited for it may call it at once.
+func (s *state) answered() {
+	s.probing = false
+	if s.pause == 0 {
+		return
+	}
+	s.pause = 0
+	for _, a := range s.accounts {
+		a.retryAt = time.Time{}
+	}
+}
+
 // giveBack subtracts unspent tokens from the drawn ones. The account gives them up first, so a lost response can
 // lose tokens but can't spend them twice.
 func (b *Book) giveBack(s *state, name string, a *account, tokens int64) {
@@ -213,8 +234,9 @@
 		entry := b.Log.WithFields(log.Fields{"organisation": name, "tokens": tokens})
 		if err != nil {
 			entry.WithError(err).Warn("allowance_return_failed")
-			a.retryAt = time.Now().Add(backoff)
+			a.retryAt = time.Now().Add(s.unanswered())
 		} else {
+			s.answered()
 			s.stored[name], a.drawn = seen, seen.record.Drawn
 			entry.Info("allowance_returned")
 		}
