--- a/pkg/allowance/book.go
+++ b/pkg/allowance/book.go
@@ -122,6 +122,9 @@
 		s.probing = s.pause > 0
 		a.drawing = true
 		go b.draw(name, s.stored[name])
+		if len(a.waiting) > 0 {
+			time.AfterFunc(patience, func() { b.owner.Post(func(*state) { b.askMeanwhile(name, a) }) })
+		}
 	case a.wantsAsk(now, slices.Contains(homes, b.VM)):
 		b.ask(name, a, Unavailable)
 	}
@@ -181,6 +184,16 @@
 	return given
 }
 
+// patience is the time after which other routers are asked while a draw has no answer; the store answers in 4 ms.
+const patience = 60 * time.Millisecond
+
+// askMeanwhile asks other routers while a draw takes long. The waiting requests go on waiting for the draw.
+func (b *Book) askMeanwhile(name string, a *account) {
+	if a.drawing && !a.asking && len(a.waiting) > 0 {
+		b.ask(name, a, Granted)
+	}
+}
+
 // askAhead is the time of its demand for which a router asks others beyond its need.
 const askAhead = 4 * time.Second
 
@@ -188,7 +201,7 @@
 const askTimeout = 250 * time.Millisecond
 
 // ask asks other routers for what the waiting requests lack, and refuses those that remain. otherwise is the verdict
-// for them if all routers answered.
+// for them if all routers answered; with Granted they go on waiting.
 func (b *Book) ask(name string, a *account, otherwise Verdict) {
 	a.asking = true
 	need := a.shortage()
@@ -201,16 +214,18 @@
 		b.owner.Post(func(s *state) {
 			a.asking = false
 			a.credit(tokens)
-			if !complete {
+			if !complete && otherwise != Granted {
 				otherwise = Unavailable
 			}
 			b.Log.WithFields(log.Fields{
 				"organisation": name, "need": need, "tokens": tokens, "complete": complete, "refused": len(a.waiting), "drawn": a.drawn, "prepaid": a.prepaid,
 			}).Info("allowance_asked")
-			if len(a.waiting) > 0 && !a.asked {
+			switch {
+			case otherwise == Granted:
+			case len(a.waiting) > 0 && !a.asked && !time.Now().Before(a.retryAt):
 				// The homes have nothing left, or were not reached: the store decides.
 				a.asked = true
-			} else {
+			default:
 				a.refuse(time.Now(), otherwise)
 			}
 			b.advance(s, name, a)
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -55,6 +55,7 @@
 			}
 			return watchWait
 		},
+		Lost: r.gate.lost.Store,
 	})
 	r.endpointFeed = feed.New(feed.Options{
 		Kind: r.adapter.EndpointKind, Store: r.adapter.Store, Log: r.log, Consumer: r.endpoints,
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -71,6 +71,7 @@
 type Router struct {
 	settings  Settings
 	adapter   Adapter
+	gate      *gate
 	log       log.Interface
 	config    *configuration
 	endpoints *endpoints
@@ -91,7 +92,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
 	debug.SetGCPercent(gcPercent)
-	r := &Router{settings: s, adapter: a, log: logger}
+	r := &Router{settings: s, adapter: a, gate: &gate{Store: a.Store}, log: logger}
 	instance := s.VM + "-" + rand.Text()[:8]
 	var err error
 	if r.metrics, err = telemetry.New("lsentry"); err != nil {
@@ -103,12 +104,12 @@
 	}
 	r.client = upstream.NewClient()
 	r.placement = forward.NewPlacement(s.Zone, routeOptions)
-	r.config = &configuration{key: a.ConfigKey, decode: a.DecodeConfig, store: a.Store, log: logger}
+	r.config = &configuration{key: a.ConfigKey, decode: a.DecodeConfig, store: r.gate, log: logger}
 	r.endpoints = newEndpoints(a.DecodeEndpoint, logger, r.publish)
-	r.roster = roster.New(a.Store, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting}, logger)
+	r.roster = roster.New(r.gate, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting}, logger)
 	peers := newPeerClient()
 	r.books = allowance.NewBook(allowance.Options{
-		Store: a.Store, VM: s.VM, Instance: instance, Log: logger,
+		Store: r.gate, VM: s.VM, Instance: instance, Log: logger,
 		Homes: func(organisation string) []string { return r.roster.Homes(organisation, homesPerOrganisation) },
 		Peers: &allowance.RemotePeers{Addresses: r.roster.Peers, Client: peers, VM: s.VM, Log: logger},
 	})
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -16,7 +16,7 @@
 const (
 	// The pause after a failed call grows from minPause to maxPause; the actual one is drawn from the upper half.
 	minPause = 50 * time.Millisecond
-	maxPause = 400 * time.Millisecond
+	maxPause = time.Second
 	// directTime is how long a router watches the store itself after no other one could be followed.
 	directTime = 10 * time.Second
 )
@@ -50,6 +50,8 @@
 	Leaders func() []string
 	// Client calls other routers. Needed with Leaders.
 	Client Follower
+	// Lost is told when the store is lost and when it is regained. Optional.
+	Lost func(lost bool)
 }
 
 // Feed is the feed of one kind.
@@ -103,7 +105,7 @@
 		f.Log.WithField("kind", f.Kind).Info("store_history_gap")
 		return
 	case !f.lost:
-		f.lost = true
+		f.setLost(true)
 		f.Log.WithField("kind", f.Kind).WithError(err).Warn("store_lost")
 	}
 	wait := f.pause/2 + rand.N(f.pause/2)
@@ -118,11 +120,18 @@
 func (f *Feed) reached(age time.Duration) {
 	f.contact, f.pause = time.Now().Add(-age), minPause
 	if f.lost {
-		f.lost = false
+		f.setLost(false)
 		f.Log.WithField("kind", f.Kind).Info("store_regained")
 	}
 }
 
+func (f *Feed) setLost(lost bool) {
+	f.lost = lost
+	if f.Lost != nil {
+		f.Lost(lost)
+	}
+}
+
 // follow lists once and then watches.
 func (f *Feed) follow(ctx context.Context, until time.Time) error {
 	objects, at, err := f.Store.List(ctx, f.Kind+"/")
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -328,9 +329,9 @@
 	if _, ok := from["Content-Type"]; !ok {
 		to["Content-Type"] = nil // Keeps net/http from guessing one.
 	}
-	for _, listed := range from.Values("Connection") {
-		if name := http.CanonicalHeaderKey(listed); name != "Close" && name != "Keep-Alive" {
-			to.Del(name)
+	for _, list := range from.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			to.Del(strings.TrimSpace(name))
 		}
 	}
 }
