--- a/pkg/allowance/book.go
+++ b/pkg/allowance/book.go
@@ -70,6 +70,8 @@
 	// Homes returns the names of the routers that draw an organisation's tokens from the store, this one perhaps among
 	// them. The others get theirs from these.
 	Homes func(organisation string) []string
+	// Prepaid returns an organisation's budget, 0 if it is not known.
+	Prepaid func(organisation string) int64
 }
 
 // NewBook returns a Book; its methods wait until Run is called.
@@ -170,14 +172,22 @@
 	}
 }
 
-// Give takes tokens off the organisation's account for another router that lacks need tokens.
-func (b *Book) Give(organisation string, need, want int64) int64 {
+// Give takes tokens off the organisation's account for another router that lacks need tokens and would hold want. A home
+// that has too few draws them from the store first, for which it takes until ctx ends at the most.
+func (b *Book) Give(ctx context.Context, organisation string, need, want int64) int64 {
 	var given int64
+	draw := false
 	b.owner.Do(func(s *state) {
 		a := s.account(organisation)
 		given = a.give(time.Now(), need, want)
+		draw = given < need && !time.Now().Before(a.retryAt) && slices.Contains(b.Homes(organisation), b.VM)
 		b.advance(s, organisation, a)
 	})
+	if prepaid := b.Prepaid(organisation); draw && prepaid > 0 && need-given > 0 {
+		if b.Reserve(ctx, organisation, prepaid, need-given) == Granted {
+			given = need
+		}
+	}
 	if given > 0 {
 		b.Log.WithFields(log.Fields{"organisation": organisation, "tokens": given, "need": need}).Info("allowance_given")
 	}
--- a/pkg/allowance/book_test.go
+++ b/pkg/allowance/book_test.go
@@ -79,14 +79,14 @@
 	random func() float64
 }
 
-func (p peersOf) Ask(_ context.Context, _ []string, organisation string, need, want int64) (int64, bool) {
+func (p peersOf) Ask(ctx context.Context, _ []string, organisation string, need, want int64) (int64, bool) {
 	var got int64
 	complete := true
 	for _, b := range p.others(p.vm) {
 		if got >= need {
 			break
 		}
-		given := b.Give(organisation, need-got, want-got)
+		given := b.Give(ctx, organisation, need-got, want-got)
 		if p.random() < 0.2 {
 			complete = false
 			continue
@@ -122,7 +122,7 @@
 	start := func(vm string) {
 		starts++
 		b := NewBook(Options{
-			Store: store, VM: vm, Instance: vm + string(rune('a'+starts)), Log: quietLog(), Homes: func(string) []string { return homes },
+			Store: store, VM: vm, Instance: vm + string(rune('a'+starts)), Log: quietLog(), Homes: func(string) []string { return homes }, Prepaid: func(string) int64 { return 20_000 },
 			Peers: peersOf{fleet: f, vm: vm, random: store.draw},
 		})
 		var bookCtx context.Context
@@ -186,7 +186,7 @@
 		vms := []string{"vm1", "vm2", "vm3", "vm4"}
 		for _, vm := range vms {
 			f.books[vm] = NewBook(Options{
-				Store: memory.Client(vm), VM: vm, Instance: vm, Log: quietLog(), Homes: func(string) []string { return vms },
+				Store: memory.Client(vm), VM: vm, Instance: vm, Log: quietLog(), Homes: func(string) []string { return vms }, Prepaid: func(string) int64 { return 0 },
 				Peers: peersOf{fleet: f, vm: vm, random: func() float64 { return 1 }},
 			})
 			go f.books[vm].Run(ctx)
@@ -222,7 +222,7 @@
 		vms := []string{"vm1", "vm2", "vm3", "vm4"}
 		for _, vm := range vms {
 			f.books[vm] = NewBook(Options{
-				Store: memory.Client(vm), VM: vm, Instance: vm, Log: quietLog(), Homes: func(string) []string { return vms },
+				Store: memory.Client(vm), VM: vm, Instance: vm, Log: quietLog(), Homes: func(string) []string { return vms }, Prepaid: func(string) int64 { return 0 },
 				Peers: peersOf{fleet: f, vm: vm, random: func() float64 { return 1 }},
 			})
 			go f.books[vm].Run(ctx)
@@ -251,7 +251,7 @@
 		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
 		ctx, stop := context.WithCancel(t.Context())
 		b := NewBook(Options{
-			Store: memory.Client("vm1"), VM: "vm1", Instance: "vm1", Log: quietLog(), Homes: func(string) []string { return []string{"vm1"} },
+			Store: memory.Client("vm1"), VM: "vm1", Instance: "vm1", Log: quietLog(), Homes: func(string) []string { return []string{"vm1"} }, Prepaid: func(string) int64 { return 0 },
 			Peers: peersOf{fleet: &fleet{}, vm: "vm1", random: func() float64 { return 1 }},
 		})
 		go b.Run(ctx)
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -21,6 +21,9 @@
 	askedAtOnce = 4
 	// answerTimeout bounds one question.
 	answerTimeout = 80 * time.Millisecond
+	// drawForOthers bounds the time in which a home draws tokens for another router; it is below answerTimeout, because
+	// an answer that comes too late loses the tokens.
+	drawForOthers = 50 * time.Millisecond
 	// budgetName is the budget of an organisation that the operator's configuration states.
 	budgetName = "prepaid"
 )
@@ -40,8 +43,10 @@
 }
 
 // Transfer implements PurseService.
-func (s *Service) Transfer(_ context.Context, req *connect.Request[pursev1.TransferRequest]) (*connect.Response[pursev1.TransferResponse], error) {
-	given := s.book.Give(req.Msg.GetOrganisation(), req.Msg.GetNeed(), req.Msg.GetWant())
+func (s *Service) Transfer(ctx context.Context, req *connect.Request[pursev1.TransferRequest]) (*connect.Response[pursev1.TransferResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, drawForOthers)
+	defer cancel()
+	given := s.book.Give(ctx, req.Msg.GetOrganisation(), req.Msg.GetNeed(), req.Msg.GetWant())
 	return connect.NewResponse(&pursev1.TransferResponse{From: s.book.VM, Tokens: given}), nil
 }
 
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync/atomic"
+	"time"
 
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
@@ -49,3 +50,19 @@
 	}
 	return g.Store.ListStale(ctx, prefix)
 }
+
+// List implements platform.Store.
+func (g *gate) List(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
+	if g.lost.Load() {
+		return nil, 0, errLost
+	}
+	return g.Store.List(ctx, prefix)
+}
+
+// Poll implements platform.Store.
+func (g *gate) Poll(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Object, uint64, error) {
+	if g.lost.Load() {
+		return nil, after, errLost
+	}
+	return g.Store.Poll(ctx, prefix, after, wait)
+}
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -58,7 +58,7 @@
 		Lost: r.gate.lost.Store,
 	})
 	r.endpointFeed = feed.New(feed.Options{
-		Kind: r.adapter.EndpointKind, Store: r.adapter.Store, Log: r.log, Consumer: r.endpoints,
+		Kind: r.adapter.EndpointKind, Store: r.gate, Log: r.log, Consumer: r.endpoints,
 		WatchWait: func() time.Duration { return watchWait },
 		Leaders:   func() []string { return r.roster.Leaders(smallFleet, leadersPerZone) }, Client: peers,
 	})
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -16,7 +16,9 @@
 const (
 	// The pause after a failed call grows from minPause to maxPause; the actual one is drawn from the upper half.
 	minPause = 50 * time.Millisecond
-	maxPause = time.Second
+	maxPause = 2 * time.Second
+	// minWatch is the least time between two watches; changes that come closer together share an answer.
+	minWatch = 120 * time.Millisecond
 	// directTime is how long a router watches the store itself after no other one could be followed.
 	directTime = 10 * time.Second
 )
@@ -144,6 +146,7 @@
 		if leaders := f.leaders(until); len(leaders) > 0 {
 			return nil
 		}
+		began := time.Now()
 		changes, next, err := f.Store.Poll(ctx, f.Kind+"/", at, f.WatchWait())
 		if err != nil {
 			// A watch may be cut off while the store is well; it then goes on from where it was.
@@ -155,6 +158,11 @@
 		}
 		failures, at = 0, next
 		f.changed(changes, at, 0)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Until(began.Add(minWatch))):
+		}
 	}
 }
 
