--- a/pkg/allowance/book.go
+++ b/pkg/allowance/book.go
@@ -172,15 +172,17 @@
 	}
 }
 
-// Give takes tokens off the organisation's account for another router that lacks need tokens and would hold want. A home
-// that has too few draws them from the store first, for which it takes until ctx ends at the most.
-func (b *Book) Give(ctx context.Context, organisation string, need, want int64) int64 {
+// Give takes tokens off the organisation's account for the router asker, which lacks need tokens and would hold want. A
+// home that has too few draws them from the store first, unless the asker is a home and has tried that itself. This takes
+// until ctx ends at the most.
+func (b *Book) Give(ctx context.Context, asker, organisation string, need, want int64) int64 {
+	homes := b.Homes(organisation)
+	draw := slices.Contains(homes, b.VM) && !slices.Contains(homes, asker)
 	var given int64
-	draw := false
 	b.owner.Do(func(s *state) {
 		a := s.account(organisation)
 		given = a.give(time.Now(), need, want)
-		draw = given < need && !time.Now().Before(a.retryAt) && slices.Contains(b.Homes(organisation), b.VM)
+		draw = draw && given < need && !time.Now().Before(a.retryAt)
 		b.advance(s, organisation, a)
 	})
 	if prepaid := b.Prepaid(organisation); draw && prepaid > 0 && need-given > 0 {
--- a/pkg/allowance/book_test.go
+++ b/pkg/allowance/book_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,7 +87,7 @@
 		if got >= need {
 			break
 		}
-		given := b.Give(ctx, organisation, need-got, want-got)
+		given := b.Give(ctx, p.vm, organisation, need-got, want-got)
 		if p.random() < 0.2 {
 			complete = false
 			continue
@@ -278,3 +279,51 @@
 	must.EqOp(t, 0, a.free)
 	must.MapEmpty(t, a.open)
 }
+
+// countingStore counts calls.
+type countingStore struct {
+	platform.Store
+	calls *atomic.Int64
+}
+
+func (s countingStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	s.calls.Add(1)
+	return s.Store.Get(ctx, key)
+}
+
+func (s countingStore) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (platform.Object, error) {
+	s.calls.Add(1)
+	return s.Store.Put(ctx, key, value, ifRevision)
+}
+
+// Guards against a cascade of calls when a budget is used up: routers that ask each other must not make each other ask
+// the store again for every refused request.
+func TestExhaustedBudgetCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+		f := &fleet{books: map[string]*Book{}, cut: map[string]bool{}}
+		ctx, stop := context.WithCancel(t.Context())
+		var calls atomic.Int64
+		vms := []string{"vm1", "vm2", "vm3", "vm4", "vm5", "vm6", "vm7", "vm8"}
+		for _, vm := range vms {
+			f.books[vm] = NewBook(Options{
+				Store: countingStore{memory.Client(vm), &calls}, VM: vm, Instance: vm, Log: quietLog(),
+				Homes: func(string) []string { return vms }, Prepaid: func(string) int64 { return 10_000 },
+				Peers: peersOf{fleet: f, vm: vm, random: func() float64 { return 1 }},
+			})
+			go f.books[vm].Run(ctx)
+		}
+		const requests = 400
+		for i := range requests {
+			if i == requests/5 {
+				calls.Store(0) // The budget is used up by now.
+			}
+			f.books[vms[i%len(vms)]].Reserve(ctx, organisation, 10_000, 1_000)
+			time.Sleep(25 * time.Millisecond)
+		}
+		// 8 s of refusals: each router calls the store at most twice per dryTime.
+		most := int64(8 * time.Second / dryTime * 2 * time.Duration(len(vms)))
+		must.LessEq(t, most, calls.Load())
+		stop()
+	})
+}
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -46,7 +46,7 @@
 func (s *Service) Transfer(ctx context.Context, req *connect.Request[pursev1.TransferRequest]) (*connect.Response[pursev1.TransferResponse], error) {
 	ctx, cancel := context.WithTimeout(ctx, drawForOthers)
 	defer cancel()
-	given := s.book.Give(ctx, req.Msg.GetOrganisation(), req.Msg.GetNeed(), req.Msg.GetWant())
+	given := s.book.Give(ctx, req.Msg.GetTo(), req.Msg.GetOrganisation(), req.Msg.GetNeed(), req.Msg.GetWant())
 	return connect.NewResponse(&pursev1.TransferResponse{From: s.book.VM, Tokens: given}), nil
 }
 
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -16,7 +16,7 @@
 const (
 	// The pause after a failed call grows from minPause to maxPause; the actual one is drawn from the upper half.
 	minPause = 50 * time.Millisecond
-	maxPause = 2 * time.Second
+	maxPause = 800 * time.Millisecond
 	// minWatch is the least time between two watches; changes that come closer together share an answer.
 	minWatch = 120 * time.Millisecond
 	// directTime is how long a router watches the store itself after no other one could be followed.
