--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -169,7 +169,10 @@
 
 // Run serves until ctx ends and then drains. It returns nil after a planned stop.
 func (r *Router) Run(ctx context.Context) error {
-	r.log.WithFields(log.Fields{"vm": r.settings.VM, "zone": r.settings.Zone, "first_start": r.settings.FirstStart}).Info("start")
+	r.log.WithFields(log.Fields{
+		"vm": r.settings.VM, "zone": r.settings.Zone, "first_start": r.settings.FirstStart, "callers": r.settings.CallerAddress,
+		"peers": r.settings.PeerAddress, "metrics": r.settings.MetricsAddress,
+	}).Info("start")
 	// The background tasks outlive ctx: requests in progress need them while the router drains.
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -68,11 +68,7 @@
 			e.giveUp(kept, begun, decision.Failure())
 			return
 		}
-		e.endpoint = decision.Chosen
-		e.Log.WithFields(log.Fields{
-			"request": e.request.ID, "service": e.service.Name, "endpoint": decision.Chosen, "candidates": decision.Candidates,
-			"reason": string(decision.Reason), "cached": decision.Cached(), "attempt": e.attempts + 1,
-		}).Debug("endpoint_chosen")
+		e.endpoint, e.decision = decision.Chosen, &decision
 		got, final := e.attempt(ctx, decision, flight, stream, &begun)
 		if got == delivered {
 			return
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -16,8 +16,10 @@
 
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
 	"github.com/lavendershunt/lavendershunt/pkg/catalog"
+	"github.com/lavendershunt/lavendershunt/pkg/logging"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/retry"
+	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
 
@@ -57,10 +59,21 @@
 	Options
 	draining atomic.Bool
 	active   atomic.Int64
+	// Lines of requests that were served and of those that were not have limits of their own, so that a burst of the
+	// former doesn't push out the latter.
+	served, unserved *logging.Limiter
 }
 
+// servedLines and unservedLines bound the log lines of requests per second.
+const (
+	servedLines   = 50
+	unservedLines = 200
+)
+
 // NewServer returns a Server.
-func NewServer(o Options) *Server { return &Server{Options: o} }
+func NewServer(o Options) *Server {
+	return &Server{Options: o, served: logging.NewLimiter(servedLines), unserved: logging.NewLimiter(unservedLines)}
+}
 
 // Drain makes the server ask callers to close their connections.
 func (s *Server) Drain() { s.draining.Store(true) }
@@ -85,7 +98,9 @@
 	// sent tells that an endpoint may have run the request.
 	sent     bool
 	endpoint string
-	// header is the time of the response's header, or of a stream's first event.
+	// decision is the last choice of an endpoint.
+	decision *route.Decision
+	// firstByte is the time at which the answer, or a stream's first event, was passed on.
 	firstByte time.Time
 	events    int
 	status    int
@@ -286,10 +301,24 @@
 		result = "caller_gone"
 	}
 	e.Metrics.record(result, now.Sub(e.arrived), e.firstByte.Sub(e.arrived), !e.firstByte.IsZero())
+	limiter := e.unserved
+	if result == "done" {
+		limiter = e.served
+	}
+	skipped, ok := limiter.Allow(now)
+	if !ok {
+		return
+	}
 	fields := log.Fields{
 		"request": e.request.ID, "route": e.route.Name, "service": e.service.Name, "endpoint": e.endpoint, "status": e.status,
 		"result": result, "attempts": e.attempts, "sent": e.sent, "events": e.events, "total_ms": now.Sub(e.arrived).Milliseconds(),
 	}
+	if skipped > 0 {
+		fields["lines_left_out"] = skipped
+	}
+	if e.decision != nil {
+		fields["candidates"], fields["choice"], fields["cached"] = e.decision.Candidates, string(e.decision.Reason), e.decision.Cached()
+	}
 	if e.config != nil {
 		fields["config"] = e.config.Version
 	}
