--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -176,7 +176,7 @@
 	if len(a.waiting) > 0 {
 		return !a.asking && (home || a.asked)
 	}
-	if !home {
+	if !home || a.scarce() && now.Sub(a.lastUse) >= idleAfter {
 		return false
 	}
 	target := a.target(now, routers)
@@ -278,9 +278,13 @@
 
 // surplus is what should be returned to the store: all free tokens when little is left and nothing was asked for.
 func (a *account) surplus(now time.Time) int64 {
-	scarce := a.known && float64(a.prepaid-a.drawn) < scarceShare*float64(a.prepaid)
-	if a.drawing || !scarce || len(a.waiting) > 0 || now.Sub(a.lastUse) < idleAfter || now.Before(a.retryAt) {
+	if a.drawing || !a.scarce() || len(a.waiting) > 0 || now.Sub(a.lastUse) < idleAfter || now.Before(a.retryAt) {
 		return 0
 	}
 	return a.free
 }
+
+// scarce reports whether little of the budget is left in the store.
+func (a *account) scarce() bool {
+	return a.known && float64(a.prepaid-a.drawn) < scarceShare*float64(a.prepaid)
+}
--- a/pkg/allowance/book_test.go
+++ b/pkg/allowance/book_test.go
@@ -327,3 +327,18 @@
 		stop()
 	})
 }
+
+// Guards against drawing again what was just returned: near the end of a budget an idle router returned its tokens and
+// drew them again twice a second.
+func TestReturnedTokensAreNotDrawnAgain(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	a := &account{open: map[string]write{}, prepaid: 100_000, drawn: 95_000, known: true}
+	a.observe(now, 1_000)
+	a.lastUse, a.free = now, 3_000
+	later := now.Add(2 * idleAfter)
+	must.EqOp(t, 3_000, a.surplus(later))
+	a.free, a.drawn = 0, 92_000
+	must.False(t, a.wantsDraw(later, 1, true))
+	a.lastUse = later
+	must.True(t, a.wantsDraw(later, 1, true))
+}
