Keep half of the tokens when another router asks

A router gave all it held to one at which many requests waited, because the shortage of all of them was taken for the size of one request.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -161,6 +161,14 @@
 	return sum
 }
 
+// least is what the first waiting request lacks.
+func (a *account) least() int64 {
+	if len(a.waiting) == 0 {
+		return 0
+	}
+	return max(1, a.waiting[0].tokens-a.free)
+}
+
 // target is what the account would hold if the budget allowed it.
 func (a *account) target(now time.Time, routers int) int64 {
 	floor := floorShare * float64(a.prepaid-a.drawn) / float64(max(1, routers))
@@ -258,8 +266,9 @@
 	}
 }
 
-// give takes tokens off the account for another router that lacks need tokens and would hold want. What would not
-// serve such a request here is given in full; of more, the tokens for keepTime are kept.
+// give takes tokens off the account for another router, whose next request lacks need tokens and which would hold want.
+// What would not serve such a request here is given in full; of more, the tokens for keepTime are kept, and at most half
+// is given beyond the need.
 func (a *account) give(now time.Time, need, want int64) int64 {
 	if len(a.waiting) > 0 || a.free <= 0 || need <= 0 {
 		return 0
--- a/pkg/allowance/book.go
+++ b/pkg/allowance/book.go
@@ -26,10 +26,21 @@
 
 // Peers asks other routers for tokens.
 type Peers interface {
-	// Ask returns the tokens that other routers gave, and whether all of them answered. need is what is lacking and want
-	// what would be held.
-	// The homes are asked first.
-	Ask(ctx context.Context, homes []string, organisation string, need, want int64) (tokens int64, complete bool)
+	// Ask returns the tokens that other routers gave, and whether all of them answered. The homes are asked first.
+	Ask(ctx context.Context, homes []string, organisation string, shortage Shortage) (tokens int64, complete bool)
+}
+
+// Shortage is what a router lacks of an organisation's tokens.
+type Shortage struct {
+	// Next is what the next request lacks, Total what all waiting ones lack, and Want what would be held.
+	Next, Total, Want int64
+}
+
+// left returns the shortage after some tokens were given.
+func (s Shortage) left(given int64) Shortage {
+	left := Shortage{Total: s.Total - given, Want: s.Want - given}
+	left.Next = min(s.Next, left.Total)
+	return left
 }
 
 // Book holds the budgets of all organisations at this router. It is safe for concurrent use.
@@ -217,12 +228,12 @@
 func (b *Book) ask(name string, a *account, otherwise Verdict) {
 	a.asking = true
 	need := a.shortage()
-	want := need + int64(a.rate(time.Now())*askAhead.Seconds())
+	shortage := Shortage{Next: a.least(), Total: need, Want: need + int64(a.rate(time.Now())*askAhead.Seconds())}
 	homes := b.Homes(name)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
-		tokens, complete := b.Peers.Ask(ctx, homes, name, need, want)
+		tokens, complete := b.Peers.Ask(ctx, homes, name, shortage)
 		b.owner.Post(func(s *state) {
 			a.asking = false
 			a.credit(tokens)
--- a/pkg/allowance/book_test.go
+++ b/pkg/allowance/book_test.go
@@ -80,14 +80,14 @@
 	random func() float64
 }
 
-func (p peersOf) Ask(ctx context.Context, _ []string, organisation string, need, want int64) (int64, bool) {
+func (p peersOf) Ask(ctx context.Context, _ []string, organisation string, shortage Shortage) (int64, bool) {
 	var got int64
 	complete := true
 	for _, b := range p.others(p.vm) {
-		if got >= need {
+		if got >= shortage.Total {
 			break
 		}
-		given := b.Give(ctx, p.vm, organisation, need-got, want-got)
+		given := b.Give(ctx, p.vm, organisation, shortage.left(got).Next, shortage.left(got).Want)
 		if p.random() < 0.2 {
 			complete = false
 			continue
@@ -342,3 +342,16 @@
 	a.lastUse = later
 	must.True(t, a.wantsDraw(later, 1, true))
 }
+
+// Guards against a router that hands over all it has to one that many requests wait at, and then has to ask itself.
+func TestGiveKeepsAShare(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	a := &account{free: 90_000}
+	must.EqOp(t, 45_000, a.give(now, 12_000, 100_000))
+	a = &account{free: 90_000}
+	must.EqOp(t, 60_000, a.give(now, 60_000, 100_000))
+	a = &account{free: 9_000}
+	must.EqOp(t, 9_000, a.give(now, 12_000, 100_000))
+	a = &account{free: 90_000, waiting: []waiter{{tokens: 100_000}}}
+	must.EqOp(t, 0, a.give(now, 12_000, 12_000))
+}
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -61,21 +61,21 @@
 
 var _ Peers = (*RemotePeers)(nil)
 
-// Ask implements Peers. The homes are asked first and then the others in random order, a few at a time, until the need
-// is met.
-func (r *RemotePeers) Ask(ctx context.Context, homes []string, organisation string, need, want int64) (int64, bool) {
+// Ask implements Peers. The homes are asked first and then the others in random order, a few at a time, until the
+// shortage is met.
+func (r *RemotePeers) Ask(ctx context.Context, homes []string, organisation string, shortage Shortage) (int64, bool) {
 	addresses := order(r.Addresses(), homes)
 	complete := len(addresses) <= maxAsked
 	addresses = addresses[:min(len(addresses), maxAsked)]
 	var got int64
-	for len(addresses) > 0 && got < need && ctx.Err() == nil {
+	for len(addresses) > 0 && got < shortage.Total && ctx.Err() == nil {
 		batch := addresses[:min(askedAtOnce, len(addresses))]
 		addresses = addresses[len(batch):]
-		given, answered := r.askBatch(ctx, batch, organisation, need-got, max(need, want-got)/int64(len(batch)))
+		given, answered := r.askBatch(ctx, batch, organisation, shortage.left(got))
 		got += given
 		complete = complete && answered
 	}
-	return got, complete && (len(addresses) == 0 || got >= need)
+	return got, complete && (len(addresses) == 0 || got >= shortage.Total)
 }
 
 // order returns the addresses of the homes and then the others, both shuffled, so that the homes share the work.
@@ -94,18 +94,19 @@
 	return append(first, rest...)
 }
 
-func (r *RemotePeers) askBatch(ctx context.Context, addresses []string, organisation string, need, want int64) (int64, bool) {
+func (r *RemotePeers) askBatch(ctx context.Context, addresses []string, organisation string, shortage Shortage) (int64, bool) {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	var sum int64
 	complete := true
+	want := shortage.Want / int64(len(addresses))
 	for _, address := range addresses {
 		wait.Go(func() {
 			client := pursev1connect.NewPurseServiceClient(r.Client, "http://"+address)
 			response, err := client.Transfer(ctx, connect.NewRequest(&pursev1.TransferRequest{
-				Organisation: organisation, Budget: budgetName, Need: need, Want: want, To: r.VM,
+				Organisation: organisation, Budget: budgetName, Need: shortage.Next, Want: want, To: r.VM,
 			}))
 			mu.Lock()
 			defer mu.Unlock()
