--- a/pkg/allowance/book.go
+++ b/pkg/allowance/book.go
@@ -245,8 +245,8 @@
 			}).Info("allowance_asked")
 			switch {
 			case otherwise == Granted:
-			case len(a.waiting) > 0 && !a.asked && !time.Now().Before(a.retryAt):
-				// The homes have nothing left, or were not reached: the store decides.
+			case len(a.waiting) > 0 && !a.asked && !complete && !time.Now().Before(a.retryAt):
+				// A home was not reached: this router draws from the store itself.
 				a.asked = true
 			default:
 				a.refuse(time.Now(), otherwise)
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -18,7 +18,7 @@
 	minPause = 50 * time.Millisecond
 	maxPause = 800 * time.Millisecond
 	// minWatch is the least time between two watches; changes that come closer together share an answer.
-	minWatch = 120 * time.Millisecond
+	minWatch = 250 * time.Millisecond
 	// directTime is how long a router watches the store itself after no other one could be followed.
 	directTime = 10 * time.Second
 )
