--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -93,9 +93,7 @@
 	vm, err := e.decode(o)
 	if err != nil {
 		// The entry names no endpoint to use, whatever stood there before.
-		if _, ok := e.known[o.Key]; ok {
-			delete(e.known, o.Key)
-		}
+		delete(e.known, o.Key)
 		e.log.WithFields(log.Fields{"key": o.Key, "revision": o.Revision}).WithError(err).Warn("endpoint_entry_skipped")
 		return
 	}
