--- a/pkg/allowance/book.go
+++ b/pkg/allowance/book.go
@@ -26,8 +26,9 @@
 
 // Peers asks other routers for tokens.
 type Peers interface {
-	// Ask returns the tokens that other routers gave, and whether all of them answered. The homes are asked first.
-	Ask(ctx context.Context, homes []string, organisation string, shortage Shortage) (tokens int64, complete bool)
+	// Ask returns the tokens that other routers gave, and whether all of them answered. The homes are asked first. Tokens
+	// that are given after it has returned go to late.
+	Ask(ctx context.Context, homes []string, organisation string, shortage Shortage, late func(tokens int64)) (tokens int64, complete bool)
 }
 
 // Shortage is what a router lacks of an organisation's tokens.
@@ -233,7 +234,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
-		tokens, complete := b.Peers.Ask(ctx, homes, name, shortage)
+		tokens, complete := b.Peers.Ask(ctx, homes, name, shortage, func(tokens int64) { b.Release(name, tokens) })
 		b.owner.Post(func(s *state) {
 			a.asking = false
 			a.credit(tokens)
--- a/pkg/allowance/book_test.go
+++ b/pkg/allowance/book_test.go
@@ -73,14 +73,14 @@
 	return found
 }
 
-// peersOf implements Peers; one answer in five is lost after the giver gave.
+// peersOf implements Peers; one answer in ten is lost after the giver gave, and one comes late.
 type peersOf struct {
 	*fleet
 	vm     string
 	random func() float64
 }
 
-func (p peersOf) Ask(ctx context.Context, _ []string, organisation string, shortage Shortage) (int64, bool) {
+func (p peersOf) Ask(ctx context.Context, _ []string, organisation string, shortage Shortage, late func(int64)) (int64, bool) {
 	var got int64
 	complete := true
 	for _, b := range p.others(p.vm) {
@@ -88,9 +88,14 @@
 			break
 		}
 		given := b.Give(ctx, p.vm, organisation, shortage.left(got).Next, shortage.left(got).Want)
-		if p.random() < 0.2 {
+		switch x := p.random(); {
+		case x < 0.1:
 			complete = false
 			continue
+		case x < 0.2:
+			complete = false
+			time.AfterFunc(time.Second, func() { late(given) })
+			continue
 		}
 		got += given
 	}
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -19,10 +18,12 @@
 	// maxAsked bounds the routers that are asked for one shortage; askedAtOnce are asked at the same time.
 	maxAsked    = 12
 	askedAtOnce = 4
-	// answerTimeout bounds one question.
+	// answerTimeout is how long a request waits for an answer, and lateTimeout how long an answer may take so that its
+	// tokens are not lost: a router on a small machine may answer after hundreds of ms.
 	answerTimeout = 80 * time.Millisecond
+	lateTimeout   = 3 * time.Second
 	// drawForOthers bounds the time in which a home draws tokens for another router; it is below answerTimeout, because
-	// an answer that comes too late loses the tokens.
+	// the request there waits no longer.
 	drawForOthers = 50 * time.Millisecond
 	// budgetName is the budget of an organisation that the operator's configuration states.
 	budgetName = "prepaid"
@@ -63,7 +64,7 @@
 
 // Ask implements Peers. The homes are asked first and then the others in random order, a few at a time, until the
 // shortage is met.
-func (r *RemotePeers) Ask(ctx context.Context, homes []string, organisation string, shortage Shortage) (int64, bool) {
+func (r *RemotePeers) Ask(ctx context.Context, homes []string, organisation string, shortage Shortage, late func(int64)) (int64, bool) {
 	addresses := order(r.Addresses(), homes)
 	complete := len(addresses) <= maxAsked
 	addresses = addresses[:min(len(addresses), maxAsked)]
@@ -71,7 +72,7 @@
 	for len(addresses) > 0 && got < shortage.Total && ctx.Err() == nil {
 		batch := addresses[:min(askedAtOnce, len(addresses))]
 		addresses = addresses[len(batch):]
-		given, answered := r.askBatch(ctx, batch, organisation, shortage.left(got))
+		given, answered := r.askBatch(ctx, batch, organisation, shortage.left(got), late)
 		got += given
 		complete = complete && answered
 	}
@@ -94,30 +95,57 @@
 	return append(first, rest...)
 }
 
-func (r *RemotePeers) askBatch(ctx context.Context, addresses []string, organisation string, shortage Shortage) (int64, bool) {
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-	defer cancel()
-	var mu sync.Mutex
-	var wait sync.WaitGroup
-	var sum int64
-	complete := true
+// given is one router's answer.
+type given struct {
+	tokens   int64
+	answered bool
+}
+
+// askBatch asks some routers at the same time and waits for answerTimeout at the most. Tokens of an answer that comes
+// later go to late, because the giver has taken them off its account.
+func (r *RemotePeers) askBatch(ctx context.Context, addresses []string, organisation string, shortage Shortage, late func(int64)) (int64, bool) {
+	answers := make(chan given, len(addresses))
 	want := shortage.Want / int64(len(addresses))
 	for _, address := range addresses {
-		wait.Go(func() {
-			client := pursev1connect.NewPurseServiceClient(r.Client, "http://"+address)
-			response, err := client.Transfer(ctx, connect.NewRequest(&pursev1.TransferRequest{
-				Organisation: organisation, Budget: budgetName, Need: shortage.Next, Want: want, To: r.VM,
-			}))
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				complete = false
-				r.Log.WithFields(log.Fields{"peer": address, "organisation": organisation}).WithError(err).Info("allowance_peer_silent")
-				return
-			}
-			sum += max(0, response.Msg.GetTokens())
-		})
+		go func() { answers <- r.askOne(address, organisation, shortage.Next, want) }()
+	}
+	timeout := time.NewTimer(answerTimeout)
+	defer timeout.Stop()
+	var sum int64
+	complete := true
+	for waiting := len(addresses); waiting > 0; waiting-- {
+		select {
+		case g := <-answers:
+			sum += g.tokens
+			complete = complete && g.answered
+			continue
+		case <-timeout.C:
+		case <-ctx.Done():
+		}
+		go collect(answers, waiting, late)
+		return sum, false
 	}
-	wait.Wait()
 	return sum, complete
 }
+
+func collect(answers <-chan given, waiting int, late func(int64)) {
+	for range waiting {
+		if g := <-answers; g.tokens > 0 {
+			late(g.tokens)
+		}
+	}
+}
+
+func (r *RemotePeers) askOne(address, organisation string, need, want int64) given {
+	ctx, cancel := context.WithTimeout(context.Background(), lateTimeout)
+	defer cancel()
+	client := pursev1connect.NewPurseServiceClient(r.Client, "http://"+address)
+	response, err := client.Transfer(ctx, connect.NewRequest(&pursev1.TransferRequest{
+		Organisation: organisation, Budget: budgetName, Need: need, Want: want, To: r.VM,
+	}))
+	if err != nil {
+		r.Log.WithFields(log.Fields{"peer": address, "organisation": organisation}).WithError(err).Info("allowance_peer_silent")
+		return given{}
+	}
+	return given{tokens: max(0, response.Msg.GetTokens()), answered: true}
+}
