Damp the questions about used-up budgets

Refusals now hold for up to 4 s until the budget is raised, and routers that are no homes ask only the homes while the store is well.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -37,8 +37,10 @@
 	// backoff is the pause after a failed call to the store; it doubles up to maxBackoff.
 	backoff    = 300 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
-	// dryTime is how long a refusal holds for later requests that need as much, unless the operator raises the budget.
-	dryTime = 700 * time.Millisecond
+	// dryTime is how long a refusal holds for later requests that need as much, unless the operator raises the budget. It
+	// doubles with each refusal up to maxDryTime, so that a used-up budget doesn't cost the fleet ever more questions.
+	dryTime    = 700 * time.Millisecond
+	maxDryTime = 4 * time.Second
 )
 
 // Verdict is the answer to a reservation.
@@ -90,13 +92,14 @@
 	// Until dryUntil requests for dryTokens or more get dryVerdict at once.
 	dryUntil   time.Time
 	dryTokens  int64
+	dryFor     time.Duration
 	dryVerdict Verdict
 }
 
 // setPrepaid takes the operator's total.
 func (a *account) setPrepaid(total int64) {
 	if total != a.prepaid {
-		a.dryUntil = time.Time{}
+		a.dryUntil, a.dryFor = time.Time{}, 0
 	}
 	a.prepaid = total
 }
@@ -235,6 +238,7 @@
 func (a *account) wrote(drawn, tokens int64) {
 	a.drawn, a.known = drawn, true
 	clear(a.open)
+	a.dryFor = 0
 	a.credit(tokens)
 }
 
@@ -249,10 +253,12 @@
 		w.verdict <- v
 	}
 	a.waiting, a.asked = nil, false
-	a.dryUntil, a.dryTokens, a.dryVerdict = now.Add(dryTime), least, v
+	first, longest := dryTime, maxDryTime
 	if v == Unavailable {
-		a.dryUntil = now.Add(backoff)
+		first, longest = backoff, maxBackoff
 	}
+	a.dryFor = min(max(first, 2*a.dryFor), longest)
+	a.dryUntil, a.dryTokens, a.dryVerdict = now.Add(a.dryFor), least, v
 }
 
 // withdraw takes a waiter out that has gone.
--- a/pkg/allowance/book.go
+++ b/pkg/allowance/book.go
@@ -35,11 +35,13 @@
 type Shortage struct {
 	// Next is what the next request lacks, Total what all waiting ones lack, and Want what would be held.
 	Next, Total, Want int64
+	// HomesOnly tells that the store is well, so that only the homes have much.
+	HomesOnly bool
 }
 
 // left returns the shortage after some tokens were given.
 func (s Shortage) left(given int64) Shortage {
-	left := Shortage{Total: s.Total - given, Want: s.Want - given}
+	left := Shortage{Total: s.Total - given, Want: s.Want - given, HomesOnly: s.HomesOnly}
 	left.Next = min(s.Next, left.Total)
 	return left
 }
@@ -231,12 +233,16 @@
 	need := a.shortage()
 	shortage := Shortage{Next: a.least(), Total: need, Want: need + int64(a.rate(time.Now())*askAhead.Seconds())}
 	homes := b.Homes(name)
+	shortage.HomesOnly = !time.Now().Before(a.retryAt) && !slices.Contains(homes, b.VM)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
 		tokens, complete := b.Peers.Ask(ctx, homes, name, shortage, func(tokens int64) { b.Release(name, tokens) })
 		b.owner.Post(func(s *state) {
 			a.asking = false
+			if tokens > 0 {
+				a.dryFor = 0
+			}
 			a.credit(tokens)
 			if !complete && otherwise != Granted {
 				otherwise = Unavailable
--- a/pkg/allowance/book_test.go
+++ b/pkg/allowance/book_test.go
@@ -360,3 +360,26 @@
 	a = &account{free: 90_000, waiting: []waiter{{tokens: 100_000}}}
 	must.EqOp(t, 0, a.give(now, 12_000, 12_000))
 }
+
+// Guards against a storm of questions when a budget is used up: refusals hold longer and longer, and a raise ends that.
+func TestRefusalsHoldLonger(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	a := &account{open: map[string]write{}}
+	a.setPrepaid(1000)
+	refused := 0
+	for range 600 {
+		w := waiter{tokens: 100, verdict: make(chan Verdict, 1)}
+		a.reserve(now, w)
+		if len(a.waiting) > 0 {
+			refused++
+			a.refuse(now, Exhausted)
+		}
+		must.EqOp(t, Exhausted, <-w.verdict)
+		now = now.Add(100 * time.Millisecond)
+	}
+	// 60 s: a few refusals until they hold for maxDryTime, then one in each.
+	must.LessEq(t, 3+int(time.Minute/maxDryTime), refused)
+	a.setPrepaid(2000)
+	a.reserve(now, waiter{tokens: 100, verdict: make(chan Verdict, 1)})
+	must.Len(t, 1, a.waiting)
+}
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -16,7 +17,7 @@
 
 const (
 	// maxAsked bounds the routers that are asked for one shortage; askedAtOnce are asked at the same time.
-	maxAsked    = 12
+	maxAsked    = 8
 	askedAtOnce = 4
 	// answerTimeout is how long a request waits for an answer, and lateTimeout how long an answer may take so that its
 	// tokens are not lost: a router on a small machine may answer after hundreds of ms.
@@ -65,7 +66,11 @@
 // Ask implements Peers. The homes are asked first and then the others in random order, a few at a time, until the
 // shortage is met.
 func (r *RemotePeers) Ask(ctx context.Context, homes []string, organisation string, shortage Shortage, late func(int64)) (int64, bool) {
-	addresses := order(r.Addresses(), homes)
+	known := r.Addresses()
+	if shortage.HomesOnly {
+		maps.DeleteFunc(known, func(name, _ string) bool { return !slices.Contains(homes, name) })
+	}
+	addresses := order(known, homes)
 	complete := len(addresses) <= maxAsked
 	addresses = addresses[:min(len(addresses), maxAsked)]
 	var got int64
