--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,11 +94,7 @@
 func (e *endpoints) current() []platform.VM {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	vms := make([]platform.VM, 0, len(e.known))
-	for _, vm := range e.known {
-		vms = append(vms, vm)
-	}
-	return vms
+	return slices.Collect(maps.Values(e.known))
 }
 
 func (e *endpoints) set(o platform.Object) {
@@ -149,12 +147,8 @@
 			next = until
 		}
 	}
-	vms := make([]platform.VM, 0, len(e.known))
-	for _, vm := range e.known {
-		vms = append(vms, vm)
-	}
 	e.mu.Unlock()
-	e.publish(vms)
+	e.publish(e.current())
 	if !next.IsZero() {
 		time.AfterFunc(next.Sub(now)+time.Millisecond, e.refresh)
 	}
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -6,23 +6,17 @@
 
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
 	"github.com/lavendershunt/lavendershunt/pkg/feed"
+	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
 
 // peerDialTimeout bounds a connection attempt to another router, a few ms away.
 const peerDialTimeout = 200 * time.Millisecond
 
-// unencryptedHTTP2 is the protocol between routers.
-func unencryptedHTTP2() *http.Protocols {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return protocols
-}
-
 // newPeerClient returns the client for the peer APIs of other routers. Each call sets its own timeout.
 func newPeerClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		Protocols: unencryptedHTTP2(), DialContext: upstream.Dialer(peerDialTimeout).DialContext, DisableCompression: true,
+		Protocols: peerhttp.UnencryptedHTTP2(), DialContext: upstream.Dialer(peerDialTimeout).DialContext, DisableCompression: true,
 	}}
 }
 
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -17,6 +17,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
 	"github.com/lavendershunt/lavendershunt/pkg/feed"
 	"github.com/lavendershunt/lavendershunt/pkg/forward"
+	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/retry"
 	"github.com/lavendershunt/lavendershunt/pkg/roster"
@@ -192,7 +193,7 @@
 
 	callers := r.httpServer(r.server)
 	peers := r.httpServer(r.peerHandler())
-	peers.Protocols = unencryptedHTTP2()
+	peers.Protocols = peerhttp.UnencryptedHTTP2()
 	failed := make(chan error, 5)
 	listeners := []struct {
 		address string
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -249,19 +247,6 @@
 	return min(reserved, e.request.Prompt.Tokens+int64(e.events*max(1, e.service.TokensPerEvent)))
 }
 
-// errorBody is the body of an answer that the system gives itself.
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Outcome      outcome.Outcome `json:"outcome"`
-	Reason       outcome.Reason  `json:"reason"`
-	RequestID    string          `json:"request_id"`
-	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
-	Message      string          `json:"message"`
-}
-
 // refuse answers with a failure of the system's own.
 func (e *exchange) refuse(f *outcome.Failure) {
 	e.failure, e.status = f, f.Status()
@@ -273,12 +258,7 @@
 	if f.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	body, err := json.Marshal(errorBody{Error: errorDetail{
-		Outcome: f.Outcome, Reason: f.Reason, RequestID: e.request.ID, RetryAfterMS: f.RetryAfter.Milliseconds(), Message: f.Message,
-	}})
-	if err != nil {
-		panic(fmt.Sprintf("forward: a failure can't be encoded: %v", err))
-	}
+	body := f.Encode(e.request.ID)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	e.writer.WriteHeader(e.status)
 	_, _ = e.writer.Write(body) // The caller has gone if this fails; its request ends here in either case.
--- a/pkg/gateway/chat.go
+++ b/pkg/gateway/chat.go
@@ -245,7 +245,7 @@
 		return s.flushChunk(streamChunk{Index: &event.Token.Index, Choices: []streamChoice{{Delta: streamDelta{Content: event.Token.Text}}}})
 	}
 	if event.End.Failure != nil {
-		return s.flushf("event: error\ndata: %s\n\n", encodeFailure(s.chat.ID, event.End.Failure))
+		return s.flushf("event: error\ndata: %s\n\n", event.End.Failure.Encode(s.chat.ID))
 	}
 	finish := event.End.FinishReason
 	ok := s.flushChunk(streamChunk{Choices: []streamChoice{{FinishReason: &finish}}, Usage: &event.End.Usage})
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -112,7 +112,7 @@
 			}
 			status, data := g.do(t, http.MethodPost, path, tc.key, tc.body, tc.header...)
 			must.Eq(t, tc.status, status)
-			var body failureBody
+			var body outcome.Body
 			must.NoError(t, json.Unmarshal(data, &body))
 			must.Eq(t, outcome.NotRun, body.Error.Outcome)
 			must.Eq(t, tc.reason, body.Error.Reason)
--- a/pkg/router/peer.go
+++ b/pkg/router/peer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lavendershunt/lavendershunt/api/ls/config/v1/configv1connect"
+	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
 )
 
 const (
@@ -16,18 +17,11 @@
 	peerIdleTimeout = 2 * time.Minute
 )
 
-// unencryptedHTTP2 is the protocol between routers.
-func unencryptedHTTP2() *http.Protocols {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return protocols
-}
-
 // newPeerClient returns the client for the peer APIs of other routers. Each call sets its own timeout.
 func newPeerClient() *http.Client {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	return &http.Client{Transport: uncompressed{&http.Transport{
-		Protocols:          unencryptedHTTP2(),
+		Protocols:          peerhttp.UnencryptedHTTP2(),
 		DialContext:        dialer.DialContext,
 		IdleConnTimeout:    peerIdleTimeout,
 		DisableCompression: true,
@@ -51,5 +45,5 @@
 }
 
 func newPeerServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, Protocols: unencryptedHTTP2(), ReadHeaderTimeout: headerTimeout}
+	return &http.Server{Handler: handler, Protocols: peerhttp.UnencryptedHTTP2(), ReadHeaderTimeout: headerTimeout}
 }
