--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -254,7 +254,8 @@
 	}
 	a.waiting, a.asked = nil, false
 	first, longest := dryTime, maxDryTime
-	if v == Unavailable {
+	if now.Before(a.retryAt) {
+		// The store is lost: what it has comes back with it.
 		first, longest = backoff, maxBackoff
 	}
 	a.dryFor = min(max(first, 2*a.dryFor), longest)
--- a/pkg/allowance/book_test.go
+++ b/pkg/allowance/book_test.go
@@ -363,6 +363,12 @@
 
 // Guards against a storm of questions when a budget is used up: refusals hold longer and longer, and a raise ends that.
 func TestRefusalsHoldLonger(t *testing.T) {
+	for _, verdict := range []Verdict{Exhausted, Unavailable} {
+		refusalsHoldLonger(t, verdict)
+	}
+}
+
+func refusalsHoldLonger(t *testing.T, verdict Verdict) {
 	now := time.Unix(1_800_000_000, 0)
 	a := &account{open: map[string]write{}}
 	a.setPrepaid(1000)
@@ -372,9 +378,9 @@
 		a.reserve(now, w)
 		if len(a.waiting) > 0 {
 			refused++
-			a.refuse(now, Exhausted)
+			a.refuse(now, verdict)
 		}
-		must.EqOp(t, Exhausted, <-w.verdict)
+		must.EqOp(t, verdict, <-w.verdict)
 		now = now.Add(100 * time.Millisecond)
 	}
 	// 60 s: a few refusals until they hold for maxDryTime, then one in each.
