Keep what followers know of endpoints within the time to drain

A follower stayed with a leader for up to 2.5 s of silence or 4 s of age, and then took its own loss of contact for an outage of the store and kept removed entries for another 2.1 s. Leaders are now given up after 1.3 s or 1.7 s of age, and a loss of contact counts as an outage from 2.4 s on, the least in which entries can lapse. TestShortLossOfContactGivesNoGrace fails without the change.

--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -13,8 +13,8 @@
 
 const (
 	// lapseAfter is the time without contact to the store after which entries may have lapsed although their endpoints
-	// are alive; entries lapse after three missed heartbeats.
-	lapseAfter = 1500 * time.Millisecond
+	// are alive: they lapse after three missed heartbeats of 1.2 s, the first of which may have been due at once.
+	lapseAfter = 2400 * time.Millisecond
 	// returnWithin is the time within which endpoints that are alive register again once the store is back. An entry
 	// that is still missing then is taken as gone.
 	returnWithin = 2100 * time.Millisecond
--- a/pkg/entry/endpoints_test.go
+++ b/pkg/entry/endpoints_test.go
@@ -110,3 +110,13 @@
 	c.apply(object(9, ""))
 	must.EqOp(t, 9, c.Current().Revision)
 }
+
+// Guards against giving work to an endpoint for longer than it takes to leave, because a router that followed another
+// one for the endpoints' entries had to find a new one.
+func TestShortLossOfContactGivesNoGrace(t *testing.T) {
+	p := &published{}
+	e := newEndpoints(decodeTest, quietLog(), p.set)
+	e.Listed(entries("live", "a", "b"), 0)
+	e.Listed(entries("live", "b"), 2*time.Second)
+	must.Eq(t, []string{"b"}, p.names)
+}
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -53,7 +53,12 @@
 	})
 	r.endpointFeed = feed.New(feed.Options{
 		Kind: r.adapter.EndpointKind, Store: r.gate, Log: r.log, Consumer: r.endpoints,
-		WatchWait: func() time.Duration { return watchWait },
+		WatchWait: func() time.Duration {
+			if r.roster.Count() > smallFleet {
+				return feed.LeaderWait
+			}
+			return watchWait
+		},
 		Leaders:   func() []string { return r.roster.Leaders(smallFleet, leadersPerZone) }, Client: peers,
 	})
 }
--- a/pkg/feed/peer.go
+++ b/pkg/feed/peer.go
@@ -16,12 +16,14 @@
 
 const (
 	// beat is the time without changes after which a leader sends a message without objects.
-	beat = time.Second
-	// silence is the time without a message after which a leader is given up.
-	silence = 2500 * time.Millisecond
-	// MaxAge is the age of a leader's knowledge above which it isn't followed. A leader's watch returns at least once
-	// in this time while the store is well.
-	MaxAge = 4 * time.Second
+	beat = 400 * time.Millisecond
+	// silence is the time without a message after which a leader is given up. Together with the next list it stays below
+	// the 3 s in which an endpoint that leaves must get no new work.
+	silence = 1300 * time.Millisecond
+	// LeaderWait is how long the store holds a leader's watch, and MaxAge the age of a leader's knowledge above which it
+	// isn't followed.
+	LeaderWait = time.Second
+	MaxAge     = 1700 * time.Millisecond
 )
 
 // ErrStaleLeader means that a router has less recent knowledge of the store than the one that would follow it.
