--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -59,6 +59,6 @@
 			}
 			return watchWait
 		},
-		Leaders:   func() []string { return r.roster.Leaders(smallFleet, leadersPerZone) }, Client: peers,
+		Leaders: func() []string { return r.roster.Leaders(smallFleet, leadersPerZone) }, Client: peers,
 	})
 }
