--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -27,8 +27,9 @@
 type endpoints struct {
 	decode decodeEndpoint
 	log    log.Interface
-	// publish takes the present set.
-	publish func([]platform.VM)
+	// publish takes the present set; publishing keeps calls in the order of the sets.
+	publish    func([]platform.VM)
+	publishing sync.Mutex
 
 	mu    sync.Mutex
 	known map[string]platform.VM
@@ -148,7 +149,9 @@
 		}
 	}
 	e.mu.Unlock()
+	e.publishing.Lock()
 	e.publish(e.current())
+	e.publishing.Unlock()
 	if !next.IsZero() {
 		time.AfterFunc(next.Sub(now)+time.Millisecond, e.refresh)
 	}
--- a/pkg/entry/endpoints_test.go
+++ b/pkg/entry/endpoints_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,14 +35,25 @@
 }
 
 // published collects the names of the endpoints.
-type published struct{ names []string }
+type published struct {
+	mu   sync.Mutex
+	list []string
+}
 
 func (p *published) set(vms []platform.VM) {
-	p.names = nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = nil
 	for _, vm := range vms {
-		p.names = append(p.names, vm.Name)
+		p.list = append(p.list, vm.Name)
 	}
-	slices.Sort(p.names)
+	slices.Sort(p.list)
+}
+
+func (p *published) names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list
 }
 
 // Guards against dropping endpoints whose entries lapsed while the store was away, and against using them for longer than
@@ -51,16 +63,16 @@
 		p := &published{}
 		e := newEndpoints(decodeTest, quietLog(), p.set)
 		e.Listed(entries("live", "a", "b", "c"), 0)
-		must.Eq(t, []string{"a", "b", "c"}, p.names)
+		must.Eq(t, []string{"a", "b", "c"}, p.names())
 		time.Sleep(10 * time.Second)
 		e.Listed(entries("live", "a"), 5*time.Second)
-		must.Eq(t, []string{"a", "b", "c"}, p.names)
+		must.Eq(t, []string{"a", "b", "c"}, p.names())
 		time.Sleep(time.Second)
 		e.Changed(entries("live", "b"))
-		must.Eq(t, []string{"a", "b", "c"}, p.names)
+		must.Eq(t, []string{"a", "b", "c"}, p.names())
 		time.Sleep(returnWithin)
 		synctest.Wait()
-		must.Eq(t, []string{"a", "b"}, p.names)
+		must.Eq(t, []string{"a", "b"}, p.names())
 	})
 }
 
@@ -71,9 +83,9 @@
 		e := newEndpoints(decodeTest, quietLog(), p.set)
 		e.Listed(entries("live", "a", "b", "c"), 0)
 		e.Changed([]platform.Object{{Key: "a", Deleted: true}})
-		must.Eq(t, []string{"b", "c"}, p.names)
+		must.Eq(t, []string{"b", "c"}, p.names())
 		e.Listed(entries("live", "c"), 100*time.Millisecond)
-		must.Eq(t, []string{"c"}, p.names)
+		must.Eq(t, []string{"c"}, p.names())
 	})
 }
 
@@ -82,9 +94,9 @@
 	p := &published{}
 	e := newEndpoints(decodeTest, quietLog(), p.set)
 	e.Listed(append(entries("live", "a", "b"), entries("broken", "x")...), 0)
-	must.Eq(t, []string{"a", "b"}, p.names)
+	must.Eq(t, []string{"a", "b"}, p.names())
 	e.Changed(entries("broken", "a"))
-	must.Eq(t, []string{"b"}, p.names)
+	must.Eq(t, []string{"b"}, p.names())
 }
 
 // Guards against going back to an older configuration, which a read that overtakes a watch would bring.
@@ -118,5 +130,5 @@
 	e := newEndpoints(decodeTest, quietLog(), p.set)
 	e.Listed(entries("live", "a", "b"), 0)
 	e.Listed(entries("live", "b"), 2*time.Second)
-	must.Eq(t, []string{"b"}, p.names)
+	must.Eq(t, []string{"b"}, p.names())
 }
