Simplify lsentry after a last read; behaviour unchanged

- forward: whether a stream has begun is a field of the exchange, not a pointer through six functions; the endpoint is that of the decision; a condition that was always true is gone.
- roster: homes are computed once between two lists, not for each reservation; one pass for old records.
- catalog: organisations are found by name instead of by a scan; upstream: one dialer.
- One type for the retry budget.
- logging: a comment claimed that the count of dropped lines is a metric.

--- a/pkg/allowance/book_test.go
+++ b/pkg/allowance/book_test.go
@@ -182,21 +182,27 @@
 	return spent, prepaid
 }
 
+// startFleet runs a book on each VM, all of them homes, until ctx ends.
+func startFleet(ctx context.Context, memory *memstore.Store, vms []string) *fleet {
+	f := &fleet{books: map[string]*Book{}, cut: map[string]bool{}}
+	for _, vm := range vms {
+		f.books[vm] = NewBook(Options{
+			Store: memory.Client(vm), VM: vm, Instance: vm, Log: quietLog(), Homes: func(string) []string { return vms }, Prepaid: func(string) int64 { return 0 },
+			Peers: peersOf{fleet: f, vm: vm, random: func() float64 { return 1 }},
+		})
+		go f.books[vm].Run(ctx)
+	}
+	return f
+}
+
 // Guards against refusing requests that the budget covers while the store can't be reached: the routers' own tokens and
 // those of others bridge a partition of 9 s.
 func TestBridgesPartitionFromStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
-		f := &fleet{books: map[string]*Book{}, cut: map[string]bool{}}
 		ctx, stop := context.WithCancel(t.Context())
 		vms := []string{"vm1", "vm2", "vm3", "vm4"}
-		for _, vm := range vms {
-			f.books[vm] = NewBook(Options{
-				Store: memory.Client(vm), VM: vm, Instance: vm, Log: quietLog(), Homes: func(string) []string { return vms }, Prepaid: func(string) int64 { return 0 },
-				Peers: peersOf{fleet: f, vm: vm, random: func() float64 { return 1 }},
-			})
-			go f.books[vm].Run(ctx)
-		}
+		f := startFleet(ctx, memory, vms)
 		// 4,000 tokens a second for 6 s with the store and 9 s without it, out of 150,000.
 		refused := 0
 		for i := range 150 {
@@ -223,16 +229,9 @@
 func TestSpendsTheLastTokens(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
-		f := &fleet{books: map[string]*Book{}, cut: map[string]bool{}}
 		ctx, stop := context.WithCancel(t.Context())
 		vms := []string{"vm1", "vm2", "vm3", "vm4"}
-		for _, vm := range vms {
-			f.books[vm] = NewBook(Options{
-				Store: memory.Client(vm), VM: vm, Instance: vm, Log: quietLog(), Homes: func(string) []string { return vms }, Prepaid: func(string) int64 { return 0 },
-				Peers: peersOf{fleet: f, vm: vm, random: func() float64 { return 1 }},
-			})
-			go f.books[vm].Run(ctx)
-		}
+		f := startFleet(ctx, memory, vms)
 		const prepaid, size = 100_000, 1_000
 		granted := 0
 		for i := range 2 * prepaid / size {
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -101,14 +101,15 @@
 	hosts             map[string][]Route
 	services          map[string]Service
 	keys              map[string]*Organisation
-	organisations     []Organisation
+	organisations     map[string]*Organisation
 }
 
 // New checks and indexes a configuration. Its errors wrap ErrInvalid and name the field.
 func New(c Config, revision uint64) (*Snapshot, error) {
 	s := &Snapshot{
-		Version: c.Version, Revision: revision, Limits: c.Limits, organisations: slices.Clone(c.Organisations),
+		Version: c.Version, Revision: revision, Limits: c.Limits,
 		hosts: map[string][]Route{}, services: make(map[string]Service, len(c.Services)), keys: map[string]*Organisation{},
+		organisations: make(map[string]*Organisation, len(c.Organisations)),
 	}
 	for _, service := range c.Services {
 		s.services[service.Name] = service
@@ -124,9 +125,10 @@
 		// The longest prefix is tried first.
 		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	for i := range s.organisations {
-		for _, key := range s.organisations[i].Keys {
-			s.keys[key] = &s.organisations[i]
+	for _, o := range c.Organisations {
+		s.organisations[o.Name] = &o
+		for _, key := range o.Keys {
+			s.keys[key] = &o
 		}
 	}
 	return s, nil
@@ -171,8 +173,11 @@
 	return o, ok
 }
 
-// Organisations returns all organisations. The result must not be changed.
-func (s *Snapshot) Organisations() []Organisation { return s.organisations }
+// Organisation returns the organisation with the name.
+func (s *Snapshot) Organisation(name string) (*Organisation, bool) {
+	o, ok := s.organisations[name]
+	return o, ok
+}
 
 // Service returns the service with the name.
 func (s *Snapshot) Service(name string) (Service, bool) {
--- a/pkg/entry/configuration.go
+++ b/pkg/entry/configuration.go
@@ -27,7 +27,7 @@
 type configuration struct {
 	key    string
 	decode decodeConfig
-	store  platform.Store
+	store  Store
 	log    log.Interface
 	newest atomic.Pointer[catalog.Snapshot]
 
@@ -91,8 +91,5 @@
 	}
 }
 
-// Current implements feed.Consumer.
-func (c configFeed) Current() {}
-
 // errNoConfiguration is reported by the readiness check before the first configuration.
 var errNoConfiguration = errors.New("no configuration has been read yet")
--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -88,9 +88,6 @@
 	e.refresh()
 }
 
-// Current implements feed.Consumer.
-func (e *endpoints) Current() { e.refresh() }
-
 // current returns the present set.
 func (e *endpoints) current() []platform.VM {
 	e.mu.Lock()
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -50,10 +50,11 @@
 	maxAddresses = 64
 )
 
-// Store is the platform's store with the reads that need not be current.
+// Store is the part of the platform's store that a router uses: that of its roster, which includes the reads that need not
+// be current, and that of its feeds.
 type Store interface {
-	platform.Store
-	ListStale(ctx context.Context, prefix string) ([]platform.Object, error)
+	roster.Store
+	feed.Store
 }
 
 // Adapter is what the platform's adapter provides.
@@ -121,7 +122,7 @@
 	r.newFeeds(peers)
 	r.server = forward.NewServer(forward.Options{
 		Configuration: r.config, Dialect: a.Dialect, Placement: r.placement, Client: r.client, Allowances: r.books,
-		Retries: retry.New(retry.Limits(s.Retry), time.Now(), s.FirstStart),
+		Retries: retry.New(s.Retry, time.Now(), s.FirstStart),
 		Routers: r.roster.Count, Log: logger, Metrics: metrics,
 	})
 	return r, nil
@@ -152,10 +153,8 @@
 // prepaid returns the organisation's budget in the newest configuration, 0 if it has none.
 func (r *Router) prepaid(organisation string) int64 {
 	if c := r.config.Current(); c != nil {
-		for _, o := range c.Organisations() {
-			if o.Name == organisation && o.Limited {
-				return o.Prepaid
-			}
+		if o, ok := c.Organisation(organisation); ok && o.Limited {
+			return o.Prepaid
 		}
 	}
 	return 0
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -35,8 +35,6 @@
 	Listed(objects []platform.Object, away time.Duration)
 	// Changed applies changes in order.
 	Changed(objects []platform.Object)
-	// Current is called after an answer without changes.
-	Current()
 }
 
 // Options configures a Feed.
@@ -186,8 +184,6 @@
 	f.revision = max(f.revision, at)
 	if len(changes) > 0 {
 		f.Consumer.Changed(changes)
-	} else {
-		f.Consumer.Current()
 	}
 	f.hub.changed(changes, at, f.contact)
 }
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -48,8 +48,6 @@
 	}
 }
 
-func (m *mirror) Current() {}
-
 func (m *mirror) has(want map[string]string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/forward/decision_test.go
+++ b/pkg/forward/decision_test.go
@@ -60,7 +60,7 @@
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	for _, end := range []func(*exchange){
-		func(e *exchange) { e.giveUp(nil, false, nil) }, func(e *exchange) { e.timedOut(ended, false) },
+		func(e *exchange) { e.giveUp(nil, nil) }, func(e *exchange) { e.timedOut(ended) },
 	} {
 		e := testExchange(catalog.Route{})
 		end(e)
@@ -72,7 +72,8 @@
 		must.EqOp(t, outcome.Unknown, e.failure.Outcome)
 	}
 	e := testExchange(catalog.Route{})
-	e.giveUp(nil, true, nil)
+	e.begun = true
+	e.giveUp(nil, nil)
 	must.True(t, e.broken)
 }
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -57,19 +57,19 @@
 	var kept *answer
 	var excluded []string
 	stream := newFrames()
-	begun, unsentTries := false, 0
+	unsentTries := 0
 	for {
 		if ctx.Err() != nil {
-			e.timedOut(ctx, begun)
+			e.timedOut(ctx)
 			return
 		}
 		decision, flight := e.Placement.begin(e.placementRequest(excluded))
 		if flight == nil {
-			e.giveUp(kept, begun, decision.Failure())
+			e.giveUp(kept, decision.Failure())
 			return
 		}
-		e.endpoint, e.decision = decision.Chosen, &decision
-		got, final := e.attempt(ctx, decision, flight, stream, &begun)
+		e.decision = &decision
+		got, final := e.attempt(ctx, decision, flight, stream)
 		if got == delivered {
 			return
 		}
@@ -86,16 +86,14 @@
 			}
 		}
 		if ctx.Err() != nil {
-			e.timedOut(ctx, begun)
+			e.timedOut(ctx)
 			return
 		}
 		if !e.mayRepeat(got, stream) {
-			e.giveUp(kept, begun, nil)
+			e.giveUp(kept, nil)
 			return
 		}
-		if got != unsent {
-			stream.restart()
-		}
+		stream.restart()
 	}
 }
 
@@ -134,9 +132,9 @@
 }
 
 // giveUp ends the request with the best answer there is.
-func (e *exchange) giveUp(kept *answer, begun bool, failure *outcome.Failure) {
+func (e *exchange) giveUp(kept *answer, failure *outcome.Failure) {
 	switch {
-	case begun:
+	case e.begun:
 		e.broken = true
 	case kept != nil:
 		e.deliver(kept)
@@ -150,9 +148,9 @@
 }
 
 // timedOut ends the request at its deadline, or when the caller has gone.
-func (e *exchange) timedOut(ctx context.Context, begun bool) {
+func (e *exchange) timedOut(ctx context.Context) {
 	switch {
-	case begun:
+	case e.begun:
 		e.broken = true
 	case e.sent:
 		e.failure = outcome.Unknownf(outcome.ReasonEndpointTimeout, 0, "no answer in time: %v", ctx.Err())
@@ -162,7 +160,7 @@
 }
 
 // attempt sends the request to one endpoint. It returns an error answer of the endpoint, if there is one.
-func (e *exchange) attempt(ctx context.Context, d route.Decision, f *route.Flight, stream *frames, begun *bool) (result, *answer) {
+func (e *exchange) attempt(ctx context.Context, d route.Decision, f *route.Flight, stream *frames) (result, *answer) {
 	limit := e.attemptTime()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -189,7 +187,7 @@
 		e.Placement.done(f, e.blame(ctx), 0)
 		return failed, nil
 	}
-	got, final := e.receive(response, f, stream, begun)
+	got, final := e.receive(response, f, stream)
 	_ = response.Body.Close() // Gives the connection back or closes it; it has no error to report.
 	outputTokens := (stream.count - before) * max(1, e.service.TokensPerEvent)
 	switch got {
@@ -222,14 +220,14 @@
 }
 
 // receive handles an endpoint's response.
-func (e *exchange) receive(r *upstream.Response, f *route.Flight, stream *frames, begun *bool) (result, *answer) {
+func (e *exchange) receive(r *upstream.Response, f *route.Flight, stream *frames) (result, *answer) {
 	if e.Dialect.NotRun(r.Status, r.Header) {
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, relayBufferBytes)) // Read only to keep the connection.
 		return rejected, nil
 	}
 	e.sent = true
 	if e.route.Streaming && r.Status == http.StatusOK {
-		return e.relay(r, f, stream, begun), nil
+		return e.relay(r, f, stream), nil
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes+1))
 	if err != nil || len(body) > maxAnswerBytes {
@@ -237,7 +235,7 @@
 		return failed, nil
 	}
 	a := &answer{status: r.Status, header: r.Header, body: body}
-	if r.Status >= 500 || *begun {
+	if r.Status >= 500 || e.begun {
 		return answered, a
 	}
 	e.deliver(a)
@@ -260,7 +258,7 @@
 
 // relay passes whole events on as they arrive. The header is sent with the first event, so that an endpoint that fails
 // before it can be replaced.
-func (e *exchange) relay(r *upstream.Response, f *route.Flight, stream *frames, begun *bool) result {
+func (e *exchange) relay(r *upstream.Response, f *route.Flight, stream *frames) result {
 	buffer := make([]byte, relayBufferBytes)
 	for {
 		n, err := r.Body.Read(buffer)
@@ -270,7 +268,7 @@
 				e.firstByte = time.Now()
 			}
 			e.Placement.first(f)
-			e.begin(r, begun)
+			e.begin(r)
 			e.events = stream.count
 			if !e.pass(whole) {
 				e.broken = true
@@ -283,7 +281,7 @@
 		}
 		switch {
 		case err == io.EOF:
-			e.begin(r, begun)
+			e.begin(r)
 			e.pass(stream.partial)
 			return delivered
 		case err != nil:
@@ -293,11 +291,11 @@
 }
 
 // begin sends the header of a stream once.
-func (e *exchange) begin(r *upstream.Response, begun *bool) {
-	if *begun {
+func (e *exchange) begin(r *upstream.Response) {
+	if e.begun {
 		return
 	}
-	*begun, e.status = true, r.Status
+	e.begun, e.status = true, r.Status
 	copyHeader(e.writer.Header(), r.Header)
 	e.writer.WriteHeader(r.Status)
 }
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -41,13 +41,6 @@
 	p.owner.Post(func(t *table) { t.Report(time.Now(), vm, r) })
 }
 
-// States returns the number of endpoints by state.
-func (p *Placement) States() map[string]int64 {
-	var states map[string]int64
-	p.owner.Do(func(t *table) { states = t.States(time.Now()) })
-	return states
-}
-
 // begin chooses an endpoint and accounts for the request that is sent there. The flight is nil if there is none.
 func (p *Placement) begin(r route.Request) (route.Decision, *route.Flight) {
 	var d route.Decision
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -94,10 +94,11 @@
 
 	attempts int
 	// sent tells that an endpoint may have run the request.
-	sent     bool
-	endpoint string
+	sent bool
 	// decision is the last choice of an endpoint.
 	decision *route.Decision
+	// begun tells that the header of a stream was passed on.
+	begun bool
 	// firstByte is the time at which the answer, or a stream's first event, was passed on.
 	firstByte time.Time
 	events    int
@@ -290,13 +291,14 @@
 		return
 	}
 	fields := log.Fields{
-		"request": e.request.ID, "route": e.route.Name, "service": e.service.Name, "endpoint": e.endpoint, "status": e.status,
+		"request": e.request.ID, "route": e.route.Name, "service": e.service.Name, "endpoint": "", "status": e.status,
 		"result": result, "attempts": e.attempts, "sent": e.sent, "events": e.events, "total_ms": now.Sub(e.arrived).Milliseconds(),
 	}
 	if skipped > 0 {
 		fields["lines_left_out"] = skipped
 	}
 	if e.decision != nil {
+		fields["endpoint"] = e.decision.Chosen
 		fields["candidates"], fields["choice"], fields["cached"] = e.decision.Candidates, string(e.decision.Reason), e.decision.Cached()
 	}
 	if e.config != nil {
--- a/pkg/logging/bounded.go
+++ b/pkg/logging/bounded.go
@@ -54,7 +54,7 @@
 			reported = n
 		}
 		if _, err := w.Write(line); err != nil {
-			// The log has no other place to go; the count is served with the metrics.
+			// The log has no other place to go; the next line that can be written has the count.
 			b.dropped.Add(1)
 		}
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -132,11 +132,18 @@
 	revision uint64
 	view     view
 	lost     bool
+	// homes are the results of Homes since the last list; the view doesn't change in between.
+	homes map[homesKey][]string
+}
+
+type homesKey struct {
+	key string
+	n   int
 }
 
 // New returns a Roster for the router with the given name and record.
 func New(store Store, name string, self Record, logger log.Interface) *Roster {
-	return &Roster{store: store, name: name, self: self, log: logger, wake: make(chan struct{}, 1), view: view{members: map[string]member{}}}
+	return &Roster{store: store, name: name, self: self, log: logger, wake: make(chan struct{}, 1), view: view{members: map[string]member{}}, homes: map[homesKey][]string{}}
 }
 
 // SetState changes what the router says of itself and renews its record at once.
@@ -248,20 +255,18 @@
 	r.mu.Lock()
 	before := r.view.members
 	r.view.listed(time.Now(), found)
-	var stale []string
+	clear(r.homes)
+	stale := map[string]uint64{}
 	for name, m := range r.view.members {
 		if r.view.old(m) {
-			stale = append(stale, name)
+			stale[name] = m.revision
 		}
 		if old, ok := before[name]; !ok || old.record.State != m.record.State || old.record.Instance != m.record.Instance {
 			r.log.WithFields(log.Fields{"router": name, "state": string(m.record.State), "instance": m.record.Instance}).Info("router_seen")
 		}
 	}
 	r.mu.Unlock()
-	for _, name := range stale {
-		r.mu.Lock()
-		revision := r.view.members[name].revision
-		r.mu.Unlock()
+	for name, revision := range stale {
 		if err := r.store.Delete(ctx, kind+"/"+name, revision); err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
 			return err
 		}
@@ -296,20 +301,24 @@
 }
 
 // Homes returns the names of at most n routers by rendezvous hashing of the key over those that are alive and don't
-// leave, this one included.
+// leave, this one included. The result must not be changed.
 func (r *Roster) Homes(key string, n int) []string {
 	r.mu.Lock()
-	names := []string{r.name}
+	defer r.mu.Unlock()
+	if homes, ok := r.homes[homesKey{key, n}]; ok {
+		return homes
+	}
+	homes := []string{r.name}
 	for name, m := range r.view.members {
 		if m.record.State != Leaving && r.view.alive(m) {
-			names = append(names, name)
+			homes = append(homes, name)
 		}
 	}
-	r.mu.Unlock()
-	if len(names) <= n {
-		return names
+	if len(homes) > n {
+		homes = rendezvous.Rank(key, homes)[:n]
 	}
-	return rendezvous.Rank(key, names)[:n]
+	r.homes[homesKey{key, n}] = homes
+	return homes
 }
 
 // Leaders returns the peer addresses of the routers of this availability zone that watch the store for the others of it,
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -60,13 +61,14 @@
 
 // Client sends requests to endpoints. It is safe for concurrent use and never repeats a request.
 type Client struct {
-	Stats Stats
-	mu    sync.Mutex
-	idle  map[string][]*conn
+	Stats  Stats
+	dialer *net.Dialer
+	mu     sync.Mutex
+	idle   map[string][]*conn
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{idle: map[string][]*conn{}} }
+func NewClient() *Client { return &Client{dialer: Dialer(dialTimeout), idle: map[string][]*conn{}} }
 
 // Send sends the call and waits for the response's header. When ctx ends the connection is closed, which also ends
 // the body. The errors wrap ErrNotSent or ErrBroken.
@@ -195,7 +197,7 @@
 		_ = kept.Close() // The connection is stale already.
 	}
 	c.Stats.Dials.Add(1)
-	fresh, err := Dialer(dialTimeout).DialContext(ctx, "tcp", address)
+	fresh, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
