Share confirmations of the configuration for a second and watch less often in large fleets

A confirmation now holds for 1 s from the begin of its read, half of the bound; a failed one is shared for 0.3 s instead of one timeout per caller, which a caller also does not wait for after it has left. Leaders of a large fleet pause 0.5 s between watches.

Budgets: only homes are asked for tokens, because the others hold less than a request needs. In a fleet of more than nine routers the drawer never found a budget used up (at most eight others were asked, so the answer was never complete), and callers were told to come again until the end. Requests that can't draw are told to come again after 3 s.

--- a/pkg/allowance/book.go
+++ b/pkg/allowance/book.go
@@ -25,15 +25,14 @@
 
 // Peers asks other routers for tokens.
 type Peers interface {
-	// Ask asks the homes in their order and then, if the shortage allows it, other routers. Tokens that are given after
-	// it has returned go to late.
+	// Ask asks the other homes. Tokens that are given after it has returned go to late.
 	Ask(ctx context.Context, homes []string, organisation string, shortage Shortage, late func(tokens int64)) Answer
 }
 
 // Answer is what other routers gave.
 type Answer struct {
 	Tokens int64
-	// Complete tells that all routers that were to be asked have answered.
+	// Complete tells that all homes that were asked have answered.
 	Complete bool
 	// Exhausted tells that a home found that the store has not enough left.
 	Exhausted bool
@@ -43,8 +42,6 @@
 type Shortage struct {
 	// Next is what the next request lacks, Total what all waiting ones lack, and Want what would be held.
 	Next, Total, Want int64
-	// HomesOnly tells that the store is well, so that only the homes have much.
-	HomesOnly bool
 	// NoDraw tells that the store was found to have too little, so that the homes can only give what they hold.
 	NoDraw bool
 }
@@ -245,7 +242,6 @@
 	need := a.shortage()
 	shortage := Shortage{Next: a.least(), Total: need, Want: need, NoDraw: otherwise == Exhausted}
 	homes := b.Homes(name)
-	shortage.HomesOnly = !time.Now().Before(a.retryAt) && !b.draws(homes)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -16,10 +15,6 @@
 )
 
 const (
-	// maxOthers bounds the routers that are no homes and are asked for one shortage; askedAtOnce are asked at the same
-	// time.
-	maxOthers   = 8
-	askedAtOnce = 4
 	// answerTimeout is how long a request waits for an answer, and lateTimeout how long an answer may take so that its
 	// tokens are not lost: a router on a small machine may answer after hundreds of ms.
 	answerTimeout = 120 * time.Millisecond
@@ -74,52 +69,40 @@
 	name, address string
 }
 
-// Ask implements Peers. One home is asked after the other, so that the first one gives what is needed and no more; then
-// the others in random order, a few at a time, until the shortage is met.
+// Ask implements Peers. While the homes may draw, one is asked after the other, so that the first one gives what is needed
+// and no more. Otherwise all are asked at once for what they hold.
 func (r *RemotePeers) Ask(ctx context.Context, homes []string, organisation string, shortage Shortage, late func(int64)) Answer {
-	first, others := r.order(homes)
+	peers := r.order(homes)
 	answer := Answer{Complete: true}
-	for _, home := range first {
-		r.askBatch(ctx, &answer, []peer{home}, organisation, shortage, !shortage.NoDraw, late)
-		if answer.Exhausted || answer.Tokens >= shortage.Total || ctx.Err() != nil {
-			break
-		}
+	size := 1
+	if shortage.NoDraw {
+		size = max(1, len(peers))
 	}
-	if shortage.HomesOnly {
-		return answer
-	}
-	answer.Complete = answer.Complete && len(others) <= maxOthers
-	for batch := range slices.Chunk(others[:min(len(others), maxOthers)], askedAtOnce) {
-		if answer.Tokens >= shortage.Total || ctx.Err() != nil {
+	for batch := range slices.Chunk(peers, size) {
+		r.askBatch(ctx, &answer, batch, organisation, shortage, late)
+		if answer.Exhausted || answer.Tokens >= shortage.Total || ctx.Err() != nil {
 			break
 		}
-		r.askBatch(ctx, &answer, batch, organisation, shortage, false, late)
 	}
 	answer.Complete = answer.Complete && ctx.Err() == nil
 	return answer
 }
 
-// order returns the homes and the other routers. Homes that did not answer lately come last; the others are shuffled, so
-// that they share the work.
-func (r *RemotePeers) order(homes []string) (first, others []peer) {
+// order returns the other homes, those that did not answer lately at the end.
+func (r *RemotePeers) order(homes []string) []peer {
 	known := r.Addresses()
-	var last []peer
+	var first, last []peer
 	for _, name := range homes {
 		address, ok := known[name]
 		switch {
-		case !ok:
+		case !ok: // This router itself.
 		case r.isSilent(name):
 			last = append(last, peer{name, address})
 		default:
 			first = append(first, peer{name, address})
 		}
-		delete(known, name)
-	}
-	for name, address := range known {
-		others = append(others, peer{name, address})
 	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return append(first, last...), others
+	return append(first, last...)
 }
 
 func (r *RemotePeers) isSilent(name string) bool {
@@ -151,13 +134,13 @@
 
 // askBatch asks some routers at the same time for what the answer lacks and waits for answerTimeout at the most. Tokens
 // that come later go to late, because the giver has taken them off its account.
-func (r *RemotePeers) askBatch(ctx context.Context, answer *Answer, batch []peer, organisation string, shortage Shortage, draw bool, late func(int64)) {
+func (r *RemotePeers) askBatch(ctx context.Context, answer *Answer, batch []peer, organisation string, shortage Shortage, late func(int64)) {
 	left := shortage.left(answer.Tokens)
 	answers := make(chan given, len(batch))
 	for _, p := range batch {
 		go func() {
 			answers <- r.askOne(p, &allowancev1.GiveRequest{
-				Organisation: organisation, Asker: r.VM, Need: left.Next, Want: left.Want / int64(len(batch)), Draw: draw,
+				Organisation: organisation, Asker: r.VM, Need: left.Next, Want: left.Want / int64(len(batch)), Draw: !shortage.NoDraw,
 			})
 		}()
 	}
--- a/pkg/allowance/peers_test.go
+++ b/pkg/allowance/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,8 +37,53 @@
 		Client:    http.DefaultClient, VM: "vm1", Log: quietLog(),
 	}
 	late := make(chan int64, 1)
-	answer := peers.Ask(t.Context(), nil, organisation, Shortage{Next: 700, Total: 700, Want: 900}, func(tokens int64) { late <- tokens })
+	answer := peers.Ask(t.Context(), []string{"vm2", "vm1"}, organisation, Shortage{Next: 700, Total: 700, Want: 900}, func(tokens int64) { late <- tokens })
 	must.EqOp(t, 0, answer.Tokens)
 	must.False(t, answer.Complete)
 	must.EqOp(t, 700, <-late)
 }
+
+// counter gives some tokens and counts the questions.
+type counter struct {
+	allowancev1connect.UnimplementedAllowanceServiceHandler
+	asked     atomic.Int64
+	gives     int64
+	exhausted bool
+}
+
+func (c *counter) Give(context.Context, *connect.Request[allowancev1.GiveRequest]) (*connect.Response[allowancev1.GiveResponse], error) {
+	c.asked.Add(1)
+	return connect.NewResponse(&allowancev1.GiveResponse{Tokens: c.gives, Exhausted: c.exhausted}), nil
+}
+
+func serveCounter(t *testing.T, c *counter) string {
+	mux := http.NewServeMux()
+	mux.Handle(allowancev1connect.NewAllowanceServiceHandler(c))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// Guards against tokens that pile up at routers with little demand: four homes that were asked at once each gave what was
+// needed. Also guards against questions after a home has said that the budget is used up, and against waiting again for a
+// home that did not answer.
+func TestHomesAreAskedInOrder(t *testing.T) {
+	first, second := &counter{gives: 700}, &counter{gives: 700}
+	addresses := map[string]string{"vm2": serveCounter(t, first), "vm3": serveCounter(t, second)}
+	peers := RemotePeers{Addresses: func() map[string]string { return addresses }, Client: http.DefaultClient, VM: "vm1", Log: quietLog()}
+	ask := func(s Shortage) Answer {
+		return peers.Ask(t.Context(), []string{"vm2", "vm3"}, organisation, s, func(int64) {})
+	}
+	must.Eq(t, Answer{Tokens: 700, Complete: true}, ask(Shortage{Next: 700, Total: 700, Want: 700}))
+	must.EqOp(t, 0, second.asked.Load())
+
+	first.gives, first.exhausted = 0, true
+	must.Eq(t, Answer{Complete: true, Exhausted: true}, ask(Shortage{Next: 700, Total: 700, Want: 700}))
+	must.EqOp(t, 0, second.asked.Load())
+	first.exhausted = false
+	must.Eq(t, Answer{Tokens: 700, Complete: true}, ask(Shortage{Next: 700, Total: 700, Want: 700, NoDraw: true}))
+
+	addresses["vm2"] = "127.0.0.1:1" // Nothing listens there.
+	must.Eq(t, Answer{Tokens: 700}, ask(Shortage{Next: 700, Total: 700, Want: 700}))
+	must.Eq(t, Answer{Tokens: 700, Complete: true}, ask(Shortage{Next: 700, Total: 700, Want: 700}))
+}
--- a/pkg/entry/configuration.go
+++ b/pkg/entry/configuration.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,8 +15,11 @@
 const (
 	// confirmTimeout bounds the read that confirms the configuration; a caller waits for it.
 	confirmTimeout = 400 * time.Millisecond
-	// confirmEvery is how long a confirmation holds, which bounds the reads that unknown routes and keys cause.
-	confirmEvery = 300 * time.Millisecond
+	// confirmEvery is how long a confirmation holds, from the begin of its read: half of the 2 s in which a configuration
+	// must be in force. It bounds the reads that unknown routes and keys cause.
+	confirmEvery = time.Second
+	// failureHolds is how long a failed read is not repeated, so that callers don't wait for one timeout after another.
+	failureHolds = 300 * time.Millisecond
 )
 
 // decodeConfig decodes the configuration's object.
@@ -31,8 +33,16 @@
 	log    log.Interface
 	newest atomic.Pointer[catalog.Snapshot]
 
-	mu        sync.Mutex
-	confirmed time.Time
+	// confirming holds a value while a read is in progress; it guards the fields below.
+	confirming chan struct{}
+	// confirmed is the begin of the last successful read, and failed the end of the last one without an answer, which
+	// ended with failure.
+	confirmed, failed time.Time
+	failure           error
+}
+
+func newConfiguration(key string, decode decodeConfig, store Store, logger log.Interface) *configuration {
+	return &configuration{key: key, decode: decode, store: store, log: logger, confirming: make(chan struct{}, 1)}
 }
 
 // Current implements forward.Configuration.
@@ -40,19 +50,30 @@
 
 // Confirm implements forward.Configuration. Calls at the same time share one read.
 func (c *configuration) Confirm(ctx context.Context) (*catalog.Snapshot, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if time.Since(c.confirmed) < confirmEvery {
+	select {
+	case c.confirming <- struct{}{}:
+		defer func() { <-c.confirming }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	began := time.Now()
+	switch {
+	case began.Sub(c.confirmed) < confirmEvery:
 		return c.newest.Load(), nil
+	case began.Sub(c.failed) < failureHolds:
+		return nil, c.failure
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	timed, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	object, err := c.store.Get(ctx, c.key)
+	object, err := c.store.Get(timed, c.key)
 	if err != nil {
+		if ctx.Err() == nil {
+			c.failed, c.failure = time.Now(), err
+		}
 		return nil, err
 	}
 	c.apply(object)
-	c.confirmed = time.Now()
+	c.confirmed = began
 	return c.newest.Load(), nil
 }
 
--- /dev/null
+++ b/pkg/entry/configuration_test.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/pkg/catalog"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+// configStore holds one configuration, whose revision is its version.
+type configStore struct {
+	Store
+	reads, revision atomic.Uint64
+	silent          bool
+}
+
+func (s *configStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	s.reads.Add(1)
+	if s.silent {
+		<-ctx.Done()
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return platform.Object{Key: key, Revision: s.revision.Load()}, nil
+}
+
+func testConfiguration(s *configStore) *configuration {
+	return newConfiguration("config/main", func(_ []byte, revision uint64) (*catalog.Snapshot, error) {
+		return catalog.New(catalog.Config{Version: revision}, revision)
+	}, s, quietLog())
+}
+
+// Guards against a read of the store for each request with an unknown route or key, and against an answer that is older
+// than the time in which a configuration must be in force.
+func TestConfirmationIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &configStore{}
+		c := testConfiguration(s)
+		// 10 s of such requests, and a new version in each second.
+		for i := range 100 {
+			s.revision.Store(uint64(1 + i/10))
+			snapshot, err := c.Confirm(t.Context())
+			must.NoError(t, err)
+			must.GreaterEq(t, s.revision.Load()-1, snapshot.Version)
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.LessEq(t, 10, s.reads.Load())
+	})
+}
+
+// Guards against callers that wait for one timeout after another while the store is silent.
+func TestFailedConfirmationIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := testConfiguration(&configStore{silent: true})
+		began := time.Now()
+		var callers sync.WaitGroup
+		for range 5 {
+			callers.Go(func() {
+				_, err := c.Confirm(t.Context())
+				must.ErrorIs(t, err, platform.ErrUnavailable)
+			})
+		}
+		callers.Wait()
+		must.LessEq(t, confirmTimeout, time.Since(began))
+	})
+}
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -36,6 +36,10 @@
 	// is of the order of the bounds within which changes must be in force. Routers of a large fleet wait longer.
 	watchWait      = 3 * time.Second
 	watchWaitLarge = 6 * time.Second
+	// watchPause is the least time between two watches of a kind. In a large fleet the changes of many endpoints come close
+	// together, and the bounds are longer by a second.
+	watchPause      = 250 * time.Millisecond
+	watchPauseLarge = 500 * time.Millisecond
 )
 
 // newFeeds creates the feeds of the configuration and of the endpoints. The configuration is large and seldom changes,
@@ -49,7 +53,8 @@
 			}
 			return watchWait
 		},
-		Lost: r.gate.lost.Store,
+		WatchPause: r.watchPause,
+		Lost:       r.gate.lost.Store,
 	})
 	r.endpointFeed = feed.New(feed.Options{
 		Kind: r.adapter.EndpointKind, Store: r.gate, Log: r.log, Consumer: r.endpoints,
@@ -59,6 +64,14 @@
 			}
 			return watchWait
 		},
-		Leaders: func() []string { return r.roster.Leaders(smallFleet, leadersPerZone) }, Client: peers,
+		WatchPause: r.watchPause,
+		Leaders:    func() []string { return r.roster.Leaders(smallFleet, leadersPerZone) }, Client: peers,
 	})
 }
+
+func (r *Router) watchPause() time.Duration {
+	if r.roster.Count() > smallFleet {
+		return watchPauseLarge
+	}
+	return watchPause
+}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -109,7 +109,7 @@
 	}
 	r.client = upstream.NewClient()
 	r.placement = forward.NewPlacement(s.Zone, routeOptions)
-	r.config = &configuration{key: a.ConfigKey, decode: a.DecodeConfig, store: r.gate, log: logger}
+	r.config = newConfiguration(a.ConfigKey, a.DecodeConfig, r.gate, logger)
 	r.endpoints = newEndpoints(a.DecodeEndpoint, logger, r.publish)
 	r.roster = roster.New(r.gate, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting}, logger)
 	peers := newPeerClient()
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -17,8 +17,6 @@
 	// The pause after a failed call grows from minPause to maxPause; the actual one is drawn from the upper half.
 	minPause = 50 * time.Millisecond
 	maxPause = 800 * time.Millisecond
-	// minWatch is the least time between two watches; changes that come closer together share an answer.
-	minWatch = 250 * time.Millisecond
 	// directTime is how long a router watches the store itself after no other one could be followed.
 	directTime = 10 * time.Second
 )
@@ -45,6 +43,8 @@
 	Consumer Consumer
 	// WatchWait returns how long the store holds a watch without changes. A watch that went silent is noticed after it.
 	WatchWait func() time.Duration
+	// WatchPause returns the least time between two watches; changes that come closer together share an answer.
+	WatchPause func() time.Duration
 	// Leaders returns the peer addresses of the routers to follow; none means that this router watches the store.
 	// Optional.
 	Leaders func() []string
@@ -159,7 +159,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(time.Until(began.Add(minWatch))):
+		case <-time.After(time.Until(began.Add(f.WatchPause()))):
 		}
 	}
 }
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -57,7 +57,7 @@
 func testFeed(store Store, consumer Consumer, leaders func() []string) *Feed {
 	return New(Options{
 		Kind: "servers", Store: store, Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Consumer: consumer,
-		WatchWait: func() time.Duration { return 50 * time.Millisecond }, Leaders: leaders, Client: http.DefaultClient,
+		WatchWait: func() time.Duration { return 50 * time.Millisecond }, WatchPause: func() time.Duration { return 250 * time.Millisecond }, Leaders: leaders, Client: http.DefaultClient,
 	})
 }
 
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -28,6 +28,9 @@
 	shortRetry = 200 * time.Millisecond
 	// longRetry is the advice when the configuration or the store has to come back first.
 	longRetry = time.Second
+	// storeRetry is the advice while tokens can't be drawn: most partitions from the store last for several seconds, and
+	// callers wait for at most a third of their time.
+	storeRetry = 3 * time.Second
 )
 
 // Configuration gives the current configuration.
@@ -237,7 +240,7 @@
 	case allowance.Exhausted:
 		return 0, outcome.NotRunf(outcome.ReasonBudgetExhausted, 0, "the remaining budget does not cover %d tokens", most)
 	}
-	return 0, outcome.NotRunf(outcome.ReasonGrantUnavailable, longRetry, "the budget can't be drawn on now")
+	return 0, outcome.NotRunf(outcome.ReasonGrantUnavailable, storeRetry, "the budget can't be drawn on now")
 }
 
 // used is what the request has consumed of its reservation. If an endpoint may have run it, its prompt counts in full.
