Try a closed endpoint rather than none, and log the tokens of requests

Change: if no endpoint is open, the best closed one that stays is tried, rather one at its limit than an unhealthy one, up to twice its limit of own requests. TestLastResortServesWhatIsLeft failed without it. lsrouter keeps its behaviour.

--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -132,6 +132,7 @@
 // prefix's requests, so the home of a prefix is trusted to hold it.
 var routeOptions = route.Options{
 	HomeHolds:          true,
+	LastResort:         true,
 	PromptWeight:       3,
 	Crowding:           -1,
 	SpeedHalfLife:      time.Millisecond,
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -107,6 +107,8 @@
 	events    int
 	status    int
 	failure   *outcome.Failure
+	// spent is the number of tokens that the budget was charged.
+	spent int64
 	// broken tells that an answer that had begun can't be completed.
 	broken bool
 }
@@ -143,7 +145,8 @@
 	e.Retries.Request(e.service.Name, time.Now())
 	e.forward(ctx)
 	if reserved > 0 {
-		e.Allowances.Release(e.org.Name, reserved-e.used(reserved))
+		e.spent = e.used(reserved)
+		e.Allowances.Release(e.org.Name, reserved-e.spent)
 	}
 	if e.failure != nil && !e.broken {
 		e.refuse(e.failure)
@@ -310,6 +313,9 @@
 	if e.org != nil {
 		fields["organisation"] = e.org.Name
 	}
+	if p := e.request.Prompt; p != nil {
+		fields["tokens"], fields["spent"] = p.Tokens+p.MaxOutput, e.spent
+	}
 	if !e.firstByte.IsZero() {
 		fields["first_ms"] = e.firstByte.Sub(e.arrived).Milliseconds()
 	}
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -26,6 +26,10 @@
 	d := Decision{RequestID: r.ID, Organisation: r.Organisation, Class: r.Class, Pool: r.Pool, request: r}
 	p := t.pools[r.Pool]
 	if p == nil || len(p.open) == 0 {
+		if e := t.lastResort(now, rng, p, &r); e != nil {
+			d.choose(e, ReasonLastResort)
+			return d
+		}
 		d.Reason, d.RetryAfter = t.refusal(now, p), retryAfter
 		return d
 	}
@@ -36,6 +40,10 @@
 	found = t.drawRandom(found, at, rng, p, &r)
 	t.scratch = found
 	if len(found) == 0 {
+		if e := t.lastResort(now, rng, p, &r); e != nil {
+			d.choose(e, ReasonLastResort)
+			return d
+		}
 		d.Reason, d.RetryAfter = ReasonExcluded, retryAfter
 		return d
 	}
@@ -47,20 +55,49 @@
 			best = i
 		}
 	}
-	chosen := found[best].endpoint
-	d.endpoint, d.cached = chosen, d.Considered[best].CachedTokens
-	d.Chosen, d.Address = chosen.vm.Name, chosen.vm.Address
+	d.cached = d.Considered[best].CachedTokens
+	reason := ReasonLowestScore
 	switch {
 	case len(found) == 1:
-		d.Reason = ReasonOnlyCandidate
+		reason = ReasonOnlyCandidate
 	case d.cached > 0:
-		d.Reason = ReasonPrefix
-	default:
-		d.Reason = ReasonLowestScore
+		reason = ReasonPrefix
 	}
+	d.choose(found[best].endpoint, reason)
 	return d
 }
 
+func (d *Decision) choose(e *endpoint, reason Reason) {
+	d.endpoint, d.Chosen, d.Address, d.Reason = e, e.vm.Name, e.vm.Address, reason
+}
+
+// lastResort returns a closed endpoint if the options allow it: rather one at its limit than an unhealthy one, and of
+// these the one with the fewest own requests per place. In a small pool a few failures close every endpoint although most
+// requests would be served; a refusal serves none.
+func (t *Table) lastResort(now time.Time, rng *rand.Rand, p *pool, r *Request) *endpoint {
+	// crowded is the number of own requests per place from which an endpoint is taken for truly full.
+	const crowded = 2
+	if !t.options.LastResort || p == nil {
+		return nil
+	}
+	var best *endpoint
+	var bestLoad float64
+	for _, i := range rng.Perm(len(p.all)) {
+		e := p.all[i]
+		load := float64(e.inflight) / float64(max(1, e.vm.MaxInFlight))
+		if e.leaving() || load >= crowded || !usable(e, r) {
+			continue
+		}
+		if e.unhealthy(now) {
+			load += crowded
+		}
+		if best == nil || load < bestLoad {
+			best, bestLoad = e, load
+		}
+	}
+	return best
+}
+
 func (t *Table) refusal(now time.Time, p *pool) Reason {
 	if p == nil {
 		return ReasonNoEndpoint
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -43,6 +43,8 @@
 	ReasonLowestScore   Reason = "lowest_score"
 	ReasonPrefix        Reason = "prefix_cache"
 	ReasonOnlyCandidate Reason = "only_candidate"
+	// ReasonLastResort means that all usable endpoints are unhealthy or at their limit, and the best of them is tried.
+	ReasonLastResort Reason = "last_resort"
 	// ReasonNoEndpoint means that the pool has no endpoint, or all are leaving.
 	ReasonNoEndpoint Reason = "no_endpoint"
 	// ReasonUnhealthy means that the endpoints that are not leaving are failed or quarantined.
--- /dev/null
+++ b/pkg/route/lastresort_test.go
@@ -0,0 +1,65 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+func services(n, places int) []platform.VM {
+	var vms []platform.VM
+	for i := range n {
+		vms = append(vms, platform.VM{
+			Name: "s" + string(rune('0'+i)), Role: platform.RoleService, Service: "desk", State: platform.VMLive, MaxInFlight: places,
+		})
+	}
+	return vms
+}
+
+// Guards against refusing all requests to a small service whose endpoints each failed twice although three of four
+// requests are served, and against sending to endpoints that leave or that have far more in progress than they run.
+func TestLastResortServesWhatIsLeft(t *testing.T) {
+	for _, lastResort := range []bool{false, true} {
+		table := New(Location{}, Options{LastResort: lastResort})
+		table.Update(start, services(4, 6), nil)
+		rng, r := newRand(), Request{Pool: Service("desk")}
+		now, served := start, 0
+		const requests = 400
+		for i := range requests {
+			now = now.Add(5 * time.Millisecond)
+			d := table.Choose(now, rng, r)
+			if !d.OK() {
+				continue
+			}
+			// Requests come in pairs to the same fate, so that two failures in a row are usual.
+			result := Succeeded
+			if i/2%4 == 0 {
+				result = Failed
+			} else {
+				served++
+			}
+			table.Done(now, table.Begin(now, d), result, 0)
+		}
+		if lastResort {
+			must.GreaterEq(t, requests*7/10, served)
+		} else {
+			must.Less(t, requests*7/10, served)
+		}
+	}
+
+	table := New(Location{}, Options{LastResort: true})
+	vms := services(2, 1)
+	vms[0].State = platform.VMLeaving
+	table.Update(start, vms, nil)
+	r := Request{Pool: Service("desk")}
+	for range 2 {
+		d := table.Choose(start, newRand(), r)
+		must.EqOp(t, "s1", d.Chosen)
+		table.Begin(start, d)
+	}
+	d := table.Choose(start, newRand(), r)
+	must.False(t, d.OK())
+}
--- a/pkg/route/options.go
+++ b/pkg/route/options.go
@@ -14,6 +14,9 @@
 	// HomeHolds makes the first usable endpoint on the ring count as holding the whole indexed prefix, because all
 	// routers place it there. It suits a router that sees only a small share of a prefix's requests.
 	HomeHolds bool
+	// LastResort makes a choice among closed endpoints rather than none, unless they are leaving or have twice their limit
+	// in progress.
+	LastResort bool
 	// PrefillTokensPerMS is the assumed prompt speed of an engine.
 	PrefillTokensPerMS float64
 	// The time of the request's own uncached prompt is multiplied by PromptWeight plus Crowding for each request at
