Give away the last tokens of a drawer, and note contact only after a call

Cause: a router that gave tokens kept those for 1 s of its own rate. The rate of a drawer is that of the whole fleet, so in a partition the last second of an organisation's tokens served nobody but the callers of that router. TestGiveSpendsWhatIsLeft failed before. A draw that ended without a call counted as contact to the store and ended the pause of all accounts (found by reading).

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -29,8 +29,6 @@
 	// drawShare is the largest part of the remainder that one draw ahead of need takes: the first estimates of the
 	// demand may be far too high.
 	drawShare = 0.25
-	// keepTime is the time of its own demand for which a router keeps tokens when another one asks.
-	keepTime = time.Second
 	// idleAfter is the time without requests after which unspent tokens are returned if little is left.
 	idleAfter = 1500 * time.Millisecond
 	// scarceShare is the share of the budget below which little is left.
@@ -290,18 +288,13 @@
 	}
 }
 
-// give takes tokens off the account for another router, whose next request lacks need tokens and which would hold want.
-// What would not serve such a request here is given in full; of more, the tokens for keepTime are kept, and at most half
-// is given beyond the need.
+// give takes tokens off the account for another router, whose next request lacks need tokens and which would take want.
+// What would not serve such a request here is given in full; of more, at most half is given beyond the need.
 func (a *account) give(now time.Time, need, want int64) int64 {
 	if len(a.waiting) > 0 || a.free <= 0 || need <= 0 {
 		return 0
 	}
-	spare := a.free
-	if spare >= need {
-		spare -= int64(a.rate(now) * keepTime.Seconds())
-	}
-	given := max(0, min(spare, max(need, min(want, spare/2))))
+	given := min(a.free, max(need, min(want, a.free/2)))
 	a.free -= given
 	// What others take counts as demand, so that a home holds enough for them.
 	a.observe(now, given)
--- a/pkg/allowance/book_test.go
+++ b/pkg/allowance/book_test.go
@@ -417,6 +417,21 @@
 	must.EqOp(t, 0, a.give(now, 12_000, 12_000))
 }
 
+// Guards against a drawer that keeps tokens for its own requests while those of all others are refused: its rate is that of
+// the whole fleet, and in a partition the last second of it was given to nobody.
+func TestGiveSpendsWhatIsLeft(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	a := &account{free: 50_000}
+	for range 10 {
+		a.observe(now, 60_000)
+	}
+	given := int64(0)
+	for range 10 {
+		given += a.give(now, 10_000, 10_000)
+	}
+	must.EqOp(t, 50_000, given)
+}
+
 // Guards against a storm of questions when a budget is used up: refusals hold longer and longer, and a raise ends that.
 func TestRefusalsHoldLonger(t *testing.T) {
 	for _, verdict := range []Verdict{Exhausted, Unavailable} {
--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -108,7 +108,11 @@
 			p.step = get
 		default:
 			a.drawing = false
-			s.answered()
+			if fresh {
+				s.answered()
+			} else {
+				s.probing = false // No call was made, so nothing is known of the store.
+			}
 			if len(a.waiting) > 0 {
 				b.ask(name, a, Exhausted)
 			}
