--- a/pkg/allowance/book.go
+++ b/pkg/allowance/book.go
@@ -160,11 +160,17 @@
 // Reserve takes tokens of the organisation's budget, of which prepaid is the total. It waits for the store or other
 // routers if needed. If ctx ends first it returns Unavailable.
 func (b *Book) Reserve(ctx context.Context, organisation string, prepaid, tokens int64) Verdict {
+	return b.reserve(ctx, organisation, prepaid, tokens, false)
+}
+
+// reserve implements Reserve. With drawNow this router draws what is lacking itself instead of asking the homes first.
+func (b *Book) reserve(ctx context.Context, organisation string, prepaid, tokens int64, drawNow bool) Verdict {
 	verdict := make(chan Verdict, 1)
 	posted := b.owner.Post(func(s *state) {
 		a := s.account(organisation)
 		a.setPrepaid(prepaid)
 		a.reserve(time.Now(), waiter{tokens: tokens, verdict: verdict})
+		a.asked = a.asked || drawNow && len(a.waiting) > 0
 		b.advance(s, organisation, a)
 	})
 	if !posted {
@@ -208,7 +214,8 @@
 		b.advance(s, organisation, a)
 	})
 	if prepaid := b.Prepaid(organisation); draw && prepaid > 0 && need > given {
-		switch b.Reserve(ctx, organisation, prepaid, need-given) {
+		// The asker has tried the homes before this one. A home that asked them again would wait for routers that wait for it.
+		switch b.reserve(ctx, organisation, prepaid, need-given, true) {
 		case Granted:
 			given = need
 		case Exhausted:
--- a/pkg/allowance/book_test.go
+++ b/pkg/allowance/book_test.go
@@ -256,6 +256,31 @@
 	})
 }
 
+// Guards against refusing requests while only the drawer has lost the store: the next home draws for the others instead of
+// asking the homes once more.
+func TestNextHomeDrawsForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+		ctx, stop := context.WithCancel(t.Context())
+		vms := []string{"vm1", "vm2", "vm3", "vm4", "vm5"}
+		f := startFleet(ctx, memory, vms, 150_000)
+		for _, vm := range vms {
+			f.books[vm].Homes = func(string) []string { return vms[:3] }
+		}
+		_, err := memory.Inject(memstore.Fault{Kind: memstore.FaultDown, Clients: []string{"vm1"}})
+		must.NoError(t, err)
+		refused := 0
+		for i := range 100 {
+			if f.books[vms[3+i%2]].Reserve(ctx, organisation, 150_000, 400) != Granted {
+				refused++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.Zero(t, refused)
+		stop()
+	})
+}
+
 // Guards against stranding the end of a budget: tokens that other routers hold are found when the store has none left.
 func TestSpendsTheLastTokens(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
