--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -80,7 +80,7 @@
 	// drawing and asking tell that a call to the store or to other routers is in progress.
 	drawing, asking bool
 	retryAt         time.Time
-	// asked tells that the homes were asked for the waiting requests and did not give enough.
+	// asked tells that the homes were asked for the waiting requests and did not give enough, so that this router draws.
 	asked bool
 	// open are the draws without an answer by their writer's mark.
 	open map[string]write
