Simplify after a last read; behaviour unchanged

- route: a choice without a usable endpoint ends in one place instead of two copies; refusal tells the excluded case apart.
- allowance: the shortage's wanted tokens always equalled its total, nobody read who asks, and with it the name of the asking VM in the client: all three are gone.
The drawer is asked for by organisation.
- entry: the choice of waits and pauses by the size of the fleet stood three times.
- forward: the largest use of a prompt is computed by one method.
- Comments on idle tokens, Homes and Retry-After follow the code.
Tests lost the removed fields only.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -29,7 +29,7 @@
 	// drawShare is the largest part of the remainder that one draw ahead of need takes: the first estimates of the
 	// demand may be far too high.
 	drawShare = 0.25
-	// idleAfter is the time without requests after which unspent tokens are returned if little is left.
+	// idleAfter is the time without requests after which unspent tokens are returned, by a drawer only if little is left.
 	idleAfter = 1500 * time.Millisecond
 	// scarceShare is the share of the budget below which little is left.
 	scarceShare = 0.1
--- a/pkg/allowance/book.go
+++ b/pkg/allowance/book.go
@@ -40,18 +40,17 @@
 
 // Shortage is what a router lacks of an organisation's tokens.
 type Shortage struct {
-	// Next is what the next request lacks, Total what all waiting ones lack, and Want what would be held.
-	Next, Total, Want int64
+	// Next is what the next request lacks, and Total what all waiting ones lack.
+	Next, Total int64
 	// NoDraw tells that the store was found to have too little, so that the homes can only give what they hold.
 	NoDraw bool
 }
 
 // left returns the shortage after some tokens were given.
 func (s Shortage) left(given int64) Shortage {
-	left := s
-	left.Total, left.Want = s.Total-given, s.Want-given
-	left.Next = min(s.Next, left.Total)
-	return left
+	s.Total -= given
+	s.Next = min(s.Next, s.Total)
+	return s
 }
 
 // Book holds the budgets of all organisations at this router. It is safe for concurrent use.
@@ -118,7 +117,7 @@
 			b.owner.Post(func(s *state) {
 				now := time.Now()
 				for name, a := range s.accounts {
-					if tokens := a.surplus(now, b.draws(b.Homes(name))); tokens > 0 {
+					if tokens := a.surplus(now, b.draws(name)); tokens > 0 {
 						b.giveBack(s, name, a, tokens)
 					}
 					b.advance(s, name, a)
@@ -128,12 +127,15 @@
 	}
 }
 
-// draws reports whether this router is the drawer among the homes.
-func (b *Book) draws(homes []string) bool { return len(homes) > 0 && homes[0] == b.VM }
+// draws reports whether this router is the organisation's drawer.
+func (b *Book) draws(organisation string) bool {
+	homes := b.Homes(organisation)
+	return len(homes) > 0 && homes[0] == b.VM
+}
 
 // advance starts the next call for the account, if it needs one.
 func (b *Book) advance(s *state, name string, a *account) {
-	now, drawer := time.Now(), b.draws(b.Homes(name))
+	now, drawer := time.Now(), b.draws(name)
 	switch {
 	case s.closing:
 		if a.free > 0 && !a.drawing && !now.Before(a.retryAt) {
@@ -247,7 +249,7 @@
 func (b *Book) ask(name string, a *account, otherwise Verdict) {
 	a.asking = true
 	need := a.shortage()
-	shortage := Shortage{Next: a.least(), Total: need, Want: need, NoDraw: otherwise == Exhausted}
+	shortage := Shortage{Next: a.least(), Total: need, NoDraw: otherwise == Exhausted}
 	homes := b.Homes(name)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
--- a/pkg/allowance/book_test.go
+++ b/pkg/allowance/book_test.go
@@ -92,7 +92,7 @@
 			break
 		}
 		left := shortage.left(answer.Tokens)
-		given, exhausted := b.Give(ctx, organisation, left.Next, left.Want, slices.Contains(homes, b.VM) && !shortage.NoDraw)
+		given, exhausted := b.Give(ctx, organisation, left.Next, left.Total, slices.Contains(homes, b.VM) && !shortage.NoDraw)
 		switch x := p.random(); {
 		case x < 0.1:
 			answer.Complete = false
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -54,7 +54,6 @@
 	// Addresses returns the peer addresses of the other routers by name.
 	Addresses func() map[string]string
 	Client    connect.HTTPClient
-	VM        string
 	Log       log.Interface
 
 	mu sync.Mutex
@@ -140,7 +139,7 @@
 	for _, p := range batch {
 		go func() {
 			answers <- r.askOne(p, &allowancev1.GiveRequest{
-				Organisation: organisation, Asker: r.VM, Need: left.Next, Want: left.Want / int64(len(batch)), Draw: !shortage.NoDraw,
+				Organisation: organisation, Need: left.Next, Want: left.Total / int64(len(batch)), Draw: !shortage.NoDraw,
 			})
 		}()
 	}
--- a/pkg/allowance/peers_test.go
+++ b/pkg/allowance/peers_test.go
@@ -34,10 +34,10 @@
 	defer server.Close()
 	peers := RemotePeers{
 		Addresses: func() map[string]string { return map[string]string{"vm2": server.Listener.Addr().String()} },
-		Client:    http.DefaultClient, VM: "vm1", Log: quietLog(),
+		Client:    http.DefaultClient, Log: quietLog(),
 	}
 	late := make(chan int64, 1)
-	answer := peers.Ask(t.Context(), []string{"vm2", "vm1"}, organisation, Shortage{Next: 700, Total: 700, Want: 900}, func(tokens int64) { late <- tokens })
+	answer := peers.Ask(t.Context(), []string{"vm2", "vm1"}, organisation, Shortage{Next: 700, Total: 700}, func(tokens int64) { late <- tokens })
 	must.EqOp(t, 0, answer.Tokens)
 	must.False(t, answer.Complete)
 	must.EqOp(t, 700, <-late)
@@ -70,20 +70,20 @@
 func TestHomesAreAskedInOrder(t *testing.T) {
 	first, second := &counter{gives: 700}, &counter{gives: 700}
 	addresses := map[string]string{"vm2": serveCounter(t, first), "vm3": serveCounter(t, second)}
-	peers := RemotePeers{Addresses: func() map[string]string { return addresses }, Client: http.DefaultClient, VM: "vm1", Log: quietLog()}
+	peers := RemotePeers{Addresses: func() map[string]string { return addresses }, Client: http.DefaultClient, Log: quietLog()}
 	ask := func(s Shortage) Answer {
 		return peers.Ask(t.Context(), []string{"vm2", "vm3"}, organisation, s, func(int64) {})
 	}
-	must.Eq(t, Answer{Tokens: 700, Complete: true}, ask(Shortage{Next: 700, Total: 700, Want: 700}))
+	must.Eq(t, Answer{Tokens: 700, Complete: true}, ask(Shortage{Next: 700, Total: 700}))
 	must.EqOp(t, 0, second.asked.Load())
 
 	first.gives, first.exhausted = 0, true
-	must.Eq(t, Answer{Complete: true, Exhausted: true}, ask(Shortage{Next: 700, Total: 700, Want: 700}))
+	must.Eq(t, Answer{Complete: true, Exhausted: true}, ask(Shortage{Next: 700, Total: 700}))
 	must.EqOp(t, 0, second.asked.Load())
 	first.exhausted = false
-	must.Eq(t, Answer{Tokens: 700, Complete: true}, ask(Shortage{Next: 700, Total: 700, Want: 700, NoDraw: true}))
+	must.Eq(t, Answer{Tokens: 700, Complete: true}, ask(Shortage{Next: 700, Total: 700, NoDraw: true}))
 
 	addresses["vm2"] = "127.0.0.1:1" // Nothing listens there.
-	must.Eq(t, Answer{Tokens: 700}, ask(Shortage{Next: 700, Total: 700, Want: 700}))
-	must.Eq(t, Answer{Tokens: 700, Complete: true}, ask(Shortage{Next: 700, Total: 700, Want: 700}))
+	must.Eq(t, Answer{Tokens: 700}, ask(Shortage{Next: 700, Total: 700}))
+	must.Eq(t, Answer{Tokens: 700, Complete: true}, ask(Shortage{Next: 700, Total: 700}))
 }
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -47,31 +47,24 @@
 func (r *Router) newFeeds(peers feed.Follower) {
 	r.configFeed = feed.New(feed.Options{
 		Kind: r.adapter.ConfigKind, Store: r.adapter.Store, Log: r.log, Consumer: configFeed{r.config},
-		WatchWait: func() time.Duration {
-			if r.roster.Count() > smallFleet {
-				return watchWaitLarge
-			}
-			return watchWait
-		},
-		WatchPause: r.watchPause,
+		WatchWait:  r.byFleet(watchWait, watchWaitLarge),
+		WatchPause: r.byFleet(watchPause, watchPauseLarge),
 		Lost:       r.gate.lost.Store,
 	})
 	r.endpointFeed = feed.New(feed.Options{
 		Kind: r.adapter.EndpointKind, Store: r.gate, Log: r.log, Consumer: r.endpoints,
-		WatchWait: func() time.Duration {
-			if r.roster.Count() > smallFleet {
-				return feed.LeaderWait
-			}
-			return watchWait
-		},
-		WatchPause: r.watchPause,
+		WatchWait:  r.byFleet(watchWait, feed.LeaderWait),
+		WatchPause: r.byFleet(watchPause, watchPauseLarge),
 		Leaders:    func() []string { return r.roster.Leaders(smallFleet, leadersPerZone) }, Client: peers,
 	})
 }
 
-func (r *Router) watchPause() time.Duration {
-	if r.roster.Count() > smallFleet {
-		return watchPauseLarge
+// byFleet returns the function that chooses by the present size of the fleet.
+func (r *Router) byFleet(small, large time.Duration) func() time.Duration {
+	return func() time.Duration {
+		if r.roster.Count() > smallFleet {
+			return large
+		}
+		return small
 	}
-	return watchPause
 }
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -117,7 +117,7 @@
 		Store: r.gate, VM: s.VM, Instance: instance, Log: logger,
 		Homes:   func(organisation string) []string { return r.roster.Homes(organisation, homes) },
 		Prepaid: r.prepaid,
-		Peers:   &allowance.RemotePeers{Addresses: r.roster.Peers, Client: peers, VM: s.VM, Log: logger},
+		Peers:   &allowance.RemotePeers{Addresses: r.roster.Peers, Client: peers, Log: logger},
 	})
 	r.newFeeds(peers)
 	r.server = forward.NewServer(forward.Options{
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -30,6 +30,9 @@
 	Parts []Part
 }
 
+// most is the largest number of tokens that the request can use.
+func (p *Prompt) most() int64 { return p.Tokens + p.MaxOutput }
+
 // blocks returns the hash of each shared prefix of the prompt and the number of tokens up to its end. The last part is
 // left out, because no other request has it.
 func (p *Prompt) blocks() (hashes []uint64, ends []int) {
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -26,7 +26,7 @@
 	defaultMaxBody = 4 << 20
 	// shortRetry is the advice when a cause can be gone at once, such as a moved endpoint.
 	shortRetry = 200 * time.Millisecond
-	// longRetry is the advice when the configuration or the store has to come back first.
+	// longRetry is the advice when the configuration has to come back first.
 	longRetry = time.Second
 	// storeRetry is the advice while tokens can't be drawn: most partitions from the store last for several seconds, and
 	// callers wait for at most a third of their time.
@@ -236,7 +236,7 @@
 	if e.org == nil || !e.org.Limited || e.request.Prompt == nil {
 		return 0, nil
 	}
-	most := e.request.Prompt.Tokens + e.request.Prompt.MaxOutput
+	most := e.request.Prompt.most()
 	switch e.Allowances.Reserve(ctx, e.org.Name, e.org.Prepaid, most) {
 	case allowance.Granted:
 		return most, nil
@@ -314,7 +314,7 @@
 		fields["organisation"] = e.org.Name
 	}
 	if p := e.request.Prompt; p != nil {
-		fields["tokens"], fields["spent"] = p.Tokens+p.MaxOutput, e.spent
+		fields["tokens"], fields["spent"] = p.most(), e.spent
 	}
 	if !e.firstByte.IsZero() {
 		fields["first_ms"] = e.firstByte.Sub(e.arrived).Milliseconds()
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -302,7 +302,7 @@
 }
 
 // Homes returns the names of at most n routers, ranked by rendezvous hashing of the key over those that are alive and
-// don't leave, this one included. The result must not be changed.
+// don't leave, this one among them. If all are leaving, it returns this one. The result must not be changed.
 func (r *Roster) Homes(key string, n int) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -25,26 +25,21 @@
 	t.advance(now)
 	d := Decision{RequestID: r.ID, Organisation: r.Organisation, Class: r.Class, Pool: r.Pool, request: r}
 	p := t.pools[r.Pool]
-	if p == nil || len(p.open) == 0 {
-		if e := t.lastResort(now, rng, p, &r); e != nil {
-			d.choose(e, ReasonLastResort)
-			return d
-		}
-		d.Reason, d.RetryAfter = t.refusal(now, p), retryAfter
-		return d
+	found := t.scratch[:0]
+	if p != nil && len(p.open) > 0 {
+		d.Candidates = len(p.open)
+		at := t.prefix.clock(now)
+		found = t.drawPrefix(found, at, rng, p, &r)
+		found = t.drawHome(found, at, p, &r)
+		found = t.drawRandom(found, at, rng, p, &r)
+		t.scratch = found
 	}
-	d.Candidates = len(p.open)
-	at := t.prefix.clock(now)
-	found := t.drawPrefix(t.scratch[:0], at, rng, p, &r)
-	found = t.drawHome(found, at, p, &r)
-	found = t.drawRandom(found, at, rng, p, &r)
-	t.scratch = found
 	if len(found) == 0 {
 		if e := t.lastResort(now, rng, p, &r); e != nil {
 			d.choose(e, ReasonLastResort)
 			return d
 		}
-		d.Reason, d.RetryAfter = ReasonExcluded, retryAfter
+		d.Reason, d.RetryAfter = t.refusal(now, p), retryAfter
 		return d
 	}
 	d.Considered = make([]Candidate, len(found))
@@ -102,6 +97,9 @@
 	if p == nil {
 		return ReasonNoEndpoint
 	}
+	if len(p.open) > 0 {
+		return ReasonExcluded
+	}
 	reason := ReasonNoEndpoint
 	for _, e := range p.all {
 		switch {
