Bound the bytes that an engine without end can make a router read

Cause: http.ReadResponse read heads from an unlimited reader, interim responses were skipped without a limit, each buffered answer might take 4 MB and each event 1 MB, whatever the number of requests. An endpoint that sends without end could fill the memory of a VM.

--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -12,6 +12,7 @@
 
 	allowancev1 "github.com/lavendershunt/lavendershunt/api/ls/allowance/v1"
 	"github.com/lavendershunt/lavendershunt/api/ls/allowance/v1/allowancev1connect"
+	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
 )
 
 const (
@@ -183,7 +184,7 @@
 func (r *RemotePeers) requestFromPeer(p peer, request *allowancev1.GiveRequest) peerAnswer {
 	ctx, cancel := context.WithTimeout(context.Background(), lateAnswerTimeout)
 	defer cancel()
-	client := allowancev1connect.NewAllowanceServiceClient(r.Client, "http://"+p.address)
+	client := allowancev1connect.NewAllowanceServiceClient(r.Client, "http://"+p.address, connect.WithReadMaxBytes(peerhttp.MaxMessageBytes))
 	response, err := client.Give(ctx, connect.NewRequest(request))
 	if err != nil {
 		r.Log.WithFields(log.Fields{"peer": p.name, "organisation": request.GetOrganisation()}).WithError(err).Info("allowance_peer_silent")
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -17,6 +17,7 @@
 func newPeerClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		Protocols: peerhttp.UnencryptedHTTP2(), DialContext: upstream.Dialer(peerDialTimeout).DialContext, DisableCompression: true,
+		MaxResponseHeaderBytes: peerhttp.MaxHeaderBytes,
 	}}
 }
 
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -40,6 +40,8 @@
 	maxHeaderBytes = 64 << 10
 	// memoryLimitShare is the garbage collector's soft memory limit as a share of the process's memory limit.
 	memoryLimitShare = 0.6
+	// bufferShare is the share of the process's memory limit that buffered responses may use.
+	bufferShare = 0.125
 	// gcPercent is below the default of 100 to save memory at the cost of CPU time. Live data is a few MB.
 	gcPercent = 50
 	// allocatorCount is the number of routers from which the others get an organisation's tokens: the primary
@@ -124,6 +126,7 @@
 		Configuration: r.config, Dialect: a.Dialect, Placement: r.placement, Client: r.client, Allowances: r.accounts,
 		Retries: retry.New(s.Retry, time.Now(), s.FirstStart),
 		Routers: r.roster.Count, Log: logger, Metrics: metrics,
+		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)),
 	})
 	return r, nil
 }
--- a/pkg/feed/peer.go
+++ b/pkg/feed/peer.go
@@ -11,6 +11,7 @@
 
 	feedv1 "github.com/lavendershunt/lavendershunt/api/ls/feed/v1"
 	"github.com/lavendershunt/lavendershunt/api/ls/feed/v1/feedv1connect"
+	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
@@ -103,7 +104,7 @@
 	defer cancel(nil)
 	timer := time.AfterFunc(leaderTimeout, func() { cancel(errors.New("feed: no message from the leader in time")) })
 	defer timer.Stop()
-	client := feedv1connect.NewFeedServiceClient(f.Client, "http://"+address)
+	client := feedv1connect.NewFeedServiceClient(f.Client, "http://"+address, connect.WithReadMaxBytes(peerhttp.MaxMessageBytes))
 	stream, err := client.Follow(ctx, connect.NewRequest(&feedv1.FollowRequest{Kind: f.Kind}))
 	if err != nil {
 		return err
--- a/pkg/forward/eventstream.go
+++ b/pkg/forward/eventstream.go
@@ -7,11 +7,15 @@
 	"strconv"
 )
 
-// maxEventBytes is the size limit of one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the size limit of one event of a stream. Each open stream may hold as much in memory.
+const maxEventBytes = 64 << 10
 
-// errOutOfSequence means that a stream can't be continued without a gap.
-var errOutOfSequence = errors.New("forward: events are not in sequence")
+var (
+	// errOutOfSequence means that a stream can't be continued without a gap.
+	errOutOfSequence = errors.New("forward: events are not in sequence")
+	// errNotAnEvent means that an endpoint sent bytes that are not part of an event.
+	errNotAnEvent = errors.New("forward: not an event")
+)
 
 // eventStream splits a stream of server-sent events into complete events and keeps the id of the last one, so that a
 // broken stream can be resumed at another endpoint after the last event that the caller has.
@@ -29,13 +33,13 @@
 func newEventStream() *eventStream { return &eventStream{lastID: -1} }
 
 // add appends bytes of the stream and returns the complete events to be relayed. The result is valid until the next
-// call. An error wraps errOutOfSequence; events returned with it are still to be relayed.
+// call. Its errors wrap errOutOfSequence or errNotAnEvent; events returned with it are still to be relayed.
 func (s *eventStream) add(data []byte) ([]byte, error) {
 	s.partial = append(s.partial, data...)
 	end := bytes.LastIndex(s.partial, []byte("\n\n"))
 	if end < 0 {
 		if len(s.partial) > maxEventBytes {
-			return nil, fmt.Errorf("%w: event larger than %d bytes", errOutOfSequence, maxEventBytes)
+			return nil, fmt.Errorf("%w: larger than %d bytes", errNotAnEvent, maxEventBytes)
 		}
 		return nil, nil
 	}
@@ -53,6 +57,9 @@
 		event := complete[:n]
 		complete = complete[n:]
 		id, ok := eventID(event)
+		if !ok && !isComment(event) {
+			return unseen, fmt.Errorf("%w: it has no id", errNotAnEvent)
+		}
 		if ok && s.resuming {
 			if id <= s.lastID {
 				continue
@@ -64,8 +71,8 @@
 		}
 		if ok {
 			s.lastID = id
+			s.count++
 		}
-		s.count++
 		unseen = append(unseen, event...)
 	}
 	return unseen, nil
@@ -77,6 +84,16 @@
 	s.resuming = s.lastID >= 0
 }
 
+// isComment reports whether an event has only comment lines, which endpoints may send to keep a connection open.
+func isComment(event []byte) bool {
+	for line := range bytes.SplitSeq(bytes.TrimRight(event, "\n"), []byte("\n")) {
+		if !bytes.HasPrefix(line, []byte(":")) {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the number in the id field of an event.
 func eventID(event []byte) (int64, bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
--- a/pkg/forward/eventstream_test.go
+++ b/pkg/forward/eventstream_test.go
@@ -63,5 +63,35 @@
 func TestEventStreamLimitsEventSize(t *testing.T) {
 	stream := newEventStream()
 	_, err := stream.add([]byte(strings.Repeat("x", maxEventBytes+1)))
-	must.ErrorIs(t, err, errOutOfSequence)
+	must.ErrorIs(t, err, errNotAnEvent)
+}
+
+// Guards against relaying bytes that are not events, and against memory that grows with an event that never ends.
+func TestEventStreamRejectsGarbage(t *testing.T) {
+	for name, chunk := range map[string]string{
+		"no id": "data: x\n\n", "empty": "\n\n", "binary": strings.Repeat("\x00", 1000) + "\n\n", "no end": strings.Repeat("a", 1000), "id without end": "id: 4",
+	} {
+		stream := newEventStream()
+		got, err := stream.add([]byte(eventText(1, 3)))
+		must.NoError(t, err)
+		must.EqOp(t, eventText(1, 3), string(got))
+		chunks := 0
+		for ; err == nil && chunks <= maxEventBytes; chunks++ {
+			got, err = stream.add([]byte(chunk))
+			must.EqOp(t, "", string(got), must.Sprint(name))
+			must.LessEq(t, maxEventBytes+len(chunk), len(stream.partial))
+		}
+		must.ErrorIs(t, err, errNotAnEvent, must.Sprint(name))
+		must.EqOp(t, 3, stream.count)
+	}
+}
+
+// Guards against breaking off a stream in which an endpoint sends comments, and against counting them as output.
+func TestEventStreamPassesComments(t *testing.T) {
+	stream := newEventStream()
+	text := ": ping\n\n" + eventText(1, 2) + ": ping\n: pong\n\n" + eventText(3, 3)
+	got, err := stream.add([]byte(text))
+	must.NoError(t, err)
+	must.EqOp(t, text, string(got))
+	must.EqOp(t, 3, stream.count)
 }
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -22,8 +22,6 @@
 	// maxUnsentAttempts is the number of endpoints to which sending may fail before any byte of the request is sent.
 	// These attempts don't count towards the route's MaxAttempts.
 	maxUnsentAttempts = 3
-	// maxResponseBytes is the size limit of a non-streaming response, which is buffered until it is complete.
-	maxResponseBytes = 4 << 20
 	// minAttemptTime is the lower bound of an attempt's timeout.
 	minAttemptTime = 20 * time.Millisecond
 	// relayBufferBytes is the read buffer of a stream, enough for a few events.
@@ -235,9 +233,10 @@
 	if e.route.Streaming && response.Status == http.StatusOK {
 		return e.relayStream(response, inFlight, stream), nil
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err != nil || len(body) > maxResponseBytes {
-		e.Log.WithFields(log.Fields{"request": e.request.ID, "status": response.Status, "bytes": len(body)}).WithError(err).Info("answer_incomplete")
+	body, reserved, err := e.buffers.readAll(response.Body)
+	e.bufferedBytes += reserved
+	if err != nil {
+		e.Log.WithFields(log.Fields{"request": e.request.ID, "status": response.Status, "bytes": reserved}).WithError(err).Info("answer_incomplete")
 		return attemptFailed, nil
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -55,6 +55,8 @@
 	Routers func() int
 	Log     log.Interface
 	Metrics *Metrics
+	// BufferBytes limits the memory of all responses that are buffered at the same time; 0 means a default.
+	BufferBytes int64
 }
 
 // Server is the http.Handler of callers' requests. It is safe for concurrent use.
@@ -62,6 +64,7 @@
 	Options
 	draining atomic.Bool
 	active   atomic.Int64
+	buffers  *bufferPool
 	// The log lines of served requests and of failed ones have separate rate limits, so that a burst of served requests
 	// doesn't suppress the lines of failed ones.
 	servedLimiter, unservedLimiter *logging.Limiter
@@ -75,7 +78,10 @@
 
 // NewServer returns a Server.
 func NewServer(o Options) *Server {
-	return &Server{Options: o, servedLimiter: logging.NewLimiter(servedLinesPerSecond), unservedLimiter: logging.NewLimiter(unservedLinesPerSecond)}
+	if o.BufferBytes <= 0 {
+		o.BufferBytes = defaultBufferBytes
+	}
+	return &Server{Options: o, buffers: &bufferPool{limit: o.BufferBytes}, servedLimiter: logging.NewLimiter(servedLinesPerSecond), unservedLimiter: logging.NewLimiter(unservedLinesPerSecond)}
 }
 
 // Drain makes the server send "Connection: close" with each response from now on.
@@ -111,6 +117,8 @@
 	failure       *outcome.Failure
 	// chargedTokens is the number of tokens charged to the budget.
 	chargedTokens int64
+	// bufferedBytes is the number of bytes reserved for buffered responses.
+	bufferedBytes int64
 	// incomplete is set if a response that has begun can't be completed.
 	incomplete bool
 }
@@ -126,6 +134,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	e.serve(r)
+	e.buffers.release(e.bufferedBytes)
 	e.recordResult(r.Context())
 	if e.incomplete {
 		// Closes the connection without ending the response, so that it doesn't look complete.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -147,13 +147,10 @@
 func (e *exchange) readResponse() (*Response, error) {
 	request := &http.Request{Method: e.call.Method}
 	for skipped := 0; ; {
-		r, err := http.ReadResponse(e.conn.reader, request)
+		r, err := e.readFinalHead(request)
 		if err != nil {
 			return nil, err
 		}
-		if r.StatusCode >= 100 && r.StatusCode < 200 {
-			continue
-		}
 		if id := r.Header.Get(e.call.IDHeader); id != e.call.ID {
 			// A response to an earlier request can arrive only on a connection that has carried one.
 			skipped++
@@ -172,6 +169,18 @@
 	}
 }
 
+// readFinalHead reads a response's head, after any interim responses. The limit on its size covers these too.
+func (e *exchange) readFinalHead(request *http.Request) (*http.Response, error) {
+	e.conn.head.start()
+	defer e.conn.head.stop()
+	for {
+		r, err := http.ReadResponse(e.conn.reader, request)
+		if err != nil || r.StatusCode < 100 || r.StatusCode >= 200 {
+			return r, err
+		}
+	}
+}
+
 // release returns the connection to the pool, or closes it if it can't be reused. complete is set if the whole
 // response was read.
 func (e *exchange) release(complete bool) {
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,9 @@
 const (
 	// readBufferBytes is enough for the header and the first events of a response.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes limits the head of a response, with the interim responses before it. A faulty endpoint may send bytes
+	// until its caller closes the connection.
+	maxHeadBytes = 32 << 10
 	// defaultIdleTimeout is the time that an idle connection is kept if the endpoint doesn't state its idle timeout.
 	defaultIdleTimeout = 15 * time.Second
 	// idleTimeoutMargin is subtracted from the endpoint's idle timeout, so that no request is sent on a connection that the
@@ -21,10 +25,41 @@
 	idleTimeoutMargin = time.Second
 )
 
+// errHeadTooLarge means that an endpoint sent more than maxHeadBytes without a complete response head.
+var errHeadTooLarge = errors.New("the response head is too large")
+
+// headLimit passes on the bytes of a connection. While a response head is read, it fails after maxHeadBytes.
+type headLimit struct {
+	source io.Reader
+	// remaining is the number of bytes that may still be read while active is set.
+	remaining int
+	active    bool
+}
+
+// Read implements io.Reader.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if !l.active {
+		return l.source.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(p)
+	l.remaining -= n
+	return n, err
+}
+
+// start begins the head of a response.
+func (l *headLimit) start() { l.remaining, l.active = maxHeadBytes, true }
+
+// stop ends the head: a body has limits of its own.
+func (l *headLimit) stop() { l.active = false }
+
 // conn is a connection to one endpoint. It carries one exchange at a time.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	head   *headLimit
 	// exchanges is the number of requests sent on the connection.
 	exchanges    int
 	idleDeadline time.Time
@@ -32,7 +67,8 @@
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	head := &headLimit{source: c}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, idleTimeout: defaultIdleTimeout}
 }
 
 // canReuse reports whether an idle connection is open and has no unread bytes. Bytes that arrive while no request is in
