Send callers to the large VMs of a fleet

Change: a router publishes the capacity of its VM, from processor share and link; address answers, allocators and the leaders of feeds are the routers with at least half of the largest capacity, as long as there are four. In a fleet of equal VMs nothing changes.

--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -113,7 +113,7 @@
 	r.placement = forward.NewPlacement(s.Zone, routeOptions)
 	r.config = newConfiguration(a.ConfigKey, a.DecodeConfig, r.breaker, logger)
 	r.endpoints = newEndpointSet(a.DecodeEndpoint, logger, r.updateEndpoints)
-	r.roster = roster.New(r.breaker, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting}, logger)
+	r.roster = roster.New(r.breaker, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting, Capacity: s.capacity()}, logger)
 	peers := newPeerClient()
 	r.accounts = allowance.NewAccounts(allowance.Options{
 		Store: r.breaker, VM: s.VM, Instance: instance, Log: logger,
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -7,6 +7,22 @@
 	"github.com/lavendershunt/lavendershunt/pkg/retry"
 )
 
+const (
+	// requestCPUSeconds is the processor time that an average request takes.
+	requestCPUSeconds = 0.0015
+	// requestLinkBytes is what an average request takes of the link in one direction: its body and its answer, which both
+	// also pass in the other direction, with a share for bursts.
+	requestLinkBytes = 40_000
+)
+
+// capacity estimates the number of requests a second that the VM can carry, 0 if its size isn't known.
+func (s Settings) capacity() float64 {
+	if s.CPUCores <= 0 || s.LinkBytesPerSecond <= 0 {
+		return 0
+	}
+	return min(s.CPUCores/requestCPUSeconds, s.LinkBytesPerSecond/requestLinkBytes)
+}
+
 // Settings are the static settings of the process. It listens on the addresses, which are IP addresses with ports; an
 // empty optional address disables its listener.
 type Settings struct {
@@ -22,6 +38,10 @@
 	ReadyPath, LookupPath string
 	// MemoryBytes is the platform's memory limit for the process; 0 means no limit.
 	MemoryBytes int64
+	// CPUCores is the processor time that the process may use, in cores; 0 means not known.
+	CPUCores float64
+	// LinkBytesPerSecond is the bandwidth of the VM's link in each direction; 0 means not known.
+	LinkBytesPerSecond float64
 	// FirstStart is set if the whole system starts for the first time.
 	FirstStart bool
 	// Grace is the time between SIGTERM and SIGKILL.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -56,8 +56,12 @@
 	Address string `json:"address"`
 	Peer    string `json:"peer"`
 	State   State  `json:"state"`
+	// Capacity is the number of requests a second that the VM can carry, an estimate from its size. 0 means unknown.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Renewal increases with each write.
 	Renewal uint64 `json:"renewal"`
+	// name is the router's name, the last part of the record's key.
+	name string
 }
 
 // Store is the part of the platform's store that a Roster uses.
@@ -83,14 +87,18 @@
 	elapsed     time.Duration
 	lastListAt  time.Time
 	firstListAt time.Time
+	// largestCapacity is the largest capacity of the members and of this router, and primaryCount the number of primary
+	// routers among them.
+	largestCapacity float64
+	primaryCount    int
 }
 
 // maxListGap bounds the time by which view.elapsed increases between two successful lists.
 const maxListGap = 2 * ListInterval
 
-// applyList replaces the members by the result of a list. A member whose revision has not increased keeps its previous
+// applyList replaces the members by the result of a list; self is this router's own record. A member whose revision has not increased keeps its previous
 // record and time of change.
-func (v *view) applyList(now time.Time, found map[string]member) {
+func (v *view) applyList(now time.Time, self Record, found map[string]member) {
 	if v.lastListAt.IsZero() {
 		v.firstListAt = now
 	} else {
@@ -107,17 +115,32 @@
 		next[name] = m
 	}
 	v.members = next
+	records := []Record{self}
+	for _, m := range next {
+		records = append(records, m.record)
+	}
+	v.largestCapacity, v.primaryCount = maxCapacity(records), 0
+	for _, r := range records {
+		if r.isPrimary(v.largestCapacity) {
+			v.primaryCount++
+		}
+	}
 }
 
 // isAlive reports whether the member has renewed its record recently.
 func (v *view) isAlive(m member) bool {
-	limit := maxListAge + time.Duration(missedRenewals*float64(v.renewalInterval()))
+	limit := maxListAge + time.Duration(missedRenewals*float64(v.renewalInterval(m.record)))
 	return v.firstListAt.Add(v.elapsed).Sub(m.changedAt) < limit
 }
 
-// renewalInterval returns the time between two renewals of a router's record.
-func (v *view) renewalInterval() time.Duration {
-	return ListInterval * time.Duration(max(1, (len(v.members)+maxFullRateRouters)/maxFullRateRouters))
+// renewalInterval returns the time between two renewals of a router's record. Callers use the primary routers, so these
+// renew their records as often as in a fleet that has no others.
+func (v *view) renewalInterval(r Record) time.Duration {
+	n := len(v.members) + 1
+	if r.isPrimary(v.largestCapacity) {
+		n = v.primaryCount
+	}
+	return ListInterval * time.Duration(max(1, (n-1+maxFullRateRouters)/maxFullRateRouters))
 }
 
 // isExpired reports whether the member's record is to be deleted.
@@ -150,6 +173,7 @@
 
 // New returns a Roster for the router with the given name and record.
 func New(store Store, name string, self Record, logger log.Interface) *Roster {
+	self.name = name
 	return &Roster{store: store, name: name, self: self, log: logger, renewalRequested: make(chan struct{}, 1), view: view{members: map[string]member{}}, preferenceLists: map[preferenceKey][]string{}}
 }
 
@@ -198,7 +222,7 @@
 func (r *Roster) renewalInterval() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.view.renewalInterval() - ListInterval/2
+	return r.view.renewalInterval(r.self) - ListInterval/2
 }
 
 func (r *Roster) logStoreFailure(err error) {
@@ -257,12 +281,13 @@
 			continue
 		}
 		if name := o.Key[len(recordKind)+1:]; name != r.name {
+			record.name = name
 			found[name] = member{record: record, revision: o.Revision}
 		}
 	}
 	r.mu.Lock()
 	previous := r.view.members
-	r.view.applyList(time.Now(), found)
+	r.view.applyList(time.Now(), r.self, found)
 	clear(r.preferenceLists)
 	expired := map[string]uint64{}
 	for name, m := range r.view.members {
@@ -308,91 +333,95 @@
 	return addresses
 }
 
-// PreferenceList returns the names of at most n routers, ranked for the key by rendezvous hashing over those that are
-// alive and not leaving, including this one. If all are leaving, it returns this one. The result must not be changed.
+// PreferenceList returns the names of at most n routers, ranked for the key by rendezvous hashing over the primary
+// routers that are alive and not leaving, including this one. If all are leaving, it returns this one. The result must
+// not be changed.
 func (r *Roster) PreferenceList(key string, n int) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if ranked, ok := r.preferenceLists[preferenceKey{key, n}]; ok {
 		return ranked
 	}
-	var names []string
-	for name, m := range r.view.members {
-		if m.record.State != Leaving && r.view.isAlive(m) {
-			names = append(names, name)
-		}
-	}
-	if r.self.State != Leaving || len(names) == 0 {
-		names = append(names, r.name)
+	records := r.aliveRecords(func(m Record) bool { return m.State != Leaving })
+	if len(records) == 0 {
+		records = []Record{r.self}
 	}
-	ranked := rendezvous.Rank(key, names)
+	ranked := rendezvous.Rank(key, names(selectPrimaries(records)))
 	ranked = ranked[:min(n, len(ranked))]
 	r.preferenceLists[preferenceKey{key, n}] = ranked
 	return ranked
 }
 
+// aliveRecords returns the records that match of the routers that are alive, including this one.
+func (r *Roster) aliveRecords(match func(Record) bool) []Record {
+	var records []Record
+	if match(r.self) {
+		records = append(records, r.self)
+	}
+	for _, m := range r.view.members {
+		if match(m.record) && r.view.isAlive(m) {
+			records = append(records, m.record)
+		}
+	}
+	return records
+}
+
+func names(records []Record) []string {
+	list := make([]string, len(records))
+	for i, r := range records {
+		list[i] = r.name
+	}
+	return list
+}
+
 // Leaders returns the peer addresses of the routers, at most n, that watch the store on behalf of the others in this
-// availability zone. It returns none if this router is one of them, or if the fleet has at most smallFleet routers.
+// availability zone: its largest ones, ranked by rendezvous hashing. It returns none if this router is one of them, or
+// if the fleet has at most smallFleet routers.
 func (r *Roster) Leaders(smallFleet, n int) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.view.members)+1 <= smallFleet {
 		return nil
 	}
-	names := []string{r.name}
-	for name, m := range r.view.members {
-		if m.record.State == Ready && m.record.Zone == r.self.Zone && r.view.isAlive(m) {
-			names = append(names, name)
-		}
+	records := r.aliveRecords(func(m Record) bool {
+		return m.name == r.name || m.State == Ready && m.Zone == r.self.Zone
+	})
+	ranked := rendezvous.Rank("leaders/"+r.self.Zone, names(records))
+	largest := maxCapacity(records)
+	byName := make(map[string]Record, len(records))
+	for _, m := range records {
+		byName[m.name] = m
 	}
-	ranked := rendezvous.Rank("leaders/"+r.self.Zone, names)
+	slices.SortStableFunc(ranked, func(a, b string) int {
+		return cmp.Compare(rank(byName[a].isPrimary(largest)), rank(byName[b].isPrimary(largest)))
+	})
 	ranked = ranked[:min(n, len(ranked))]
 	if slices.Contains(ranked, r.name) {
 		return nil
 	}
 	var addresses []string
 	for _, name := range ranked {
-		addresses = append(addresses, r.view.members[name].record.Peer)
+		addresses = append(addresses, byName[name].Peer)
 	}
 	return addresses
 }
 
-// Addresses returns the caller addresses of at most limit ready routers, those in the given zone first. If no router is
-// ready, it returns the addresses of those that are starting.
+// rank orders primary routers before the others.
+func rank(primary bool) int {
+	if primary {
+		return 0
+	}
+	return 1
+}
+
+// Addresses returns the caller addresses of at most limit ready primary routers, those in the given zone first. If no
+// router is ready, it returns the addresses of those that are starting.
 func (r *Roster) Addresses(zone string, limit int) []string {
 	r.mu.Lock()
-	records := []Record{r.self}
-	for _, m := range r.view.members {
-		if r.view.isAlive(m) {
-			records = append(records, m.record)
-		}
-	}
+	records := r.aliveRecords(func(Record) bool { return true })
 	r.mu.Unlock()
 	if addresses := selectAddresses(records, Ready, zone, limit); len(addresses) > 0 {
 		return addresses
 	}
 	return selectAddresses(records, Starting, zone, limit)
 }
-
-func selectAddresses(records []Record, state State, zone string, limit int) []string {
-	var selected []Record
-	for _, r := range records {
-		if r.State == state && r.Address != "" {
-			selected = append(selected, r)
-		}
-	}
-	rand.Shuffle(len(selected), func(i, j int) { selected[i], selected[j] = selected[j], selected[i] })
-	slices.SortStableFunc(selected, func(a, b Record) int { return cmp.Compare(zoneDistance(a, zone), zoneDistance(b, zone)) })
-	addresses := make([]string, 0, min(limit, len(selected)))
-	for _, r := range selected[:min(limit, len(selected))] {
-		addresses = append(addresses, r.Address)
-	}
-	return addresses
-}
-
-func zoneDistance(r Record, zone string) int {
-	if r.Zone == zone {
-		return 0
-	}
-	return 1
-}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -12,7 +12,7 @@
 )
 
 func newRecord(zone, address string, state State) Record {
-	return Record{Zone: zone, Address: address, Peer: "peer-" + address, State: state}
+	return Record{Zone: zone, Address: address, Peer: "peer-" + address, State: state, name: address}
 }
 
 // newTestRoster returns the roster of router r0 with n others in the same zone.
@@ -23,7 +23,7 @@
 		name := fmt.Sprintf("r%d", i+1)
 		found[name] = member{record: newRecord("a", name, Ready), revision: uint64(i + 1)}
 	}
-	r.view.applyList(time.Now(), found)
+	r.view.applyList(time.Now(), r.self, found)
 	return r
 }
 
@@ -33,23 +33,23 @@
 	now := time.Unix(1_800_000_000, 0)
 	v := view{members: map[string]member{}}
 	dead := member{record: newRecord("a", "dead", Ready), revision: 1}
-	v.applyList(now, map[string]member{"dead": dead})
+	v.applyList(now, Record{}, map[string]member{"dead": dead})
 	now = now.Add(time.Hour)
-	v.applyList(now, map[string]member{"dead": dead})
+	v.applyList(now, Record{}, map[string]member{"dead": dead})
 	must.True(t, v.isAlive(v.members["dead"]), must.Sprint("dead after an hour in which the store could not be read"))
 	for range 10 {
 		now = now.Add(ListInterval)
-		v.applyList(now, map[string]member{"dead": dead})
+		v.applyList(now, Record{}, map[string]member{"dead": dead})
 	}
 	must.False(t, v.isAlive(v.members["dead"]))
 	must.False(t, v.isExpired(v.members["dead"]))
 	for range 40 {
 		now = now.Add(ListInterval)
-		v.applyList(now, map[string]member{"dead": dead})
+		v.applyList(now, Record{}, map[string]member{"dead": dead})
 	}
 	must.True(t, v.isExpired(v.members["dead"]))
 	dead.revision++
-	v.applyList(now.Add(ListInterval), map[string]member{"dead": dead})
+	v.applyList(now.Add(ListInterval), Record{}, map[string]member{"dead": dead})
 	must.True(t, v.isAlive(v.members["dead"]))
 }
 
@@ -57,15 +57,15 @@
 func TestStaleListIsIgnored(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	v := view{members: map[string]member{}}
-	v.applyList(now, map[string]member{"x": {record: newRecord("a", "x", Leaving), revision: 7}})
-	v.applyList(now.Add(time.Second), map[string]member{"x": {record: newRecord("a", "x", Ready), revision: 5}})
+	v.applyList(now, Record{}, map[string]member{"x": {record: newRecord("a", "x", Leaving), revision: 7}})
+	v.applyList(now.Add(time.Second), Record{}, map[string]member{"x": {record: newRecord("a", "x", Ready), revision: 5}})
 	must.EqOp(t, Leaving, v.members["x"].record.State)
 }
 
 // Guards against returning addresses of leaving routers, and against returning none while the whole fleet is starting.
 func TestAddresses(t *testing.T) {
 	r := newTestRoster(0)
-	r.view.applyList(time.Now(), map[string]member{
+	r.view.applyList(time.Now(), r.self, map[string]member{
 		"near": {record: newRecord("a", "near", Ready)}, "far": {record: newRecord("b", "far", Ready)},
 		"leaving": {record: newRecord("a", "leaving", Leaving)}, "starting": {record: newRecord("a", "starting", Starting)},
 	})
@@ -76,7 +76,7 @@
 	must.Len(t, 2, r.Addresses("a", 2))
 	r.self.State = Leaving
 	must.Eq(t, []string{"far"}, r.Addresses("b", 1))
-	r.view.applyList(time.Now(), map[string]member{"starting": {record: newRecord("a", "starting", Starting)}})
+	r.view.applyList(time.Now(), r.self, map[string]member{"starting": {record: newRecord("a", "starting", Starting)}})
 	must.Eq(t, []string{"starting"}, r.Addresses("a", 64))
 }
 
@@ -93,6 +93,7 @@
 	for i := range 41 {
 		r := newTestRoster(40)
 		r.name = fmt.Sprintf("r%d", i)
+		r.self.name = r.name
 		delete(r.view.members, r.name)
 		r.view.members["r0"] = member{record: newRecord("a", "r0", Ready), changedAt: r.view.firstListAt}
 		if i == 0 {
@@ -106,3 +107,58 @@
 	}
 	must.EqOp(t, 2, leaderCount)
 }
+
+// fleetOf returns a roster as seen by a small router, with large and small VMs in two availability zones.
+func fleetOf(large, small int) *Roster {
+	r := New(nil, "self", Record{Zone: "a", Address: "self", Peer: "peer-self", State: Ready, Capacity: 31}, &log.Logger{Handler: discard.New(), Level: log.ErrorLevel})
+	found := map[string]member{}
+	for i := range large + small {
+		record := newRecord([]string{"a", "b"}[i%2], fmt.Sprintf("large%d", i), Ready)
+		record.Capacity = 533
+		if i >= large {
+			record.Address, record.Capacity = fmt.Sprintf("small%d", i), 31
+		}
+		record.name = record.Address
+		found[record.name] = member{record: record, revision: 1}
+	}
+	r.view.applyList(time.Now(), r.self, found)
+	return r
+}
+
+// Guards against sending a caller with much traffic to a VM whose link that traffic fills: one caller's 200 requests a
+// second at a VM of 10 Mbit/s once held requests past their timeout.
+func TestCallersUseLargeRouters(t *testing.T) {
+	r := fleetOf(6, 82)
+	addresses := r.Addresses("a", 64)
+	must.Len(t, 6, addresses)
+	for _, address := range addresses {
+		must.StrHasPrefix(t, "large", address)
+	}
+	for i := range 20 {
+		for _, name := range r.PreferenceList(fmt.Sprintf("org%d", i), 4) {
+			must.StrHasPrefix(t, "large", name)
+		}
+	}
+	for _, peer := range r.Leaders(16, 2) {
+		must.StrHasPrefix(t, "peer-large", peer)
+	}
+}
+
+// Guards against losing the service, or most of it, when most of the large VMs are gone.
+func TestSmallRoutersReplaceLargeOnes(t *testing.T) {
+	must.Len(t, 64, fleetOf(3, 82).Addresses("a", 64))
+	must.Len(t, 5, fleetOf(0, 4).Addresses("a", 64))
+	must.Len(t, 4, fleetOf(0, 4).PreferenceList("org", 4))
+	must.Len(t, 2, fleetOf(0, 40).Leaders(16, 2))
+	unknown := newTestRoster(40)
+	must.Len(t, 41, unknown.Addresses("a", 64), must.Sprint("routers without a known capacity"))
+}
+
+// Guards against noticing a dead router late because the fleet is large: callers use the large VMs, so these renew their
+// records often.
+func TestLargeRoutersRenewOften(t *testing.T) {
+	v := &fleetOf(15, 280).view
+	must.EqOp(t, ListInterval, v.renewalInterval(Record{Capacity: 533}))
+	must.Greater(t, 10*ListInterval, v.renewalInterval(Record{Capacity: 31}))
+	must.EqOp(t, ListInterval, newTestRoster(7).view.renewalInterval(Record{}))
+}
