Pass configurations and router records on through leaders

A leader a few revisions behind was refused, after which its followers watched the store for 10 s. Change: three leaders of each availability zone, its largest VMs, read the configuration, the endpoints and the records; the others follow them, or one leader of each other zone. Large values travel compressed. A leader that is behind adds only what is newer. A router that can follow nobody reads the store itself, after a random time that grows with the fleet, and tries leaders meanwhile. Unknown routes are confirmed by the feed if it is younger than half of the time in which a configuration must be in force. Dead records are deleted by one router each; one log line tells all changes of a list.

--- a/pkg/entry/configuration.go
+++ b/pkg/entry/configuration.go
@@ -15,9 +15,8 @@
 const (
 	// confirmTimeout limits the read that confirms the configuration. A caller's request waits for it.
 	confirmTimeout = 400 * time.Millisecond
-	// confirmationTTL is how long a confirmation is valid, from the start of its read: half of the 2 s within which a
-	// new configuration must be in force. It limits the rate of reads caused by unknown routes and keys.
-	confirmationTTL = time.Second
+	// defaultApplyBound is the time within which a new configuration must be in force, if the settings state none.
+	defaultApplyBound = 2 * time.Second
 	// confirmFailureTTL is how long a failed read is not repeated, so that callers don't wait for one timeout after
 	// another.
 	confirmFailureTTL = 300 * time.Millisecond
@@ -34,6 +33,11 @@
 	store  Store
 	log    log.Interface
 	newest atomic.Pointer[catalog.Snapshot]
+	// confirmationTTL is how long a confirmation is valid, from the start of its read: half of the time within which a new
+	// configuration must be in force. It limits the rate of reads caused by unknown routes and keys.
+	confirmationTTL time.Duration
+	// age returns the age of the newest configuration by its feed, and false before the first one. Optional.
+	age func() (time.Duration, bool)
 
 	// confirmLock holds a value while a read is in progress, and guards the fields below. It is a channel so that
 	// waiting for it can be cancelled.
@@ -44,8 +48,12 @@
 	lastErr               error
 }
 
-func newConfiguration(key string, decode configDecoder, store Store, logger log.Interface) *configuration {
-	return &configuration{key: key, decode: decode, store: store, log: logger, confirmLock: make(chan struct{}, 1)}
+// newConfiguration returns a configuration that must be in force within applyBound; 0 means a default.
+func newConfiguration(key string, decode configDecoder, store Store, applyBound time.Duration, logger log.Interface) *configuration {
+	if applyBound <= 0 {
+		applyBound = defaultApplyBound
+	}
+	return &configuration{key: key, decode: decode, store: store, log: logger, confirmationTTL: applyBound / 2, confirmLock: make(chan struct{}, 1)}
 }
 
 // Current implements forward.Configuration.
@@ -53,6 +61,11 @@
 
 // Confirm implements forward.Configuration. Concurrent calls share one read.
 func (c *configuration) Confirm(ctx context.Context) (*catalog.Snapshot, error) {
+	if c.age != nil {
+		if age, ok := c.age(); ok && age < c.confirmationTTL {
+			return c.newest.Load(), nil
+		}
+	}
 	select {
 	case c.confirmLock <- struct{}{}:
 		defer func() { <-c.confirmLock }()
@@ -61,7 +74,7 @@
 	}
 	startedAt := time.Now()
 	switch {
-	case startedAt.Sub(c.confirmedAt) < confirmationTTL:
+	case startedAt.Sub(c.confirmedAt) < c.confirmationTTL:
 		return c.newest.Load(), nil
 	case startedAt.Sub(c.failedAt) < confirmFailureTTL:
 		return nil, c.lastErr
--- a/pkg/entry/configuration_test.go
+++ b/pkg/entry/configuration_test.go
@@ -34,7 +34,7 @@
 func testConfiguration(s *configStore) *configuration {
 	return newConfiguration("config/main", func(_ []byte, revision uint64) (*catalog.Snapshot, error) {
 		return catalog.New(catalog.Config{Version: revision}, revision)
-	}, s, discardLog())
+	}, s, 2*time.Second, discardLog())
 }
 
 // Guards against reading the store for each request with an unknown route or key, and against returning a configuration
@@ -71,3 +71,25 @@
 		must.LessEq(t, confirmTimeout, time.Since(startedAt))
 	})
 }
+
+// Guards against a read for each unknown route in a large fleet although the feed shows that nothing has changed, and
+// against relying on a feed that is older than half of the time within which a new configuration must be in force.
+func TestFreshFeedConfirms(t *testing.T) {
+	s := &configStore{}
+	c := testConfiguration(s)
+	age, known := 900*time.Millisecond, true
+	c.age = func() (time.Duration, bool) { return age, known }
+	for range 10 {
+		_, err := c.Confirm(t.Context())
+		must.NoError(t, err)
+	}
+	must.EqOp(t, 0, s.reads.Load())
+	age = 1100 * time.Millisecond
+	_, err := c.Confirm(t.Context())
+	must.NoError(t, err)
+	must.EqOp(t, 1, s.reads.Load())
+	age, known, c.confirmedAt = 0, false, time.Time{}
+	_, err = c.Confirm(t.Context())
+	must.NoError(t, err)
+	must.EqOp(t, 2, s.reads.Load(), must.Sprint("before the first list"))
+}
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -1,12 +1,16 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
 	"github.com/lavendershunt/lavendershunt/pkg/feed"
 	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
+	"github.com/lavendershunt/lavendershunt/pkg/roster"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
 
@@ -24,20 +28,24 @@
 func (r *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(allowance.NewService(r.accounts).Handler())
-	mux.Handle(feed.NewService(r.endpointFeed).Handler())
+	mux.Handle(feed.NewService(r.configFeed, r.endpointFeed, r.rosterFeed).Handler())
 	return mux
 }
 
 const (
 	// maxSmallFleet is the number of routers up to which each one watches the store itself.
 	maxSmallFleet = 16
-	// leadersPerZone is the number of routers in an availability zone that watch the store for the others in it.
-	leadersPerZone = 2
-	// watchWaitSmallFleet and watchWaitLargeFleet are the times for which the store holds a watch without changes. A
+	// leadersPerZone is the number of routers in an availability zone that read the store for the others in it.
+	leadersPerZone = 3
+	// directReadsPerSecond is the rate at which the routers of a large fleet read the store themselves when they can follow
+	// no other router.
+	directReadsPerSecond = 150
+	// leaderWaitAtStart is how long a router waits after its start for another router that it can follow.
+	leaderWaitAtStart = 2 * time.Second
+	// watchWaitSmallFleet is the time for which the store holds a watch without changes in a fleet without leaders. A
 	// watch whose connection fails silently is noticed only after that time, so it is of the order of the time within
-	// which changes must be in force. Routers of a large fleet wait longer.
+	// which changes must be in force. The leaders of a large fleet wait for feed.LeaderWait.
 	watchWaitSmallFleet = 3 * time.Second
-	watchWaitLargeFleet = 6 * time.Second
 	// watchPauseSmallFleet and watchPauseLargeFleet are the minimum times between two watches of the same kind of
 	// objects. In a large fleet many endpoints change within a short time, and changes may take a second longer to be in
 	// force.
@@ -45,22 +53,45 @@
 	watchPauseLargeFleet = 500 * time.Millisecond
 )
 
-// newFeeds creates the feeds of the configuration and of the endpoints. The configuration is large and seldom changes,
-// so every router watches it in the store. Endpoints change often, so in a large fleet the leaders of an availability
-// zone pass the changes on to the others in it.
+// newFeeds creates the feeds of the configuration, of the endpoints and of the routers' records. In a large fleet the
+// leaders of an availability zone read the store and pass the changes on to the others in it.
 func (r *Router) newFeeds(peers feed.PeerClient) {
-	r.configFeed = feed.New(feed.Options{
-		Kind: r.adapter.ConfigKind, Store: r.adapter.Store, Log: r.log, Consumer: configFeed{r.config},
-		WatchWait:    r.byFleetSize(watchWaitSmallFleet, watchWaitLargeFleet),
-		WatchPause:   r.byFleetSize(watchPauseSmallFleet, watchPauseLargeFleet),
-		SetStoreLost: r.breaker.open.Store,
-	})
-	r.endpointFeed = feed.New(feed.Options{
-		Kind: r.adapter.EndpointKind, Store: r.breaker, Log: r.log, Consumer: r.endpoints,
+	options := feed.Options{
+		Log: r.log, Client: peers,
 		WatchWait:  r.byFleetSize(watchWaitSmallFleet, feed.LeaderWait),
 		WatchPause: r.byFleetSize(watchPauseSmallFleet, watchPauseLargeFleet),
-		Leaders:    func() []string { return r.roster.Leaders(maxSmallFleet, leadersPerZone) }, Client: peers,
-	})
+		Leaders:    func() []string { return r.roster.Leaders(maxSmallFleet, leadersPerZone) },
+		MaxDirectDelay: func() time.Duration {
+			return time.Duration(r.roster.Count()) * time.Second / directReadsPerSecond
+		},
+	}
+	config, endpoints, records := options, options, options
+	config.Kind, config.Store, config.Consumer = r.adapter.ConfigKind, r.adapter.Store, configFeed{r.config}
+	config.SetStoreLost = r.breaker.open.Store
+	endpoints.Kind, endpoints.Store, endpoints.Consumer = r.adapter.EndpointKind, r.breaker, r.endpoints
+	records.Kind, records.Store, records.Consumer = roster.Kind, r.breaker, r.roster
+	records.StaleListInterval = roster.ListInterval
+	r.configFeed, r.endpointFeed, r.rosterFeed = feed.New(config), feed.New(endpoints), feed.New(records)
+}
+
+// runFeeds feeds the router until ctx ends. It reads the routers' records first: a router of a large fleet then waits
+// until there is one to follow, for at most leaderWaitAtStart.
+func (r *Router) runFeeds(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { r.rosterFeed.Run(ctx) })
+	const interval = 50 * time.Millisecond
+	for end := time.Now().Add(leaderWaitAtStart); ctx.Err() == nil && time.Now().Before(end); {
+		if _, known := r.rosterFeed.Age(); known && !r.roster.AwaitsLeader(maxSmallFleet) {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
+	}
+	tasks.Go(func() { r.configFeed.Run(ctx) })
+	tasks.Go(func() { r.endpointFeed.Run(ctx) })
 }
 
 // byFleetSize returns a function that returns small or large according to the current number of routers.
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -90,7 +90,7 @@
 	metrics   *telemetry.Metrics
 	draining  atomic.Bool
 
-	configFeed, endpointFeed *feed.Feed
+	configFeed, endpointFeed, rosterFeed *feed.Feed
 }
 
 // New creates a router. It also sets the memory limit and garbage collection target of the Go runtime.
@@ -111,7 +111,8 @@
 	}
 	r.client = upstream.NewClient()
 	r.placement = forward.NewPlacement(s.Zone, routeOptions)
-	r.config = newConfiguration(a.ConfigKey, a.DecodeConfig, r.breaker, logger)
+	r.config = newConfiguration(a.ConfigKey, a.DecodeConfig, r.breaker, s.ConfigApply, logger)
+	r.config.age = func() (time.Duration, bool) { return r.configFeed.Age() }
 	r.endpoints = newEndpointSet(a.DecodeEndpoint, logger, r.updateEndpoints)
 	r.roster = roster.New(r.breaker, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting, Capacity: s.capacity()}, logger)
 	peers := newPeerClient()
@@ -179,9 +180,8 @@
 	defer stop()
 	tasks.Go(func() { r.placement.Run(backgroundCtx) })
 	tasks.Go(func() { r.accounts.Run(backgroundCtx) })
-	tasks.Go(func() { r.roster.Run(backgroundCtx) })
-	tasks.Go(func() { r.configFeed.Run(backgroundCtx) })
-	tasks.Go(func() { r.endpointFeed.Run(backgroundCtx) })
+	tasks.Go(func() { r.roster.Run(backgroundCtx, r.rosterFeed.Age) })
+	tasks.Go(func() { r.runFeeds(backgroundCtx) })
 	tasks.Go(func() { r.announceReady(backgroundCtx) })
 	tasks.Go(func() { r.pollReports(backgroundCtx) })
 
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -46,6 +46,8 @@
 	FirstStart bool
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
+	// ConfigApply is the time within which a new configuration must be in force; 0 means a default.
+	ConfigApply time.Duration
 	// AddressTTL is the longest time for which callers may use an address answer.
 	AddressTTL time.Duration
 	Retry      retry.Limits
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -20,12 +20,16 @@
 	maxRetryDelay = 800 * time.Millisecond
 	// directWatchTime is how long a router watches the store itself after it could follow no other router.
 	directWatchTime = 10 * time.Second
+	// leaderRetryPause is the time after which a router that could follow no other router tries again.
+	leaderRetryPause = 500 * time.Millisecond
 )
 
 // Store is the part of the platform's store that a Feed uses.
 type Store interface {
 	List(ctx context.Context, prefix string) ([]platform.Object, uint64, error)
 	Poll(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Object, uint64, error)
+	// ListStale returns objects that may be seconds old, for a fraction of the price of List.
+	ListStale(ctx context.Context, prefix string) ([]platform.Object, error)
 }
 
 // Consumer receives the objects of a kind. A Feed calls it from one goroutine.
@@ -49,6 +53,12 @@
 	// WatchPause returns the minimum time between the starts of two watches. Changes that come closer together are
 	// returned by one watch.
 	WatchPause func() time.Duration
+	// StaleListInterval replaces the watch by stale lists, with this time between two of them. It suits objects that change
+	// all the time and may be seen late. Optional.
+	StaleListInterval time.Duration
+	// MaxDirectDelay returns the longest time for which a router that can follow no other router puts off reading the store
+	// itself, so that a large fleet doesn't do so at once. Needed with Leaders.
+	MaxDirectDelay func() time.Duration
 	// Leaders returns the peer addresses of the routers to follow. If it returns none, this router watches the store.
 	// Optional.
 	Leaders func() []string
@@ -69,6 +79,9 @@
 	revision   uint64
 	storeLost  bool
 	retryDelay time.Duration
+	// following is set once a message of the leader was applied.
+	following bool
+	fallback  fallback
 }
 
 func New(o Options) *Feed { return &Feed{Options: o, hub: newHub(), retryDelay: minRetryDelay} }
@@ -78,17 +91,33 @@
 	var directUntil time.Time
 	for ctx.Err() == nil {
 		leaders := f.leaders(directUntil)
-		for _, address := range leaders {
-			err := f.followPeer(ctx, address)
-			f.Log.WithFields(log.Fields{"kind": f.Kind, "peer": address}).WithError(err).Info("feed_leader_lost")
-			if ctx.Err() != nil {
-				return
+		f.followLeaders(ctx, leaders)
+		switch {
+		case ctx.Err() != nil:
+		case len(leaders) == 0:
+			f.readStore(ctx, directUntil)
+		case f.fallback.isDue(time.Now(), f.MaxDirectDelay(), rand.Float64()):
+			directUntil = time.Now().Add(directWatchTime)
+			if !f.readStore(ctx, directUntil) {
+				directUntil = time.Time{}
 			}
+		default:
+			pause(ctx, leaderRetryPause/2+rand.N(leaderRetryPause))
 		}
-		if len(leaders) > 0 {
-			directUntil = time.Now().Add(directWatchTime)
+	}
+}
+
+// followLeaders follows one router after the other until each of them has failed.
+func (f *Feed) followLeaders(ctx context.Context, leaders []string) {
+	for _, address := range leaders {
+		f.following = false
+		err := f.followPeer(ctx, address)
+		if ctx.Err() != nil {
+			return
+		}
+		if f.following {
+			f.Log.WithFields(log.Fields{"kind": f.Kind, "peer": address, "revision": f.revision, "age_ms": f.sinceContact().Milliseconds()}).WithError(err).Info("feed_leader_lost")
 		}
-		f.watchStore(ctx, directUntil)
 	}
 }
 
@@ -99,30 +128,42 @@
 	return f.Leaders()
 }
 
-// watchStore watches the store until a call fails, or until directUntil has passed and there is a router to follow.
-func (f *Feed) watchStore(ctx context.Context, directUntil time.Time) {
-	err := f.listAndWatch(ctx, directUntil)
+// readStore reads the store until a call fails, or until directUntil has passed and there is a router to follow. It
+// returns false after a failure, after a delay.
+func (f *Feed) readStore(ctx context.Context, directUntil time.Time) bool {
+	var err error
+	if f.StaleListInterval > 0 {
+		err = f.pollLists(ctx, directUntil)
+	} else {
+		err = f.listAndWatch(ctx, directUntil)
+	}
 	switch {
 	case ctx.Err() != nil || err == nil:
-		return
+		return true
 	case errors.Is(err, platform.ErrGap):
 		f.Log.WithField("kind", f.Kind).Info("store_history_gap")
-		return
+		return true
 	case !f.storeLost:
 		f.setLost(true)
 		f.Log.WithField("kind", f.Kind).WithError(err).Warn("store_lost")
 	}
-	delay := f.retryDelay/2 + rand.N(f.retryDelay/2)
+	f.fallback.failures++
+	pause(ctx, f.retryDelay/2+rand.N(f.retryDelay/2))
 	f.retryDelay = min(2*f.retryDelay, maxRetryDelay)
+	return false
+}
+
+// pause waits for the time or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(delay):
+	case <-time.After(d):
 	}
 }
 
 // recordContact records an answer of the store that is age old.
 func (f *Feed) recordContact(age time.Duration) {
-	f.contact, f.retryDelay = time.Now().Add(-age), minRetryDelay
+	f.contact, f.retryDelay, f.fallback = time.Now().Add(-age), minRetryDelay, fallback{}
 	if f.storeLost {
 		f.setLost(false)
 		f.Log.WithField("kind", f.Kind).Info("store_regained")
@@ -160,14 +201,45 @@
 		}
 		failures, revision = 0, next
 		f.applyChanges(changes, revision, 0)
-		select {
-		case <-ctx.Done():
+		if pause(ctx, time.Until(start.Add(f.WatchPause()))); ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// pollLists reads stale lists. It returns nil when there is a router to follow.
+func (f *Feed) pollLists(ctx context.Context, directUntil time.Time) error {
+	for first := true; ; first = false {
+		objects, err := f.Store.ListStale(ctx, f.Kind+"/")
+		if err != nil {
+			return err
+		}
+		if first {
+			f.replaceAll(objects, newestRevision(objects), f.sinceContact(), 0)
+		} else {
+			f.applyChanges(f.hub.changesTo(objects), newestRevision(objects), 0)
+		}
+		if leaders := f.leaders(directUntil); len(leaders) > 0 {
+			return nil
+		}
+		if pause(ctx, f.StaleListInterval*4/5+rand.N(f.StaleListInterval*2/5)); ctx.Err() != nil {
 			return ctx.Err()
-		case <-time.After(time.Until(start.Add(f.WatchPause()))):
 		}
 	}
 }
 
+func newestRevision(objects []platform.Object) uint64 {
+	var newest uint64
+	for _, o := range objects {
+		newest = max(newest, o.Revision)
+	}
+	return newest
+}
+
+// Age returns the time since the last answer of the store, to this router or to the one that it follows, and false
+// before the first one. It may be called at any time.
+func (f *Feed) Age() (time.Duration, bool) { return f.hub.age() }
+
 // sinceContact returns the time since the last answer of the store, 0 before the first one.
 func (f *Feed) sinceContact() time.Duration {
 	if f.contact.IsZero() {
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	feedv1 "github.com/lavendershunt/lavendershunt/api/ls/feed/v1"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/platform/memstore"
 )
@@ -54,10 +56,19 @@
 	return maps.Equal(m.objects, want)
 }
 
-func testFeed(store Store, consumer Consumer, leaders func() []string) *Feed {
+// testStore adds stale lists to a store in memory.
+type testStore struct{ platform.Store }
+
+func (s testStore) ListStale(ctx context.Context, prefix string) ([]platform.Object, error) {
+	objects, _, err := s.List(ctx, prefix)
+	return objects, err
+}
+
+func testFeed(store platform.Store, consumer Consumer, leaders func() []string) *Feed {
 	return New(Options{
-		Kind: "servers", Store: store, Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Consumer: consumer,
+		Kind: "servers", Store: testStore{store}, Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Consumer: consumer,
 		WatchWait: func() time.Duration { return 50 * time.Millisecond }, WatchPause: func() time.Duration { return 250 * time.Millisecond }, Leaders: leaders, Client: http.DefaultClient,
+		MaxDirectDelay: func() time.Duration { return 20 * time.Millisecond },
 	})
 }
 
@@ -138,3 +149,68 @@
 	_, age := f.hub.revisionAndAge()
 	must.GreaterEq(t, 3*time.Second, age)
 }
+
+// Guards against going back to an older object when a router follows a leader that is some changes behind the one before,
+// and against losing what that leader passes on later.
+func TestLeaderThatIsBehind(t *testing.T) {
+	m := &memoryConsumer{}
+	f := testFeed(nil, m, nil)
+	object := func(key string, revision uint64, value string) *feedv1.Object {
+		return &feedv1.Object{Key: key, Revision: revision, Value: []byte(value)}
+	}
+	must.NoError(t, f.applyMessage(&feedv1.FollowResponse{Full: true, Revision: 9, Objects: []*feedv1.Object{object("a", 9, "new"), object("b", 3, "b")}}, 0))
+	must.NoError(t, f.applyMessage(&feedv1.FollowResponse{Full: true, Revision: 7, Objects: []*feedv1.Object{object("a", 5, "old"), object("b", 3, "b")}}, 0))
+	must.NoError(t, f.applyMessage(&feedv1.FollowResponse{Revision: 8, Objects: []*feedv1.Object{object("a", 8, "older")}}, 0))
+	must.True(t, m.hasObjects(map[string]string{"a": "new", "b": "b"}))
+	must.NoError(t, f.applyMessage(&feedv1.FollowResponse{Revision: 11, Objects: []*feedv1.Object{object("a", 10, "newest"), {Key: "b", Revision: 11, Deleted: true}}}, 0))
+	must.True(t, m.hasObjects(map[string]string{"a": "newest"}))
+	must.EqOp(t, 11, f.revision)
+	must.EqOp(t, 1, m.lists)
+}
+
+// Guards against followers that get other values than the store has because large ones are compressed, and against a
+// compressed value that takes all memory.
+func TestLargeValuesAreCompressed(t *testing.T) {
+	large := platform.Object{Key: "config/main", Revision: 4, Value: []byte(strings.Repeat("route ", 50_000))}
+	encoded := encodeObject(large)
+	must.Less(t, len(large.Value)/10, len(encoded.GetValue()))
+	decoded, err := decodeObject(encoded)
+	must.NoError(t, err)
+	must.Eq(t, large, decoded)
+	_, err = decodeObject(encodeObject(platform.Object{Key: "bomb", Value: make([]byte, 8<<20)}))
+	must.ErrorIs(t, err, platform.ErrTooLarge)
+	small := platform.Object{Key: "servers/1", Revision: 2, Value: []byte("x")}
+	must.False(t, encodeObject(small).GetCompressed())
+}
+
+// Guards against a large fleet in which all routers read the store at the same moment when they lose those that they
+// follow, and against one router that waits for ever.
+func TestFallbackSpreadsDirectReads(t *testing.T) {
+	const fleet, maxDelay, step = 280, 2 * time.Second, 100 * time.Millisecond
+	start := time.Unix(1_800_000_000, 0)
+	perStep := map[time.Duration]int{}
+	for i := range fleet {
+		var b fallback
+		for since := time.Duration(0); ; since += step {
+			must.LessEq(t, maxDelay, since)
+			if b.isDue(start.Add(since), maxDelay, float64(i)/fleet) {
+				perStep[since]++
+				break
+			}
+		}
+	}
+	for since, reads := range perStep {
+		must.LessEq(t, 2*fleet/20, reads, must.Sprint(since))
+	}
+	failed := fallback{failures: 5}
+	must.False(t, failed.isDue(start, maxDelay, 1))
+	must.True(t, failed.isDue(start.Add(4*maxDelay), maxDelay, 1))
+}
+
+// Guards against treating objects as changed or gone because a stale list is older than the one before.
+func TestStaleLists(t *testing.T) {
+	h := newHub()
+	h.replaceAll([]platform.Object{{Key: "a", Revision: 5}, {Key: "b", Revision: 6}}, 6, 0, time.Now())
+	changes := h.changesTo([]platform.Object{{Key: "a", Revision: 4}, {Key: "c", Revision: 7}})
+	must.Eq(t, []platform.Object{{Key: "c", Revision: 7}, {Key: "b", Revision: 6, Deleted: true}}, changes)
+}
--- a/pkg/feed/peer.go
+++ b/pkg/feed/peer.go
@@ -1,9 +1,12 @@
 package feed
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -23,12 +26,13 @@
 	leaderTimeout = 1300 * time.Millisecond
 	// LeaderWait is how long the store holds a leader's watch open.
 	LeaderWait = time.Second
+	// minCompressedBytes is the size from which a value is compressed for followers.
+	minCompressedBytes = 16 << 10
 	// MaxAge is the time since the store's last answer to a leader above which the leader isn't followed.
 	MaxAge = 1700 * time.Millisecond
 )
 
-// ErrStaleLeader means that a leader's objects are older than MaxAge or older than those of the router that would
-// follow it.
+// ErrStaleLeader means that a leader's objects are older than MaxAge.
 var ErrStaleLeader = errors.New("feed: stale leader")
 
 // PeerClient is the HTTP client for calls to other routers.
@@ -90,11 +94,45 @@
 
 func encode(m message, h *hub) *feedv1.FollowResponse {
 	_, age := h.revisionAndAge()
-	r := &feedv1.FollowResponse{Full: m.full, Revision: m.revision, AgeMs: age.Milliseconds(), AwayMs: m.sinceContact.Milliseconds()}
-	for _, o := range m.objects {
-		r.Objects = append(r.Objects, &feedv1.Object{Key: o.Key, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted})
+	return &feedv1.FollowResponse{Full: m.full, Objects: m.objects, Revision: m.revision, AgeMs: age.Milliseconds(), AwayMs: m.sinceContact.Milliseconds()}
+}
+
+func encodeObject(o platform.Object) *feedv1.Object {
+	encoded := &feedv1.Object{Key: o.Key, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted}
+	if len(o.Value) < minCompressedBytes {
+		return encoded
+	}
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		panic(fmt.Sprintf("feed: compression level: %v", err))
+	}
+	if _, err = w.Write(o.Value); err == nil {
+		err = w.Close()
+	}
+	if err != nil {
+		panic(fmt.Sprintf("feed: compress into memory: %v", err))
+	}
+	encoded.Value, encoded.Compressed = b.Bytes(), true
+	return encoded
+}
+
+func decodeObject(o *feedv1.Object) (platform.Object, error) {
+	decoded := platform.Object{Key: o.GetKey(), Revision: o.GetRevision(), Value: o.GetValue(), Deleted: o.GetDeleted()}
+	if !o.GetCompressed() {
+		return decoded, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(o.GetValue()))
+	if err != nil {
+		return decoded, fmt.Errorf("feed: decompress %s: %w", o.GetKey(), err)
+	}
+	if decoded.Value, err = io.ReadAll(io.LimitReader(r, platform.MaxValueBytes+1)); err != nil {
+		return decoded, fmt.Errorf("feed: decompress %s: %w", o.GetKey(), err)
+	}
+	if len(decoded.Value) > platform.MaxValueBytes {
+		return decoded, fmt.Errorf("feed: %s: %w", o.GetKey(), platform.ErrTooLarge)
 	}
-	return r
+	return decoded, nil
 }
 
 // followPeer feeds the consumer from another router until a call fails, no message comes for leaderTimeout, or the
@@ -114,10 +152,13 @@
 		timer.Reset(leaderTimeout)
 		m := stream.Msg()
 		age := time.Duration(m.GetAgeMs()) * time.Millisecond
-		if age > MaxAge || m.GetFull() && m.GetRevision() < f.revision {
+		if age > MaxAge {
 			return fmt.Errorf("%w: age %s, revision %d, latest seen %d", ErrStaleLeader, age, m.GetRevision(), f.revision)
 		}
-		f.applyMessage(m, age)
+		if err := f.applyMessage(m, age); err != nil {
+			return err
+		}
+		f.following = true
 	}
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
@@ -125,14 +166,24 @@
 	return stream.Err()
 }
 
-func (f *Feed) applyMessage(m *feedv1.FollowResponse, age time.Duration) {
+// applyMessage passes a leader's message to the consumer. A leader may be some changes behind the one that this router
+// followed before: then only its later changes count, so that nothing goes back.
+func (f *Feed) applyMessage(m *feedv1.FollowResponse, age time.Duration) error {
 	objects := make([]platform.Object, 0, len(m.GetObjects()))
 	for _, o := range m.GetObjects() {
-		objects = append(objects, platform.Object{Key: o.GetKey(), Revision: o.GetRevision(), Value: o.GetValue(), Deleted: o.GetDeleted()})
+		decoded, err := decodeObject(o)
+		if err != nil {
+			return err
+		}
+		objects = append(objects, decoded)
 	}
-	if m.GetFull() {
+	switch {
+	case !m.GetFull():
+		f.applyChanges(f.hub.newerThanHeld(objects), max(f.revision, m.GetRevision()), age)
+	case m.GetRevision() < f.revision:
+		f.applyChanges(nil, f.revision, age)
+	default:
 		f.replaceAll(objects, m.GetRevision(), max(f.sinceContact(), time.Duration(m.GetAwayMs())*time.Millisecond), age)
-	} else {
-		f.applyChanges(objects, m.GetRevision(), age)
 	}
+	return nil
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -1,5 +1,5 @@
 // Package roster determines which routers of the fleet are alive. Each router renews a record in the platform's store
-// and lists the records of the others, so that the result does not depend on connections between routers.
+// and gets the records of the others from a feed, so that it doesn't depend on connections to all of them.
 package roster
 
 import (
@@ -8,8 +8,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,8 +22,8 @@
 )
 
 const (
-	// recordKind is the kind of the routers' records in the store, the first part of their keys.
-	recordKind = "routers"
+	// Kind is the kind of the routers' records in the store, the first part of their keys.
+	Kind = "routers"
 	// ListInterval is the time between two lists of the records, and between two renewals in a fleet of at most
 	// maxFullRateRouters. It varies by up to the fraction intervalJitter in both directions.
 	ListInterval   = 2 * time.Second
@@ -69,7 +71,6 @@
 	Get(ctx context.Context, key string) (platform.Object, error)
 	Put(ctx context.Context, key string, value []byte, ifRevision uint64) (platform.Object, error)
 	Delete(ctx context.Context, key string, ifRevision uint64) error
-	ListStale(ctx context.Context, prefix string) ([]platform.Object, error)
 }
 
 // member is another router, with the time at which its record was last seen to change.
@@ -79,13 +80,13 @@
 	changedAt time.Time
 }
 
-// view is the deterministic part of a Roster, without I/O and clock. Its time advances with successful lists only, so
-// that no member expires while the store can't be read.
+// view is the deterministic part of a Roster, without I/O and clock. Its time advances only while the records are up to
+// date, so that no member expires while the store can't be read.
 type view struct {
 	members map[string]member
 	// elapsed is the time during which the store could be read, since firstListAt.
 	elapsed     time.Duration
-	lastListAt  time.Time
+	advancedAt  time.Time
 	firstListAt time.Time
 	// largestCapacity is the largest capacity of the members and of this router, and primaryCount the number of primary
 	// routers among them.
@@ -93,18 +94,23 @@
 	primaryCount    int
 }
 
-// maxListGap bounds the time by which view.elapsed increases between two successful lists.
+// maxListGap bounds the time by which view.elapsed increases at once.
 const maxListGap = 2 * ListInterval
 
-// applyList replaces the members by the result of a list; self is this router's own record. A member whose revision has not increased keeps its previous
-// record and time of change.
-func (v *view) applyList(now time.Time, self Record, found map[string]member) {
-	if v.lastListAt.IsZero() {
+// advance moves the view's time to now.
+func (v *view) advance(now time.Time) {
+	if v.advancedAt.IsZero() {
 		v.firstListAt = now
 	} else {
-		v.elapsed += min(now.Sub(v.lastListAt), maxListGap)
+		v.elapsed += min(now.Sub(v.advancedAt), maxListGap)
 	}
-	v.lastListAt = now
+	v.advancedAt = now
+}
+
+// applyList replaces the members by the result of a list; self is this router's own record. A member whose revision has not increased keeps its previous
+// record and time of change.
+func (v *view) applyList(now time.Time, self Record, found map[string]member) {
+	v.advance(now)
 	changedAt := v.firstListAt.Add(v.elapsed)
 	next := make(map[string]member, len(found))
 	for name, m := range found {
@@ -197,8 +203,9 @@
 	}
 }
 
-// Run renews this router's record and lists those of the others until ctx ends.
-func (r *Roster) Run(ctx context.Context) {
+// Run renews this router's record and deletes those of dead routers until ctx ends. age returns the age of the records
+// that the roster's feed has passed on, and false if there are none yet.
+func (r *Roster) Run(ctx context.Context, age func() (time.Duration, bool)) {
 	var lastRenewal time.Time
 	renewalDue := true
 	for ctx.Err() == nil {
@@ -207,7 +214,10 @@
 			lastRenewal = time.Now()
 			err = r.renew(ctx)
 		}
-		r.logStoreFailure(errors.Join(err, r.list(ctx)))
+		if a, ok := age(); ok && a < maxListGap {
+			err = errors.Join(err, r.deleteExpired(ctx, time.Now()))
+		}
+		r.logStoreFailure(err)
 		renewalDue = err != nil
 		pause := time.Duration(float64(ListInterval) * (1 + intervalJitter*(2*rand.Float64()-1)))
 		select {
@@ -219,6 +229,30 @@
 	}
 }
 
+// deleteExpired advances the view's time and deletes the records of dead routers for which this router is the first of
+// those that are alive.
+func (r *Roster) deleteExpired(ctx context.Context, now time.Time) error {
+	r.mu.Lock()
+	r.view.advance(now)
+	clear(r.preferenceLists)
+	expired := map[string]uint64{}
+	for name, m := range r.view.members {
+		if r.view.isExpired(m) {
+			expired[name] = m.revision
+		}
+	}
+	r.mu.Unlock()
+	for name, revision := range expired {
+		if r.PreferenceList("expired/"+name, 1)[0] != r.name {
+			continue
+		}
+		if err := r.store.Delete(ctx, Kind+"/"+name, revision); err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+	}
+	return nil
+}
+
 func (r *Roster) renewalInterval() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -247,7 +281,7 @@
 	if err != nil {
 		return fmt.Errorf("roster: encode record: %w", err)
 	}
-	key := recordKind + "/" + r.name
+	key := Kind + "/" + r.name
 	object, err := r.store.Put(ctx, key, value, revision)
 	switch {
 	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound), errors.Is(err, platform.ErrUncertain):
@@ -268,45 +302,57 @@
 	return nil
 }
 
-func (r *Roster) list(ctx context.Context) error {
-	objects, err := r.store.ListStale(ctx, recordKind+"/")
-	if err != nil {
-		return err
-	}
-	found := make(map[string]member, len(objects))
+// ReplaceAll implements feed.Consumer.
+func (r *Roster) ReplaceAll(objects []platform.Object, _ time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(map[string]member{}, objects)
+}
+
+// ApplyChanges implements feed.Consumer.
+func (r *Roster) ApplyChanges(objects []platform.Object) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(maps.Clone(r.view.members), objects)
+}
+
+// apply adds the objects to found and makes the result the members of the view. r.mu must be held.
+func (r *Roster) apply(found map[string]member, objects []platform.Object) {
 	for _, o := range objects {
-		var record Record
-		if err := json.Unmarshal(o.Value, &record); err != nil {
-			r.log.WithField("key", o.Key).WithError(err).Warn("router_record_unreadable")
+		name := strings.TrimPrefix(o.Key, Kind+"/")
+		if name == r.name {
 			continue
 		}
-		if name := o.Key[len(recordKind)+1:]; name != r.name {
-			record.name = name
-			found[name] = member{record: record, revision: o.Revision}
+		if o.Deleted {
+			delete(found, name)
+			continue
 		}
+		record := Record{}
+		if err := json.Unmarshal(o.Value, &record); err != nil {
+			r.log.WithFields(log.Fields{"key": o.Key, "revision": o.Revision}).WithError(err).Warn("router_record_unreadable")
+			continue
+		}
+		record.name = name
+		found[name] = member{record: record, revision: o.Revision}
 	}
-	r.mu.Lock()
 	previous := r.view.members
 	r.view.applyList(time.Now(), r.self, found)
 	clear(r.preferenceLists)
-	expired := map[string]uint64{}
+	var changed []string
 	for name, m := range r.view.members {
-		if r.view.isExpired(m) {
-			expired[name] = m.revision
-		}
 		if old, ok := previous[name]; !ok || old.record.State != m.record.State || old.record.Instance != m.record.Instance {
-			r.log.WithFields(log.Fields{"router": name, "state": string(m.record.State), "instance": m.record.Instance}).Info("router_seen")
+			changed = append(changed, name+" "+string(m.record.State)+" "+m.record.Instance)
 		}
 	}
-	r.mu.Unlock()
-	for name, revision := range expired {
-		if err := r.store.Delete(ctx, recordKind+"/"+name, revision); err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
-			return err
-		}
+	if len(changed) > 0 {
+		slices.Sort(changed)
+		r.log.WithFields(log.Fields{"routers": len(r.view.members) + 1, "changed": len(changed), "first": changed[:min(maxLoggedChanges, len(changed))]}).Info("roster_changed")
 	}
-	return nil
 }
 
+// maxLoggedChanges bounds the routers that one log line names.
+const maxLoggedChanges = 8
+
 // Count returns the number of routers that are alive, including this one.
 func (r *Roster) Count() int {
 	r.mu.Lock()
@@ -374,38 +420,61 @@
 	return list
 }
 
-// Leaders returns the peer addresses of the routers, at most n, that watch the store on behalf of the others in this
-// availability zone: its largest ones, ranked by rendezvous hashing. It returns none if this router is one of them, or
-// if the fleet has at most smallFleet routers.
-func (r *Roster) Leaders(smallFleet, n int) []string {
+// Leaders returns the peer addresses of the routers to follow, in order: at most perZone of this availability zone, then
+// one of each other zone. The leaders of a zone are its largest routers, ranked by rendezvous hashing. Leaders returns
+// none if this router is a leader of its zone, or if the fleet has at most smallFleet routers.
+func (r *Roster) Leaders(smallFleet, perZone int) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.view.members)+1 <= smallFleet {
 		return nil
 	}
-	records := r.aliveRecords(func(m Record) bool {
-		return m.name == r.name || m.State == Ready && m.Zone == r.self.Zone
-	})
-	ranked := rendezvous.Rank("leaders/"+r.self.Zone, names(records))
-	largest := maxCapacity(records)
-	byName := make(map[string]Record, len(records))
+	records := r.aliveRecords(func(m Record) bool { return m.name == r.name || m.State == Ready })
+	byZone := map[string][]Record{}
 	for _, m := range records {
-		byName[m.name] = m
+		byZone[m.Zone] = append(byZone[m.Zone], m)
 	}
-	slices.SortStableFunc(ranked, func(a, b string) int {
-		return cmp.Compare(rank(byName[a].isPrimary(largest)), rank(byName[b].isPrimary(largest)))
-	})
-	ranked = ranked[:min(n, len(ranked))]
-	if slices.Contains(ranked, r.name) {
+	leaders := zoneLeaders(r.self.Zone, byZone[r.self.Zone], perZone)
+	if slices.ContainsFunc(leaders, func(m Record) bool { return m.name == r.name }) {
 		return nil
 	}
-	var addresses []string
-	for _, name := range ranked {
-		addresses = append(addresses, byName[name].Peer)
+	delete(byZone, r.self.Zone)
+	for _, zone := range rendezvous.Rank(r.name, slices.Collect(maps.Keys(byZone))) {
+		leaders = append(leaders, zoneLeaders(zone, byZone[zone], 1)...)
+	}
+	addresses := make([]string, len(leaders))
+	for i, m := range leaders {
+		addresses[i] = m.Peer
 	}
 	return addresses
 }
 
+// AwaitsLeader reports whether this router should follow a leader and there is none yet: the fleet has more than
+// smallFleet routers, this one is not a primary router, and no router is ready.
+func (r *Roster) AwaitsLeader(smallFleet int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.view.members)+1 <= smallFleet || r.self.isPrimary(r.view.largestCapacity) {
+		return false
+	}
+	return len(r.aliveRecords(func(m Record) bool { return m.State == Ready })) == 0
+}
+
+// zoneLeaders returns the first n of a zone's records, primary routers before the others.
+func zoneLeaders(zone string, records []Record, n int) []Record {
+	byName := make(map[string]Record, len(records))
+	for _, m := range records {
+		byName[m.name] = m
+	}
+	largest := maxCapacity(records)
+	ranked := make([]Record, 0, len(records))
+	for _, name := range rendezvous.Rank("leaders/"+zone, names(records)) {
+		ranked = append(ranked, byName[name])
+	}
+	slices.SortStableFunc(ranked, func(a, b Record) int { return cmp.Compare(rank(a.isPrimary(largest)), rank(b.isPrimary(largest))) })
+	return ranked[:min(n, len(ranked))]
+}
+
 // rank orders primary routers before the others.
 func rank(primary bool) int {
 	if primary {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -149,7 +149,7 @@
 	must.Len(t, 64, fleetOf(3, 82).Addresses("a", 64))
 	must.Len(t, 5, fleetOf(0, 4).Addresses("a", 64))
 	must.Len(t, 4, fleetOf(0, 4).PreferenceList("org", 4))
-	must.Len(t, 2, fleetOf(0, 40).Leaders(16, 2))
+	must.Len(t, 3, fleetOf(0, 40).Leaders(16, 2), must.Sprint("two of its own zone and one of the other"))
 	unknown := newTestRoster(40)
 	must.Len(t, 41, unknown.Addresses("a", 64), must.Sprint("routers without a known capacity"))
 }
