Ask allocators for tokens ahead of need

Change: from 4 requests a second on, a router asks for a second of its demand, before its tokens run out. Test: 1,500 questions for 1,500 requests before, at most 50 now (TestBusyRouterAsksAhead). Tried and reverted: closing new connections while the link is busy.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -31,6 +31,13 @@
 	// maxDrawShare is the largest part of the remainder that one draw ahead of need takes: the first estimates of the
 	// demand may be far too high.
 	maxDrawShare = 0.25
+	// askHorizon is the time for which a router that isn't the primary allocator asks for tokens ahead, and minAskRate the
+	// number of requests a second from which it does. A question for each request would cost a busy router a tenth of its
+	// link, and every request a round trip.
+	askHorizon = time.Second
+	minAskRate = 4
+	// askPause is the time without further questions ahead of need after one that brought too little.
+	askPause = time.Second
 	// idleTimeout is the time without requests after which unspent tokens are returned. A primary allocator returns them
 	// only if the budget is scarce.
 	idleTimeout = 1500 * time.Millisecond
@@ -86,6 +93,8 @@
 	storeCallInProgress, peerRequestInProgress bool
 	// retryAt is the earliest time of the next call to the store.
 	retryAt time.Time
+	// askAheadAt is the earliest time of the next question ahead of need.
+	askAheadAt time.Time
 	// drawDirectly reports whether this router itself draws for the waiting requests, because it asked the allocators
 	// and did not get enough, or because it draws for another router.
 	drawDirectly bool
@@ -221,9 +230,38 @@
 }
 
 // shouldRequestFromPeers reports whether the account should ask other routers now: because the store can't be reached,
-// or because the allocators draw for it.
+// because the allocators draw for it, or ahead of need.
 func (a *account) shouldRequestFromPeers(now time.Time, primary bool) bool {
-	return len(a.waiters) > 0 && !a.peerRequestInProgress && !a.storeCallInProgress && (now.Before(a.retryAt) || !primary && !a.drawDirectly)
+	if a.peerRequestInProgress || a.storeCallInProgress {
+		return false
+	}
+	if len(a.waiters) == 0 {
+		return !primary && !now.Before(a.refuseUntil) && !now.Before(a.askAheadAt) && a.free < a.askTarget(now)/2
+	}
+	return now.Before(a.retryAt) || !primary && !a.drawDirectly
+}
+
+// askTarget returns the number of free tokens that a router which isn't the primary allocator should hold, 0 if its
+// demand is low.
+func (a *account) askTarget(now time.Time) int64 {
+	a.decay(now)
+	if a.requests/max(1, a.observedSeconds) < minAskRate {
+		return 0
+	}
+	return int64(a.demandRate(now) * askHorizon.Seconds())
+}
+
+// peerShortage returns what to ask other routers for. With ahead, it includes tokens ahead of need.
+func (a *account) peerShortage(now time.Time, ahead bool) Shortage {
+	s := Shortage{Next: a.nextShortage(), Total: a.shortage()}
+	if len(a.waiters) == 0 {
+		s.Next = max(1, int64(a.meanRequestTokens()))
+		s.Total = s.Next
+	}
+	if ahead {
+		s.Ahead = max(0, a.askTarget(now)-a.free)
+	}
+	return s
 }
 
 // drawAmount returns how much to draw from the remainder, 0 if it doesn't cover the first waiting request.
--- a/pkg/allowance/accounts.go
+++ b/pkg/allowance/accounts.go
@@ -42,6 +42,8 @@
 type Shortage struct {
 	// Next is the shortage of the next request, and Total that of all waiting ones.
 	Next, Total int64
+	// Ahead is the number of tokens asked for beyond Total, which are welcome but not needed.
+	Ahead int64
 	// NoDraw means that too little is left in the store, so that the allocators can only transfer tokens that they hold.
 	NoDraw bool
 }
@@ -252,9 +254,9 @@
 // uncovered. fallback is the verdict for these if all routers answered; with Granted they go on waiting.
 func (acc *Accounts) requestFromPeers(name string, a *account, fallback Verdict) {
 	a.peerRequestInProgress = true
-	need := a.shortage()
-	shortage := Shortage{Next: a.nextShortage(), Total: need, NoDraw: fallback == Exhausted}
 	allocators := acc.Allocators(name)
+	shortage := a.peerShortage(time.Now(), fallback == Unavailable && !acc.isPrimary(name))
+	shortage.NoDraw = fallback == Exhausted
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), peerRequestTimeout)
 		defer cancel()
@@ -264,10 +266,13 @@
 			if result.Tokens > 0 {
 				a.refusalDuration = 0
 			}
+			if result.Tokens < shortage.Total+shortage.Ahead/2 {
+				a.askAheadAt = time.Now().Add(askPause)
+			}
 			waitersBefore := len(a.waiters)
 			a.credit(result.Tokens)
 			acc.Log.WithFields(log.Fields{
-				"organisation": name, "need": need, "tokens": result.Tokens, "complete": result.Complete, "exhausted": result.Exhausted,
+				"organisation": name, "need": shortage.Total, "ahead": shortage.Ahead, "tokens": result.Tokens, "complete": result.Complete, "exhausted": result.Exhausted,
 				"refused": len(a.waiters), "drawn": a.drawn, "prepaid": a.prepaid,
 			}).Info("allowance_asked")
 			switch {
--- a/pkg/allowance/accounts_test.go
+++ b/pkg/allowance/accounts_test.go
@@ -93,7 +93,7 @@
 			break
 		}
 		remaining := shortage.reducedBy(result.Tokens)
-		transferred, exhausted := peer.TransferOut(ctx, organisation, remaining.Next, remaining.Total, slices.Contains(allocators, peer.VM) && !shortage.NoDraw)
+		transferred, exhausted := peer.TransferOut(ctx, organisation, remaining.Next, remaining.Total+remaining.Ahead, slices.Contains(allocators, peer.VM) && !shortage.NoDraw)
 		switch x := p.random(); {
 		case x < 0.1:
 			result.Complete = false
@@ -491,3 +491,52 @@
 	a.reserve(now, waiter{tokens: 100, verdict: make(chan Verdict, 1)})
 	must.Len(t, 1, a.waiters)
 }
+
+// countedPeers counts the questions of one router.
+type countedPeers struct {
+	Peers
+	questions atomic.Int64
+}
+
+func (p *countedPeers) RequestTokens(ctx context.Context, allocators []string, organisation string, shortage Shortage, late func(int64)) RequestResult {
+	p.questions.Add(1)
+	return p.Peers.RequestTokens(ctx, allocators, organisation, shortage, late)
+}
+
+// Guards against a question to an allocator for every request of a busy router, whose link they filled together with the
+// requests: a router with 150 requests a second asked 150 times. Also guards against holding more than a second's demand.
+func TestBusyRouterAsksAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+		ctx, stop := context.WithCancel(t.Context())
+		const prepaid, size, perSecond, seconds = 10_000_000, 1_000, 150, 10
+		f := startFleet(ctx, memory, []string{"vm1", "vm2", "vm3"}, prepaid)
+		busy := f.accounts["vm3"]
+		for _, a := range f.accounts {
+			a.Allocators = func(string) []string { return []string{"vm1", "vm2"} }
+		}
+		counted := &countedPeers{Peers: busy.Peers}
+		busy.Peers = counted
+		for range perSecond * seconds {
+			must.EqOp(t, Granted, busy.Reserve(ctx, organisation, prepaid, size))
+			time.Sleep(time.Second / perSecond)
+		}
+		must.LessEq(t, 5*seconds, counted.questions.Load())
+		var held int64
+		busy.owner.Do(func(t *accountTable) { held = t.account(organisation).free })
+		must.LessEq(t, 2*perSecond*size, held)
+		stop()
+	})
+}
+
+// Guards against tokens that routers with little demand hold while others need them.
+func TestIdleRouterAsksForNoMore(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	a := &account{pendingDraws: map[string]pendingDraw{}}
+	for range 20 {
+		a.recordDemand(now, 1_000)
+		now = now.Add(time.Second)
+		must.False(t, a.shouldRequestFromPeers(now, false))
+		must.Zero(t, a.peerShortage(now, true).Ahead)
+	}
+}
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -142,7 +142,7 @@
 	for _, p := range batch {
 		go func() {
 			answers <- r.requestFromPeer(p, &allowancev1.GiveRequest{
-				Organisation: organisation, Need: remaining.Next, Want: remaining.Total / int64(len(batch)), Draw: !shortage.NoDraw,
+				Organisation: organisation, Need: remaining.Next, Want: (remaining.Total + remaining.Ahead) / int64(len(batch)), Draw: !shortage.NoDraw,
 			})
 		}()
 	}
