--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -214,3 +214,11 @@
 	changes := h.changesTo([]platform.Object{{Key: "a", Revision: 4}, {Key: "c", Revision: 7}})
 	must.Eq(t, []platform.Object{{Key: "c", Revision: 7}, {Key: "b", Revision: 6, Deleted: true}}, changes)
 }
+
+// Guards against followers that leave a leader of stale lists between two of its lists.
+func TestLeaderOfStaleListsIsFollowed(t *testing.T) {
+	f := testFeed(nil, &memoryConsumer{}, nil)
+	must.EqOp(t, MaxAge, f.maxAge())
+	f.StaleListInterval = 2 * time.Second
+	must.Greater(t, 2*f.StaleListInterval, f.maxAge())
+}
--- a/pkg/feed/peer.go
+++ b/pkg/feed/peer.go
@@ -28,8 +28,10 @@
 	LeaderWait = time.Second
 	// minCompressedBytes is the size from which a value is compressed for followers.
 	minCompressedBytes = 16 << 10
-	// MaxAge is the time since the store's last answer to a leader above which the leader isn't followed.
-	MaxAge = 1700 * time.Millisecond
+	// MaxAge is the time since the store's last answer to a leader above which the leader isn't followed, unless it reads
+	// stale lists. Then it may miss staleListsToMiss of them.
+	MaxAge           = 1700 * time.Millisecond
+	staleListsToMiss = 3
 )
 
 // ErrStaleLeader means that a leader's objects are older than MaxAge.
@@ -152,7 +154,7 @@
 		timer.Reset(leaderTimeout)
 		m := stream.Msg()
 		age := time.Duration(m.GetAgeMs()) * time.Millisecond
-		if age > MaxAge {
+		if age > f.maxAge() {
 			return fmt.Errorf("%w: age %s, revision %d, latest seen %d", ErrStaleLeader, age, m.GetRevision(), f.revision)
 		}
 		if err := f.applyMessage(m, age); err != nil {
@@ -166,6 +168,9 @@
 	return stream.Err()
 }
 
+// maxAge returns the time since the store's last answer to a leader above which the leader isn't followed.
+func (f *Feed) maxAge() time.Duration { return max(MaxAge, staleListsToMiss*f.StaleListInterval) }
+
 // applyMessage passes a leader's message to the consumer. A leader may be some changes behind the one that this router
 // followed before: then only its later changes count, so that nothing goes back.
 func (f *Feed) applyMessage(m *feedv1.FollowResponse, age time.Duration) error {
