--- a/pkg/load/cli/cli.go
+++ b/pkg/load/cli/cli.go
@@ -35,6 +35,7 @@
   lsload wait -fleet FILE                   wait until each router has the configuration
   lsload check -scenario FILE               check a scenario file
   lsload compare A.json B.json              show what got worse from A to B
+  lsload scores [-journal DIR] SITE...      show which days of the newest scores got worse
   lsload router-bench [-h]                  measure one router with instant engines
 `
 
@@ -53,6 +54,8 @@
 		return waitReady(ctx, args[1:], stderr)
 	case "compare":
 		return compareRuns(args[1:], stdout, stderr)
+	case "scores":
+		return compareScores(args[1:], stdout, stderr)
 	case "router-bench":
 		return runRouterBench(ctx, args[1:], stdout, stderr)
 	case "check":
