Charge a budget only for answers of which something was delivered

Decision: the platform's total is what an organisation may consume: input tokens, counted once per request, and output tokens that were delivered; the rule forbids that it gets more; and prepaid tokens must be neither lost nor spent twice. An answer of which nothing was delivered bought nothing, so its tokens are released.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -174,7 +174,7 @@
 	if stream.lastID >= 0 {
 		dispatch.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
-	eventsBefore, ranBefore := stream.count, e.mayHaveRun
+	eventsBefore := stream.count
 	response, err := e.Client.Send(ctx, upstream.Call{
 		Address: decision.Address, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Header: e.Dialect.Encode(&e.request, dispatch), Body: e.request.Body, ID: e.request.ID, IDHeader: e.Dialect.IDHeader(),
@@ -186,7 +186,6 @@
 	e.attempts++
 	if err != nil {
 		e.mayHaveRun = true
-		e.abandoned = e.isAbandoned(ctx, ranBefore)
 		e.Log.WithFields(log.Fields{"request": e.request.ID, "endpoint": decision.Chosen}).WithError(err).Info("endpoint_failed")
 		e.Placement.finish(inFlight, e.failureResult(ctx), 0)
 		return attemptFailed, nil
@@ -198,7 +197,6 @@
 	case attemptDelivered:
 		e.Placement.finish(inFlight, route.Succeeded, outputTokens)
 	case attemptFailed:
-		e.abandoned = e.isAbandoned(ctx, ranBefore)
 		e.Placement.finish(inFlight, e.failureResult(ctx), outputTokens)
 	default:
 		e.Placement.finish(inFlight, route.Cancelled, 0)
@@ -206,11 +204,6 @@
 	return result, errorResponse
 }
 
-// isAbandoned reports whether the caller left before the first event, while no earlier attempt may have run.
-func (e *exchange) isAbandoned(ctx context.Context, ranBefore bool) bool {
-	return errors.Is(ctx.Err(), context.Canceled) && !ranBefore && e.relayedEvents == 0 && !e.headerSent
-}
-
 // failureResult returns whether a failed attempt counts against the endpoint: it doesn't if ctx has ended.
 func (e *exchange) failureResult(ctx context.Context) route.Result {
 	if ctx.Err() != nil {
@@ -256,7 +249,7 @@
 
 // writeResponse writes an endpoint's response to the caller, without its hop-by-hop headers.
 func (e *exchange) writeResponse(r *bufferedResponse) {
-	e.status = r.status
+	e.status, e.delivered = r.status, true
 	if e.firstByteAt.IsZero() {
 		e.firstByteAt = time.Now()
 	}
@@ -307,7 +300,7 @@
 	if e.headerSent {
 		return
 	}
-	e.headerSent, e.status = true, response.Status
+	e.headerSent, e.delivered, e.status = true, true, response.Status
 	copyHeader(e.writer.Header(), response.Header)
 	e.writer.WriteHeader(response.Status)
 }
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -106,8 +106,8 @@
 	attempts int
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
-	// abandoned is set if the caller left before the first event of the only attempt that was sent.
-	abandoned bool
+	// delivered is set once a part of an endpoint's answer was written to the caller.
+	delivered bool
 	// decision is the most recent choice of an endpoint, nil if there was none.
 	decision *route.Decision
 	// headerSent is set once the header of a stream was sent to the caller.
@@ -262,11 +262,11 @@
 	return 0, outcome.NotRunf(outcome.ReasonGrantUnavailable, storeRetryAfter, "the budget can't be drawn on now")
 }
 
-// usedTokens returns how many of the reserved tokens the request has used. A request starts to run with its first token,
-// so one whose caller left before any event came has used none. Otherwise, if an endpoint may have run the request, its
-// prompt counts in full.
+// usedTokens returns how many of the reserved tokens the request has used: none if nothing of an answer was delivered,
+// because the organisation got nothing for them, otherwise its prompt, once however many endpoints ran it, and the output
+// that was delivered.
 func (e *exchange) usedTokens(reserved int64) int64 {
-	if !e.mayHaveRun || e.abandoned {
+	if !e.delivered {
 		return 0
 	}
 	return min(reserved, e.request.Prompt.Tokens+int64(e.relayedEvents*max(1, e.service.TokensPerEvent)))
