--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
 	"github.com/lavendershunt/lavendershunt/pkg/feed"
 	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
@@ -74,26 +75,51 @@
 	r.configFeed, r.endpointFeed, r.rosterFeed = feed.New(config), feed.New(endpoints), feed.New(records)
 }
 
-// runFeeds feeds the router until ctx ends. It reads the routers' records first: a router of a large fleet then waits
-// until there is one to follow, for at most leaderWaitAtStart.
+// runFeeds feeds the router until ctx ends. The routers' records come first, because they tell whom to follow.
 func (r *Router) runFeeds(ctx context.Context) {
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	tasks.Go(func() { r.rosterFeed.Run(ctx) })
 	const interval = 50 * time.Millisecond
-	for end := time.Now().Add(leaderWaitAtStart); ctx.Err() == nil && time.Now().Before(end); {
-		if _, known := r.rosterFeed.Age(); known && !r.roster.AwaitsLeader(maxSmallFleet) {
-			break
+	started := time.Now()
+	for sleep.For(ctx, interval) {
+		_, known := r.rosterFeed.Age()
+		start := fleetStart{
+			takes: r.settings.FleetStart, first: r.settings.FirstStart && !r.roster.AnyReady(),
+			known: known, awaitsLeader: r.roster.AwaitsLeader(maxSmallFleet),
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(interval):
+		if start.mayReadStore(time.Since(started)) {
+			break
 		}
 	}
 	tasks.Go(func() { r.configFeed.Run(ctx) })
 	tasks.Go(func() { r.endpointFeed.Run(ctx) })
 }
 
+// fleetStart is what a starting router knows of the others.
+type fleetStart struct {
+	// takes is how long the first start of the whole system takes until each router has the records of all others, and
+	// first is set if this is such a start.
+	takes time.Duration
+	first bool
+	// known is set once the records have been read, and awaitsLeader while the router should follow one that isn't ready.
+	known, awaitsLeader bool
+}
+
+// mayReadStore reports whether a router that started elapsed ago may begin to read the configuration and the endpoints.
+// It answers the start of a large fleet, in which every router would otherwise read the store itself before it knows that
+// it can follow another one.
+func (s fleetStart) mayReadStore(elapsed time.Duration) bool {
+	limit := leaderWaitAtStart
+	if s.first {
+		if elapsed < s.takes {
+			return false
+		}
+		limit = s.takes + 2*leaderWaitAtStart // The leaders read the store first, and then their state has to be seen.
+	}
+	return s.known && !s.awaitsLeader || elapsed >= limit
+}
+
 // byFleetSize returns a function that returns small or large according to the current number of routers.
 func (r *Router) byFleetSize(small, large time.Duration) func() time.Duration {
 	return func() time.Duration {
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -44,6 +44,9 @@
 	LinkBytesPerSecond float64
 	// FirstStart is set if the whole system starts for the first time.
 	FirstStart bool
+	// FleetStart is how long the first start of the whole system takes until each router has the records of all others. A
+	// router can't tell before whether it has to read the store for others. 0 means that it doesn't wait.
+	FleetStart time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
 	// ConfigApply is the time within which a new configuration must be in force; 0 means a default.
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
@@ -102,7 +103,7 @@
 				directUntil = time.Time{}
 			}
 		default:
-			pause(ctx, leaderRetryPause/2+rand.N(leaderRetryPause))
+			sleep.For(ctx, leaderRetryPause/2+rand.N(leaderRetryPause))
 		}
 	}
 }
@@ -148,19 +149,11 @@
 		f.Log.WithField("kind", f.Kind).WithError(err).Warn("store_lost")
 	}
 	f.fallback.failures++
-	pause(ctx, f.retryDelay/2+rand.N(f.retryDelay/2))
+	sleep.For(ctx, f.retryDelay/2+rand.N(f.retryDelay/2))
 	f.retryDelay = min(2*f.retryDelay, maxRetryDelay)
 	return false
 }
 
-// pause waits for the time or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // recordContact records an answer of the store that is age old.
 func (f *Feed) recordContact(age time.Duration) {
 	f.contact, f.retryDelay, f.fallback = time.Now().Add(-age), minRetryDelay, fallback{}
@@ -201,7 +194,7 @@
 		}
 		failures, revision = 0, next
 		f.applyChanges(changes, revision, 0)
-		if pause(ctx, time.Until(start.Add(f.WatchPause()))); ctx.Err() != nil {
+		if !sleep.For(ctx, time.Until(start.Add(f.WatchPause()))) {
 			return ctx.Err()
 		}
 	}
@@ -222,7 +215,7 @@
 		if leaders := f.leaders(directUntil); len(leaders) > 0 {
 			return nil
 		}
-		if pause(ctx, f.StaleListInterval*4/5+rand.N(f.StaleListInterval*2/5)); ctx.Err() != nil {
+		if !sleep.For(ctx, f.StaleListInterval*4/5+rand.N(f.StaleListInterval*2/5)) {
 			return ctx.Err()
 		}
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -449,6 +449,13 @@
 	return addresses
 }
 
+// AnyReady reports whether another router is ready.
+func (r *Roster) AnyReady() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.aliveRecords(func(m Record) bool { return m.State == Ready && m.name != r.name })) > 0
+}
+
 // AwaitsLeader reports whether this router should follow a leader and there is none yet: the fleet has more than
 // smallFleet routers, this one is not a primary router, and no router is ready.
 func (r *Roster) AwaitsLeader(smallFleet int) bool {
