Keep the records of very large fleets until four renewals are missed

Cause, read from the code: at 500 routers a small one renews its record in a minute, after which the record was deleted. Test: TestRecordsOutliveTheirRenewals, which fails at 300 and 1,000 routers without the change.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -35,8 +35,10 @@
 	// the age that a list from the store may have, is added to them.
 	missedRenewals = 2.5
 	maxListAge     = 3 * time.Second
-	// recordRetention is the time without a renewal after which a dead router's record is deleted.
-	recordRetention = time.Minute
+	// recordRetention is the time without a renewal after which a dead router's record is deleted, and retainedRenewals the
+	// least number of its renewal intervals: the records of a fleet of 500 are renewed in a minute.
+	recordRetention  = time.Minute
+	retainedRenewals = 4
 )
 
 // State is a router's state as written in its record.
@@ -107,8 +109,8 @@
 	v.advancedAt = now
 }
 
-// applyList replaces the members by the result of a list; self is this router's own record. A member whose revision has not increased keeps its previous
-// record and time of change.
+// applyList replaces the members by the result of a list; self is this router's own record. A member whose revision has
+// not increased keeps its previous record and time of change.
 func (v *view) applyList(now time.Time, self Record, found map[string]member) {
 	v.advance(now)
 	changedAt := v.firstListAt.Add(v.elapsed)
@@ -151,7 +153,8 @@
 
 // isExpired reports whether the member's record is to be deleted.
 func (v *view) isExpired(m member) bool {
-	return v.firstListAt.Add(v.elapsed).Sub(m.changedAt) >= recordRetention
+	retention := max(recordRetention, retainedRenewals*v.renewalInterval(m.record))
+	return v.firstListAt.Add(v.elapsed).Sub(m.changedAt) >= retention
 }
 
 // Roster is a router's view of the fleet. It is safe for concurrent use.
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -162,3 +162,22 @@
 	must.Greater(t, 10*ListInterval, v.renewalInterval(Record{Capacity: 31}))
 	must.EqOp(t, ListInterval, newTestRoster(7).view.renewalInterval(Record{}))
 }
+
+// Guards against deleting the records of living routers in a fleet so large that they are renewed less often than dead ones
+// are deleted.
+func TestRecordsOutliveTheirRenewals(t *testing.T) {
+	for _, size := range []int{10, 300, 1000} {
+		r := fleetOf(6, size)
+		v := &r.view
+		interval := v.renewalInterval(Record{Capacity: 31})
+		for range int(2*interval/ListInterval) + 1 {
+			v.advance(v.advancedAt.Add(ListInterval))
+		}
+		for name, m := range v.members {
+			if m.record.Capacity > 31 {
+				continue // A large router renews in 2 s.
+			}
+			must.False(t, v.isExpired(m), must.Sprintf("%s of %d, renewed every %s", name, size, interval))
+		}
+	}
+}
