Refuse connections at the port while the VM's link is full

Change: while callers take more than 0.7 of the link and connections to endpoints take 150 ms or more (median), the router closes its callers' port for 0.2 s, and for up to 1.6 s if the link is full again within a second. A refused connection costs next to nothing, its caller knows that nothing ran, and open connections stay. A request's time at the router leaves out the delay.

--- /dev/null
+++ b/pkg/entry/callerlistener.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
+)
+
+const (
+	// linkCheckInterval is the time between two checks of the link.
+	linkCheckInterval = 100 * time.Millisecond
+	// Connections are refused for minRefusal first, and for twice as long, up to maxRefusal, if the link is full again within
+	// calmTime. acceptTime is the least time between two refusals.
+	minRefusal = 200 * time.Millisecond
+	maxRefusal = 1600 * time.Millisecond
+	acceptTime = 200 * time.Millisecond
+	calmTime   = time.Second
+)
+
+// callerListener accepts callers' connections and measures their use of the VM's link. While the link is full it closes
+// its port for short times.
+//
+// It answers a caller that sends more than the link carries and keeps the VM's address whatever address answers say. A
+// refused connection costs next to nothing and makes it use another address; a request that is rejected would come back.
+type callerListener struct {
+	address string
+	meter   *linkMeter
+	// delay estimates how long packets wait in the link.
+	delay func() time.Duration
+	log   log.Interface
+
+	mu sync.Mutex
+	// current is the open listener, and reopened is closed when there is another one or none any more.
+	current  net.Listener
+	reopened chan struct{}
+	closed   bool
+}
+
+func newCallerListener(l net.Listener, meter *linkMeter, delay func() time.Duration, logger log.Interface) *callerListener {
+	return &callerListener{address: l.Addr().String(), meter: meter, delay: delay, log: logger, current: l, reopened: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	for {
+		l.mu.Lock()
+		current, reopened, closed := l.current, l.reopened, l.closed
+		l.mu.Unlock()
+		if closed {
+			return nil, net.ErrClosed
+		}
+		if current == nil {
+			<-reopened
+			continue
+		}
+		c, err := current.Accept()
+		if err == nil {
+			return &callerConn{Conn: c, meter: l.meter}, nil
+		}
+		l.mu.Lock()
+		paused := l.current != current
+		l.mu.Unlock()
+		if !paused {
+			return nil, err
+		}
+	}
+}
+
+// Close implements net.Listener.
+func (l *callerListener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	current := l.current
+	l.replace(nil)
+	l.closed = true
+	if current == nil {
+		return nil
+	}
+	return current.Close()
+}
+
+// Addr implements net.Listener.
+func (l *callerListener) Addr() net.Addr {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current != nil {
+		return l.current.Addr()
+	}
+	return &net.TCPAddr{}
+}
+
+// replace sets the open listener and wakes Accept. l.mu must be held.
+func (l *callerListener) replace(next net.Listener) {
+	if l.closed {
+		return
+	}
+	l.current = next
+	close(l.reopened)
+	l.reopened = make(chan struct{})
+}
+
+// run refuses connections while the link is full, until ctx ends.
+func (l *callerListener) run(ctx context.Context) {
+	var refusal time.Duration
+	var acceptedSince time.Time
+	for sleep.For(ctx, linkCheckInterval) {
+		delay := l.delay()
+		if !l.meter.isFull(time.Now(), delay) {
+			continue
+		}
+		refusal = nextRefusal(refusal, time.Since(acceptedSince))
+		l.log.WithFields(log.Fields{"delay_ms": delay.Milliseconds(), "refused_for_ms": refusal.Milliseconds()}).Warn("link_full")
+		l.mu.Lock()
+		current := l.current
+		l.replace(nil)
+		l.mu.Unlock()
+		if current == nil {
+			return
+		}
+		_ = current.Close() // Accept returns its error and waits.
+		sleep.For(ctx, refusal)
+		if err := l.reopen(); err != nil {
+			l.log.WithError(err).Error("listen_failed")
+			return
+		}
+		acceptedSince = time.Now()
+		sleep.For(ctx, acceptTime)
+	}
+}
+
+// nextRefusal returns how long to refuse connections after the last refusal and the time since then.
+func nextRefusal(last, accepted time.Duration) time.Duration {
+	if last == 0 || accepted > calmTime {
+		return minRefusal
+	}
+	return min(2*last, maxRefusal)
+}
+
+func (l *callerListener) reopen() error {
+	next, err := net.Listen("tcp4", l.address)
+	if err != nil {
+		return fmt.Errorf("entry: listen on %s again: %w", l.address, err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return next.Close()
+	}
+	l.replace(next)
+	return nil
+}
+
+// callerConn is a caller's connection whose bytes are measured.
+type callerConn struct {
+	net.Conn
+	meter *linkMeter
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.meter.record(time.Now(), n)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.meter.record(time.Now(), n)
+	}
+	return n, err
+}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -208,6 +208,11 @@
 			return fmt.Errorf("entry: listen on %s: %w", l.address, err)
 		}
 		defer l.server.Close()
+		if l.server == callers && r.settings.LinkBytesPerSecond > 0 {
+			metered := newCallerListener(listener, newLinkMeter(r.settings.LinkBytesPerSecond, time.Now()), r.client.LinkDelay, r.log)
+			tasks.Go(func() { metered.run(backgroundCtx) })
+			listener = metered
+		}
 		tasks.Go(func() {
 			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				serveErrors <- fmt.Errorf("entry: serve %s: %w", l.address, err)
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -202,7 +202,7 @@
 	if e.request.TimeLeft > 0 {
 		limit = min(limit, e.request.TimeLeft)
 	}
-	e.deadline = e.arrivedAt.Add(limit)
+	e.deadline = e.arrivedAt.Add(timeAtRouter(limit, e.Client.LinkDelay()))
 	return nil
 }
 
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -64,6 +64,7 @@
 type Client struct {
 	Stats  Stats
 	dialer *net.Dialer
+	delay  delayMeter
 	mu     sync.Mutex
 	// idle holds the idle connections by address.
 	idle map[string][]*conn
@@ -91,6 +92,9 @@
 	return response, nil
 }
 
+// LinkDelay estimates how long packets wait in the VM's link, in both directions together. It is 0 without an estimate.
+func (c *Client) LinkDelay() time.Duration { return c.delay.estimate(time.Now()) }
+
 // exchange is one request and its response on a connection.
 type exchange struct {
 	client *Client
@@ -213,6 +217,9 @@
 	}
 	c.Stats.Dials.Add(1)
 	dialled, err := c.dialer.DialContext(ctx, "tcp", address)
+	if ended := time.Now(); err == nil || ended.Sub(now) >= dialTimeout {
+		c.delay.record(ended, ended.Sub(now))
+	}
 	if err != nil {
 		return nil, err
 	}
