--- a/pkg/entry/callerlistener.go
+++ b/pkg/entry/callerlistener.go
@@ -29,8 +29,8 @@
 // It answers a caller that sends more than the link carries and keeps the VM's address whatever address answers say. A
 // refused connection costs next to nothing and makes it use another address; a request that is rejected would come back.
 type callerListener struct {
-	address string
-	meter   *linkMeter
+	addr  net.Addr
+	meter *linkMeter
 	// delay estimates how long packets wait in the link.
 	delay func() time.Duration
 	log   log.Interface
@@ -43,7 +43,7 @@
 }
 
 func newCallerListener(l net.Listener, meter *linkMeter, delay func() time.Duration, logger log.Interface) *callerListener {
-	return &callerListener{address: l.Addr().String(), meter: meter, delay: delay, log: logger, current: l, reopened: make(chan struct{})}
+	return &callerListener{addr: l.Addr(), meter: meter, delay: delay, log: logger, current: l, reopened: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
@@ -86,14 +86,7 @@
 }
 
 // Addr implements net.Listener.
-func (l *callerListener) Addr() net.Addr {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.current != nil {
-		return l.current.Addr()
-	}
-	return &net.TCPAddr{}
-}
+func (l *callerListener) Addr() net.Addr { return l.addr }
 
 // replace sets the open listener and wakes Accept. l.mu must be held.
 func (l *callerListener) replace(next net.Listener) {
@@ -143,9 +136,9 @@
 }
 
 func (l *callerListener) reopen() error {
-	next, err := net.Listen("tcp4", l.address)
+	next, err := net.Listen("tcp4", l.addr.String())
 	if err != nil {
-		return fmt.Errorf("entry: listen on %s again: %w", l.address, err)
+		return fmt.Errorf("entry: listen on %s again: %w", l.addr, err)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
