--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -3,7 +3,6 @@
 package roster
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -82,81 +81,6 @@
 	changedAt time.Time
 }
 
-// view is the deterministic part of a Roster, without I/O and clock. Its time advances only while the records are up to
-// date, so that no member expires while the store can't be read.
-type view struct {
-	members map[string]member
-	// elapsed is the time during which the store could be read, since firstListAt.
-	elapsed     time.Duration
-	advancedAt  time.Time
-	firstListAt time.Time
-	// largestCapacity is the largest capacity of the members and of this router, and primaryCount the number of primary
-	// routers among them.
-	largestCapacity float64
-	primaryCount    int
-}
-
-// maxListGap bounds the time by which view.elapsed increases at once.
-const maxListGap = 2 * ListInterval
-
-// advance moves the view's time to now.
-func (v *view) advance(now time.Time) {
-	if v.advancedAt.IsZero() {
-		v.firstListAt = now
-	} else {
-		v.elapsed += min(now.Sub(v.advancedAt), maxListGap)
-	}
-	v.advancedAt = now
-}
-
-// applyList replaces the members by the result of a list; self is this router's own record. A member whose revision has
-// not increased keeps its previous record and time of change.
-func (v *view) applyList(now time.Time, self Record, found map[string]member) {
-	v.advance(now)
-	changedAt := v.firstListAt.Add(v.elapsed)
-	next := make(map[string]member, len(found))
-	for name, m := range found {
-		m.changedAt = changedAt
-		if old, ok := v.members[name]; ok && old.revision >= m.revision {
-			m = old
-		}
-		next[name] = m
-	}
-	v.members = next
-	records := []Record{self}
-	for _, m := range next {
-		records = append(records, m.record)
-	}
-	v.largestCapacity, v.primaryCount = maxCapacity(records), 0
-	for _, r := range records {
-		if r.isPrimary(v.largestCapacity) {
-			v.primaryCount++
-		}
-	}
-}
-
-// isAlive reports whether the member has renewed its record recently.
-func (v *view) isAlive(m member) bool {
-	limit := maxListAge + time.Duration(missedRenewals*float64(v.renewalInterval(m.record)))
-	return v.firstListAt.Add(v.elapsed).Sub(m.changedAt) < limit
-}
-
-// renewalInterval returns the time between two renewals of a router's record. Callers use the primary routers, so these
-// renew their records as often as in a fleet that has no others.
-func (v *view) renewalInterval(r Record) time.Duration {
-	n := len(v.members) + 1
-	if r.isPrimary(v.largestCapacity) {
-		n = v.primaryCount
-	}
-	return ListInterval * time.Duration(max(1, (n-1+maxFullRateRouters)/maxFullRateRouters))
-}
-
-// isExpired reports whether the member's record is to be deleted.
-func (v *view) isExpired(m member) bool {
-	retention := max(recordRetention, retainedRenewals*v.renewalInterval(m.record))
-	return v.firstListAt.Add(v.elapsed).Sub(m.changedAt) >= retention
-}
-
 // Roster is a router's view of the fleet. It is safe for concurrent use.
 type Roster struct {
 	store            Store
@@ -423,76 +347,6 @@
 	return list
 }
 
-// Leaders returns the peer addresses of the routers to follow, in order: at most perZone of this availability zone, then
-// one of each other zone. The leaders of a zone are its largest routers, ranked by rendezvous hashing. Leaders returns
-// none if this router is a leader of its zone, or if the fleet has at most smallFleet routers.
-func (r *Roster) Leaders(smallFleet, perZone int) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.view.members)+1 <= smallFleet {
-		return nil
-	}
-	records := r.aliveRecords(func(m Record) bool { return m.name == r.name || m.State == Ready })
-	byZone := map[string][]Record{}
-	for _, m := range records {
-		byZone[m.Zone] = append(byZone[m.Zone], m)
-	}
-	leaders := zoneLeaders(r.self.Zone, byZone[r.self.Zone], perZone)
-	if slices.ContainsFunc(leaders, func(m Record) bool { return m.name == r.name }) {
-		return nil
-	}
-	delete(byZone, r.self.Zone)
-	for _, zone := range rendezvous.Rank(r.name, slices.Collect(maps.Keys(byZone))) {
-		leaders = append(leaders, zoneLeaders(zone, byZone[zone], 1)...)
-	}
-	addresses := make([]string, len(leaders))
-	for i, m := range leaders {
-		addresses[i] = m.Peer
-	}
-	return addresses
-}
-
-// AnyReady reports whether another router is ready.
-func (r *Roster) AnyReady() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.aliveRecords(func(m Record) bool { return m.State == Ready && m.name != r.name })) > 0
-}
-
-// AwaitsLeader reports whether this router should follow a leader and there is none yet: the fleet has more than
-// smallFleet routers, this one is not a primary router, and no router is ready.
-func (r *Roster) AwaitsLeader(smallFleet int) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.view.members)+1 <= smallFleet || r.self.isPrimary(r.view.largestCapacity) {
-		return false
-	}
-	return len(r.aliveRecords(func(m Record) bool { return m.State == Ready })) == 0
-}
-
-// zoneLeaders returns the first n of a zone's records, primary routers before the others.
-func zoneLeaders(zone string, records []Record, n int) []Record {
-	byName := make(map[string]Record, len(records))
-	for _, m := range records {
-		byName[m.name] = m
-	}
-	largest := maxCapacity(records)
-	ranked := make([]Record, 0, len(records))
-	for _, name := range rendezvous.Rank("leaders/"+zone, names(records)) {
-		ranked = append(ranked, byName[name])
-	}
-	slices.SortStableFunc(ranked, func(a, b Record) int { return cmp.Compare(rank(a.isPrimary(largest)), rank(b.isPrimary(largest))) })
-	return ranked[:min(n, len(ranked))]
-}
-
-// rank orders primary routers before the others.
-func rank(primary bool) int {
-	if primary {
-		return 0
-	}
-	return 1
-}
-
 // Addresses returns the caller addresses of at most limit ready primary routers, those in the given zone first. If no
 // router is ready, it returns the addresses of those that are starting.
 func (r *Roster) Addresses(zone string, limit int) []string {
--- /dev/null
+++ b/pkg/roster/view.go
@@ -0,0 +1,78 @@
+package roster
+
+import "time"
+
+// view is the deterministic part of a Roster, without I/O and clock. Its time advances only while the records are up to
+// date, so that no member expires while the store can't be read.
+type view struct {
+	members map[string]member
+	// elapsed is the time during which the store could be read, since firstListAt.
+	elapsed     time.Duration
+	advancedAt  time.Time
+	firstListAt time.Time
+	// largestCapacity is the largest capacity of the members and of this router, and primaryCount the number of primary
+	// routers among them.
+	largestCapacity float64
+	primaryCount    int
+}
+
+// maxListGap bounds the time by which view.elapsed increases at once.
+const maxListGap = 2 * ListInterval
+
+// advance moves the view's time to now.
+func (v *view) advance(now time.Time) {
+	if v.advancedAt.IsZero() {
+		v.firstListAt = now
+	} else {
+		v.elapsed += min(now.Sub(v.advancedAt), maxListGap)
+	}
+	v.advancedAt = now
+}
+
+// applyList replaces the members by the result of a list; self is this router's own record. A member whose revision has
+// not increased keeps its previous record and time of change.
+func (v *view) applyList(now time.Time, self Record, found map[string]member) {
+	v.advance(now)
+	changedAt := v.firstListAt.Add(v.elapsed)
+	next := make(map[string]member, len(found))
+	for name, m := range found {
+		m.changedAt = changedAt
+		if old, ok := v.members[name]; ok && old.revision >= m.revision {
+			m = old
+		}
+		next[name] = m
+	}
+	v.members = next
+	records := []Record{self}
+	for _, m := range next {
+		records = append(records, m.record)
+	}
+	v.largestCapacity, v.primaryCount = maxCapacity(records), 0
+	for _, r := range records {
+		if r.isPrimary(v.largestCapacity) {
+			v.primaryCount++
+		}
+	}
+}
+
+// isAlive reports whether the member has renewed its record recently.
+func (v *view) isAlive(m member) bool {
+	limit := maxListAge + time.Duration(missedRenewals*float64(v.renewalInterval(m.record)))
+	return v.firstListAt.Add(v.elapsed).Sub(m.changedAt) < limit
+}
+
+// renewalInterval returns the time between two renewals of a router's record. Callers use the primary routers, so these
+// renew their records as often as in a fleet that has no others.
+func (v *view) renewalInterval(r Record) time.Duration {
+	n := len(v.members) + 1
+	if r.isPrimary(v.largestCapacity) {
+		n = v.primaryCount
+	}
+	return ListInterval * time.Duration(max(1, (n-1+maxFullRateRouters)/maxFullRateRouters))
+}
+
+// isExpired reports whether the member's record is to be deleted.
+func (v *view) isExpired(m member) bool {
+	retention := max(recordRetention, retainedRenewals*v.renewalInterval(m.record))
+	return v.firstListAt.Add(v.elapsed).Sub(m.changedAt) >= retention
+}
