--- a/pkg/upstream/endless_test.go
+++ b/pkg/upstream/endless_test.go
@@ -18,9 +18,9 @@
 const endlessCap = 8 << 20
 
 // sendToEndless sends a call to an endpoint that answers with prefix and then with chunk, again and again with the pause
-// between, until the client closes the connection. It returns the error, the number of bytes that the client took and
-// the time after which Send returned.
-func sendToEndless(t *testing.T, prefix, chunk string, pause time.Duration) (error, int64, time.Duration) {
+// between, until the client closes the connection. It returns the number of bytes that the client took, the time after
+// which Send returned, and its error.
+func sendToEndless(t *testing.T, prefix, chunk string, pause time.Duration) (int64, time.Duration, error) {
 	client := NewClient()
 	near, far := net.Pipe()
 	client.putIdle("endpoint", newConn(near))
@@ -47,7 +47,7 @@
 	_, err := client.Send(ctx, newTestCall("endpoint", "1"))
 	took := time.Since(start)
 	<-ended
-	return err, taken.Load(), took
+	return taken.Load(), took, err
 }
 
 // Guards against memory that grows with a response head that never ends, in a line, in lines, in interim responses and
@@ -64,14 +64,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				err, taken, _ := sendToEndless(t, c.prefix, c.chunk, 0)
+				taken, _, err := sendToEndless(t, c.prefix, c.chunk, 0)
 				must.ErrorIs(t, err, ErrFailedAfterSend)
 				must.LessEq(t, maxHeadBytes+readBufferBytes, taken)
 			})
 		})
 		t.Run(name+" slowly", func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				err, _, took := sendToEndless(t, c.prefix, c.chunk, 50*time.Millisecond)
+				_, took, err := sendToEndless(t, c.prefix, c.chunk, 50*time.Millisecond)
 				must.ErrorIs(t, err, ErrFailedAfterSend)
 				must.LessEq(t, 2*time.Second, took, must.Sprint("the call's time ends the connection"))
 			})
