Don't bring back deleted objects from a leader that is behind

Change: after a watch, changes up to the follower's own revision are dropped. TestLeaderThatIsBehind failed before.

--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -165,6 +165,8 @@
 	must.NoError(t, f.applyMessage(&feedv1.FollowResponse{Revision: 11, Objects: []*feedv1.Object{object("a", 10, "newest"), {Key: "b", Revision: 11, Deleted: true}}}, 0))
 	must.True(t, m.hasObjects(map[string]string{"a": "newest"}))
 	must.EqOp(t, 11, f.revision)
+	must.NoError(t, f.applyMessage(&feedv1.FollowResponse{Revision: 10, Objects: []*feedv1.Object{object("b", 10, "deleted since")}}, 0))
+	must.True(t, m.hasObjects(map[string]string{"a": "newest"}), must.Sprint("a deleted object comes back"))
 	must.EqOp(t, 1, m.lists)
 }
 
--- a/pkg/feed/peer.go
+++ b/pkg/feed/peer.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -168,6 +169,15 @@
 	return stream.Err()
 }
 
+// unseen returns the changes without those that are included in what this router has: after a watch, that is every change
+// up to its revision. Stale lists give no such revision, and a deletion may carry the object's last one.
+func (f *Feed) unseen(changes []platform.Object) []platform.Object {
+	if f.StaleListInterval > 0 {
+		return changes
+	}
+	return slices.DeleteFunc(changes, func(o platform.Object) bool { return !o.Deleted && o.Revision <= f.revision })
+}
+
 // maxAge returns the time since the store's last answer to a leader above which the leader isn't followed.
 func (f *Feed) maxAge() time.Duration { return max(MaxAge, staleListsToMiss*f.StaleListInterval) }
 
@@ -184,7 +194,7 @@
 	}
 	switch {
 	case !m.GetFull():
-		f.applyChanges(f.hub.newerThanHeld(objects), max(f.revision, m.GetRevision()), age)
+		f.applyChanges(f.hub.newerThanHeld(f.unseen(objects)), max(f.revision, m.GetRevision()), age)
 	case m.GetRevision() < f.revision:
 		f.applyChanges(nil, f.revision, age)
 	default:
