--- a/pkg/entry/callerlistener.go
+++ b/pkg/entry/callerlistener.go
@@ -27,7 +27,7 @@
 // its port for short times.
 //
 // It answers a caller that sends more than the link carries and keeps the VM's address whatever address answers say. A
-// refused connection costs next to nothing and makes it use another address; a request that is rejected would come back.
+// refused connection costs next to nothing, while a request that is rejected comes back with its body.
 type callerListener struct {
 	addr  net.Addr
 	meter *linkMeter
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -92,7 +92,7 @@
 	self     Record
 	revision uint64
 	view     view
-	// storeFailing is set while renewals or lists fail.
+	// storeFailing is set while renewals or deletions fail.
 	storeFailing bool
 	// preferenceLists caches the results of PreferenceList until the next list or change of state, because the view does
 	// not change in between.
