Log what a failed request had in common with others

The lines of failed attempts didn't tell an engine that crashes by the content of a request from one that fails by itself or under its load. attempt_failed now has the prompt's shared parts and size, whether the answer had begun, and the engine's used memory by its last report.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -77,9 +77,7 @@
 		if errorResponse != nil {
 			lastErrorResponse = errorResponse
 		}
-		e.Log.WithFields(log.Fields{
-			"request": e.request.ID, "endpoint": decision.Chosen, "attempt": e.attempts, "outcome": result.String(), "events": stream.count,
-		}).Info("attempt_failed")
+		e.logFailedAttempt(decision, result, stream)
 		if result == attemptNotSent {
 			if unsentAttempts++; unsentAttempts < maxUnsentAttempts {
 				continue
@@ -97,6 +95,18 @@
 	}
 }
 
+// logFailedAttempt writes what distinguishes an endpoint that failed by itself, under its load, or by the content of a request.
+func (e *exchange) logFailedAttempt(decision route.Decision, result attemptResult, stream *eventStream) {
+	fields := log.Fields{
+		"request": e.request.ID, "endpoint": decision.Chosen, "attempt": e.attempts, "outcome": result.String(), "events": stream.count,
+		"answer_begun": e.answerBegun, "kv_use": decision.KVUse,
+	}
+	if p := e.request.Prompt; p != nil {
+		fields["prompt_tokens"], fields["parts"] = p.Tokens, p.sharedPartIDs()
+	}
+	e.Log.WithFields(fields).Info("attempt_failed")
+}
+
 func (r attemptResult) String() string {
 	return [...]string{"delivered", "unsent", "rejected", "failed", "answered"}[r]
 }
@@ -175,6 +185,7 @@
 		dispatch.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
 	eventsBefore := stream.count
+	e.answerBegun = false
 	response, err := e.Client.Send(ctx, upstream.Call{
 		Address: decision.Address, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Header: e.Dialect.Encode(&e.request, dispatch), Body: e.request.Body, ID: e.request.ID, IDHeader: e.Dialect.IDHeader(),
@@ -190,6 +201,7 @@
 		e.Placement.finish(inFlight, e.failureResult(ctx), 0)
 		return attemptFailed, nil
 	}
+	e.answerBegun = true
 	result, errorResponse := e.handleResponse(response, inFlight, stream)
 	_ = response.Body.Close() // Returns the connection to the pool or closes it; Close reports no useful error.
 	outputTokens := (stream.count - eventsBefore) * max(1, e.service.TokensPerEvent)
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -50,6 +50,18 @@
 	return hashes, ends
 }
 
+// sharedPartIDs returns the ids of the parts that other requests may share.
+func (p *Prompt) sharedPartIDs() []string {
+	if len(p.Parts) < 2 {
+		return nil
+	}
+	ids := make([]string, len(p.Parts)-1)
+	for i := range ids {
+		ids[i] = p.Parts[i].ID
+	}
+	return ids
+}
+
 // Request is a caller's request.
 type Request struct {
 	ID     string
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -104,6 +104,8 @@
 	deadline time.Time
 
 	attempts int
+	// answerBegun is set once the latest attempt got the header of an answer.
+	answerBegun bool
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// delivered is set once a part of an endpoint's answer was written to the caller.
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -64,6 +64,9 @@
 
 func (d *Decision) setChosen(e *endpoint, reason Reason) {
 	d.endpoint, d.Chosen, d.Address, d.Reason = e, e.vm.Name, e.vm.Address, reason
+	if e.report.valid {
+		d.KVUse = e.report.KVUse
+	}
 }
 
 // lastResortEndpoint returns a closed endpoint if Options.LastResort is set. It prefers an endpoint at its limit to an
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -88,6 +88,8 @@
 	Reason  Reason
 	// RetryAfter is the retry delay for the caller if no endpoint was chosen.
 	RetryAfter time.Duration
+	// KVUse is the used share of the chosen endpoint's KV cache by its last report, 0 without one.
+	KVUse float64
 
 	endpoint     *endpoint
 	request      Request
