--- a/pkg/poison/capacity_test.go
+++ b/pkg/poison/capacity_test.go
@@ -18,7 +18,7 @@
 	now := time.Unix(1_700_000_000, 0)
 	for _, n := range []int{100, 5000, maxRecords} {
 		before := heapBytes()
-		set := NewRecordSet()
+		set := NewRecordSet(isolatingRules)
 		for i := range n {
 			set.Merge(now, Record{
 				Fingerprint: Fingerprint{Organisation: fmt.Sprintf("organisation-%05d", i%23000), BodyHash: uint64(i) << 32},
--- a/pkg/poison/guard.go
+++ b/pkg/poison/guard.go
@@ -46,7 +46,7 @@
 // NewGuard returns a Guard for the router that view.Self returns.
 func NewGuard(view member.View, peers Peers) *Guard {
 	return &Guard{
-		view: view, peers: peers, records: NewRecordSet(), reservations: newReservations(budget.LongestRequest),
+		view: view, peers: peers, records: NewRecordSet(isolatingRules), reservations: newReservations(budget.LongestRequest),
 		crashedVMs: newCrashedVMs(),
 		needsPush:  map[string]bool{}, pushedOnce: map[string]bool{},
 		calls: make(chan func(time.Time)), stopped: make(chan struct{}),
@@ -106,7 +106,7 @@
 // StopFailure returns the failure for a stopped request. sent reports whether the request was sent to an endpoint on
 // behalf of the caller that gets the failure; the outcome is then unknown instead of not run.
 func StopFailure(sent bool) *outcome.Failure {
-	const message = "the request was running at two endpoints when they failed and is not sent to another one"
+	const message = "the request was running at several endpoints when they failed and is not sent to another one"
 	if sent {
 		return outcome.Unknownf(outcome.ReasonCrashesEndpoints, 0, message)
 	}
--- a/pkg/poison/recordset.go
+++ b/pkg/poison/recordset.go
@@ -44,11 +44,23 @@
 	Stopped
 )
 
+// Rules determine how a RecordSet counts crashes.
+type Rules struct {
+	// StopAfter is the number of crashes after which a fingerprint is stopped.
+	StopAfter int
+	// SameCrash is the time within which reports about one VM by several routers count as the same crash. It covers
+	// differences in detection time and between clocks. If clocks differ by more, one crash counts as two.
+	SameCrash time.Duration
+	// Independent is the time within which crashes of several VMs count as one, because they may have one cause that isn't a
+	// request, such as the loss of a rack.
+	Independent time.Duration
+}
+
+// isolatingRules suit routers that isolate suspects.
+var isolatingRules = Rules{StopAfter: 2, SameCrash: sameCrashWindow}
+
 const (
-	// stopAfterCrashes is the number of crashes after which a fingerprint is stopped.
-	stopAfterCrashes = 2
-	// sameCrashWindow is the time within which reports about one VM by several routers count as the same crash. It
-	// covers differences in detection time and between clocks. If clocks differ by more, one crash counts as two.
+	// sameCrashWindow is the Rules.SameCrash of VMs that keep their names when they restart.
 	sameCrashWindow = 3 * time.Second
 	// sameReportWindow is the time within which reports about one VM by one router count as the same crash. It is
 	// shorter, so that an endpoint that restarts quickly and crashes again is counted twice.
@@ -69,21 +81,18 @@
 	// order lists the records, the most recently changed first.
 	order *list.List
 	limit int
+	rules Rules
 }
 
 // NewRecordSet returns an empty set.
-func NewRecordSet() *RecordSet {
-	return &RecordSet{records: map[Fingerprint]*list.Element{}, order: list.New(), limit: maxRecords}
+func NewRecordSet(rules Rules) *RecordSet {
+	return &RecordSet{records: map[Fingerprint]*list.Element{}, order: list.New(), limit: maxRecords, rules: rules}
 }
 
 // Status returns the status of the fingerprint; without a record it is Clear.
 func (s *RecordSet) Status(now time.Time, f Fingerprint) Status {
-	element := s.records[f]
-	if element == nil {
-		return Clear
-	}
-	switch n := element.Value.(*Record).countCrashes(now); {
-	case n >= stopAfterCrashes:
+	switch n, _ := s.Crashes(now, f); {
+	case n >= s.rules.StopAfter:
 		return Stopped
 	case n > 0:
 		return Suspect
@@ -91,6 +100,24 @@
 	return Clear
 }
 
+// Crashes returns the number of crashes that count against the fingerprint, and the time of the latest report of one.
+func (s *RecordSet) Crashes(now time.Time, f Fingerprint) (n int, latest time.Time) {
+	element := s.records[f]
+	if element == nil {
+		return 0, time.Time{}
+	}
+	r := element.Value.(*Record)
+	for _, c := range r.Crashes {
+		if c.At.After(latest) {
+			latest = c.At
+		}
+	}
+	return r.countCrashes(now, s.rules), latest
+}
+
+// Len returns the number of records.
+func (s *RecordSet) Len() int { return s.order.Len() }
+
 // Counts returns the number of suspects and the number of stopped fingerprints.
 func (s *RecordSet) Counts(now time.Time) (suspects, stopped int) {
 	for f := range s.records {
@@ -105,25 +132,40 @@
 }
 
 // countCrashes returns the number of distinct crashes after ClearedAt and within Retention.
-func (r *Record) countCrashes(now time.Time) int {
+func (r *Record) countCrashes(now time.Time, rules Rules) int {
 	// groupStart is the index of the first report of the latest crash.
-	n, groupStart := 0, 0
+	groupStart := 0
+	var times []time.Time
 	for i, c := range r.Crashes { // sorted by VM and time
 		if !c.At.After(r.ClearedAt) || now.Sub(c.At) > Retention {
 			groupStart = i + 1
 			continue
 		}
-		if !isSameCrash(c, r.Crashes[groupStart:i]) {
-			n++
+		if !isSameCrash(c, r.Crashes[groupStart:i], rules.SameCrash) {
+			times = append(times, c.At)
 			groupStart = i
 		}
 	}
+	return countIndependent(times, rules.Independent)
+}
+
+// countIndependent returns the number of crashes without those that follow a counted one by less than the window.
+func countIndependent(times []time.Time, window time.Duration) int {
+	slices.SortFunc(times, time.Time.Compare)
+	n := 0
+	var counted time.Time
+	for _, at := range times {
+		if n == 0 || at.Sub(counted) >= window {
+			n++
+			counted = at
+		}
+	}
 	return n
 }
 
 // isSameCrash reports whether c is another report of the crash that the earlier reports, sorted by time, describe.
-func isSameCrash(c Crash, earlier []Crash) bool {
-	if len(earlier) == 0 || c.VM != earlier[0].VM || c.At.Sub(earlier[0].At) > sameCrashWindow {
+func isSameCrash(c Crash, earlier []Crash, window time.Duration) bool {
+	if len(earlier) == 0 || c.VM != earlier[0].VM || c.At.Sub(earlier[0].At) > window {
 		return false
 	}
 	return !slices.ContainsFunc(earlier, func(e Crash) bool {
@@ -214,7 +256,7 @@
 func (s *RecordSet) Expire(now time.Time) {
 	for element := s.order.Back(); element != nil; {
 		previous := element.Prev()
-		if element.Value.(*Record).countCrashes(now) == 0 {
+		if element.Value.(*Record).countCrashes(now, s.rules) == 0 {
 			// A cleared record is kept while another router could still send its crashes.
 			if r := element.Value.(*Record); r.ClearedAt.IsZero() || now.Sub(r.ClearedAt) > Retention {
 				s.remove(element)
--- a/pkg/poison/recordset_test.go
+++ b/pkg/poison/recordset_test.go
@@ -26,7 +26,7 @@
 	rng := rand.New(rand.NewPCG(seed, 1))
 	for range 200 {
 		// A router that receives the record of a cleared request already has a crash of that request.
-		set := NewRecordSet()
+		set := NewRecordSet(isolatingRules)
 		set.Merge(start, parts[0])
 		for range 3 {
 			rng.Shuffle(len(parts)-1, func(i, j int) { parts[1+i], parts[1+j] = parts[1+j], parts[1+i] })
@@ -37,14 +37,14 @@
 		records := set.Records()
 		must.Len(t, 1, records)
 		must.Len(t, 6, records[0].Crashes)
-		must.Eq(t, 2, records[0].countCrashes(start.Add(time.Minute)))
+		must.Eq(t, 2, records[0].countCrashes(start.Add(time.Minute), isolatingRules))
 	}
 }
 
 // Guards against counting one crash more than once because several routers report it.
 func TestOneCrashCountsOnce(t *testing.T) {
 	f := Fingerprint{Organisation: "o", BodyHash: 1}
-	set := NewRecordSet()
+	set := NewRecordSet(isolatingRules)
 	report := func(vm, observer string, at time.Duration) Status {
 		set.Merge(start.Add(at), Record{Fingerprint: f, Crashes: []Crash{{VM: vm, Observer: observer, At: start.Add(at)}}})
 		return set.Status(start.Add(at), f)
@@ -61,7 +61,7 @@
 
 // Guards against memory use that grows without bound and against records that never expire.
 func TestRecordSetIsBounded(t *testing.T) {
-	set := NewRecordSet()
+	set := NewRecordSet(isolatingRules)
 	set.limit = 100
 	for i := range 1000 {
 		at := start.Add(time.Duration(i) * time.Second)
