Move the write of a router's own object out of the roster

Another kind of object will be written the same way: by one VM only, over what an earlier process of the VM wrote or a write whose response was lost. No change of behaviour; the roster's tests pass.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -88,10 +88,12 @@
 	log              log.Interface
 	renewalRequested chan struct{}
 
-	mu       sync.Mutex
-	self     Record
-	revision uint64
-	view     view
+	// record is this router's record in the store.
+	record *platform.OwnedObject
+
+	mu   sync.Mutex
+	self Record
+	view view
 	// storeFailing is set while renewals or deletions fail.
 	storeFailing bool
 	// preferenceLists caches the results of PreferenceList until the next list or change of state, because the view does
@@ -107,7 +109,8 @@
 // New returns a Roster for the router with the given name and record.
 func New(store Store, name string, self Record, logger log.Interface) *Roster {
 	self.name = name
-	return &Roster{store: store, name: name, self: self, log: logger, renewalRequested: make(chan struct{}, 1), view: view{members: map[string]member{}}, preferenceLists: map[preferenceKey][]string{}}
+	record := &platform.OwnedObject{Store: store, Key: Kind + "/" + name}
+	return &Roster{store: store, record: record, name: name, self: self, log: logger, renewalRequested: make(chan struct{}, 1), view: view{members: map[string]member{}}, preferenceLists: map[preferenceKey][]string{}}
 }
 
 // SetState changes this router's state and renews its record at once.
@@ -202,31 +205,13 @@
 func (r *Roster) renew(ctx context.Context) error {
 	r.mu.Lock()
 	r.self.Renewal++
-	self, revision := r.self, r.revision
+	self := r.self
 	r.mu.Unlock()
 	value, err := json.Marshal(self)
 	if err != nil {
 		return fmt.Errorf("roster: encode record: %w", err)
 	}
-	key := Kind + "/" + r.name
-	object, err := r.store.Put(ctx, key, value, revision)
-	switch {
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound), errors.Is(err, platform.ErrUncertain):
-		// An earlier start of this router, or a write whose response was lost, has changed the record.
-		current, getErr := r.store.Get(ctx, key)
-		if getErr != nil && !errors.Is(getErr, platform.ErrNotFound) {
-			return getErr
-		}
-		if object, err = r.store.Put(ctx, key, value, current.Revision); err != nil {
-			return err
-		}
-	case err != nil:
-		return err
-	}
-	r.mu.Lock()
-	r.revision = object.Revision
-	r.mu.Unlock()
-	return nil
+	return r.record.Write(ctx, value)
 }
 
 // ReplaceAll implements feed.Consumer.
