Stop requests whose content crashes one engine after the other

Callers saw streams cut 20 at a time, every second, as long as a part of a prompt came that crashes engines: each router sent each such request on, and again to a second engine after the first had crashed.

Cause: an attempt that breaks says only that its engine failed. Nothing kept what the requests at a crash had in common, and no router knew of the crashes that the others saw; with seven routers and requests that are never alike, each sees one or two.

Now a router that loses a request without an answer finds out whether the engine refuses connections, so that a reset connection or a dark VM isn't taken for a crash. It records the crash against each part that other requests may share and against the request as a whole. The routers share these records through the store (kind crashrecords, one object each, by a feed like the others), so that they outlive all processes. The fewest fingerprints that explain the crashes are stopped: a part after three independent crashes, a request after two. An answer clears its fingerprints in the whole fleet. A stopped request is refused at once with 503 and Retry-After; one router tries it again after 15 s, four times as long after each further crash.

TestPromptPartThatCrashesEnginesIsStopped and TestRepeatedRequestThatCrashesEnginesIsStopped failed before (40 of 40 requests sent on) and pass. With one guard switched off at a time, a test of pkg/poison failed for: sharing of clearings, independent crashes, begun answers, trials, publishing; without the explained crashes the search doesn't end.

--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -11,6 +11,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
 	"github.com/lavendershunt/lavendershunt/pkg/feed"
 	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
+	"github.com/lavendershunt/lavendershunt/pkg/poison"
 	"github.com/lavendershunt/lavendershunt/pkg/roster"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
@@ -29,7 +30,7 @@
 func (r *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(allowance.NewService(r.accounts).Handler())
-	mux.Handle(feed.NewService(r.configFeed, r.endpointFeed, r.rosterFeed).Handler())
+	mux.Handle(feed.NewService(r.configFeed, r.endpointFeed, r.rosterFeed, r.crashFeed).Handler())
 	return mux
 }
 
@@ -54,7 +55,7 @@
 	watchPauseLargeFleet = 500 * time.Millisecond
 )
 
-// newFeeds creates the feeds of the configuration, of the endpoints and of the routers' records. In a large fleet the
+// newFeeds creates the feeds of the configuration, of the endpoints, of the routers' records and of their crash records. In a large fleet the
 // leaders of an availability zone read the store and pass the changes on to the others in it.
 func (r *Router) newFeeds(peers feed.PeerClient) {
 	options := feed.Options{
@@ -66,13 +67,14 @@
 			return time.Duration(r.roster.Count()) * time.Second / directReadsPerSecond
 		},
 	}
-	config, endpoints, records := options, options, options
+	config, endpoints, records, crashes := options, options, options, options
 	config.Kind, config.Store, config.Consumer = r.adapter.ConfigKind, r.adapter.Store, configFeed{r.config}
 	config.SetStoreLost = r.breaker.open.Store
 	endpoints.Kind, endpoints.Store, endpoints.Consumer = r.adapter.EndpointKind, r.breaker, r.endpoints
 	records.Kind, records.Store, records.Consumer = roster.Kind, r.breaker, r.roster
 	records.StaleListInterval = roster.ListInterval
-	r.configFeed, r.endpointFeed, r.rosterFeed = feed.New(config), feed.New(endpoints), feed.New(records)
+	crashes.Kind, crashes.Store, crashes.Consumer = poison.RegistryKind, r.breaker, r.crashes
+	r.configFeed, r.endpointFeed, r.rosterFeed, r.crashFeed = feed.New(config), feed.New(endpoints), feed.New(records), feed.New(crashes)
 }
 
 // runFeeds feeds the router until ctx ends. The routers' records come first, because they tell whom to follow.
@@ -94,6 +96,7 @@
 	}
 	tasks.Go(func() { r.configFeed.Run(ctx) })
 	tasks.Go(func() { r.endpointFeed.Run(ctx) })
+	tasks.Go(func() { r.crashFeed.Run(ctx) })
 }
 
 // fleetStart is what a starting router knows of the others.
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -19,6 +19,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/forward"
 	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/poison"
 	"github.com/lavendershunt/lavendershunt/pkg/retry"
 	"github.com/lavendershunt/lavendershunt/pkg/roster"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
@@ -86,11 +87,12 @@
 	server    *forward.Server
 	accounts  *allowance.Accounts
 	roster    *roster.Roster
+	crashes   *poison.Registry
 	client    *upstream.Client
 	metrics   *telemetry.Metrics
 	draining  atomic.Bool
 
-	configFeed, endpointFeed, rosterFeed *feed.Feed
+	configFeed, endpointFeed, rosterFeed, crashFeed *feed.Feed
 }
 
 // New creates a router. It also sets the memory limit and garbage collection target of the Go runtime.
@@ -122,11 +124,16 @@
 		Prepaid:    r.prepaid,
 		Peers:      &allowance.RemotePeers{Addresses: r.roster.Peers, Client: peers, Log: logger},
 	})
+	r.crashes = poison.NewRegistry(poison.RegistryOptions{
+		Store: r.breaker, VM: s.VM, Log: logger,
+		IsFirst: func(key string) bool { return r.roster.PreferenceList(key, 1)[0] == s.VM },
+	})
 	r.newFeeds(peers)
 	r.server = forward.NewServer(forward.Options{
 		Configuration: r.config, Dialect: a.Dialect, Placement: r.placement, Client: r.client, Allowances: r.accounts,
-		Retries: retry.New(s.Retry, time.Now(), s.FirstStart),
-		Routers: r.roster.Count, Log: logger, Metrics: metrics,
+		Retries:      retry.New(s.Retry, time.Now(), s.FirstStart),
+		CrashRecords: r.crashes,
+		Routers:      r.roster.Count, Log: logger, Metrics: metrics,
 		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)),
 	})
 	return r, nil
@@ -182,6 +189,7 @@
 	tasks.Go(func() { r.accounts.Run(backgroundCtx) })
 	tasks.Go(func() { r.roster.Run(backgroundCtx, r.rosterFeed.Age) })
 	tasks.Go(func() { r.runFeeds(backgroundCtx) })
+	tasks.Go(func() { r.crashes.Run(backgroundCtx) })
 	tasks.Go(func() { r.announceReady(backgroundCtx) })
 	tasks.Go(func() { r.pollReports(backgroundCtx) })
 
@@ -252,6 +260,8 @@
 		return errNoConfiguration
 	case !r.endpoints.isLoaded():
 		return errors.New("the endpoints have not been read yet")
+	case !r.crashes.IsLoaded():
+		return errors.New("the crash records have not been read yet")
 	}
 	return nil
 }
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -87,6 +87,10 @@
 			e.finishCancelled(ctx)
 			return
 		}
+		if failure := e.checkContent(); failure != nil {
+			e.finishFailed(nil, failure)
+			return
+		}
 		if !e.canRetry(result, stream) {
 			e.finishFailed(lastErrorResponse, nil)
 			return
@@ -184,8 +188,7 @@
 	if stream.lastID >= 0 {
 		dispatch.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
-	eventsBefore := stream.count
-	e.answerBegun = false
+	e.eventsBefore, e.answerBegun, e.attemptAnswered = stream.count, false, false
 	response, err := e.Client.Send(ctx, upstream.Call{
 		Address: decision.Address, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Header: e.Dialect.Encode(&e.request, dispatch), Body: e.request.Body, ID: e.request.ID, IDHeader: e.Dialect.IDHeader(),
@@ -198,24 +201,36 @@
 	if err != nil {
 		e.mayHaveRun = true
 		e.Log.WithFields(log.Fields{"request": e.request.ID, "endpoint": decision.Chosen}).WithError(err).Info("endpoint_failed")
-		e.Placement.finish(inFlight, e.failureResult(ctx), 0)
+		e.finishBroken(ctx, decision, inFlight, 0)
 		return attemptFailed, nil
 	}
 	e.answerBegun = true
 	result, errorResponse := e.handleResponse(response, inFlight, stream)
 	_ = response.Body.Close() // Returns the connection to the pool or closes it; Close reports no useful error.
-	outputTokens := (stream.count - eventsBefore) * max(1, e.service.TokensPerEvent)
+	outputTokens := (stream.count - e.eventsBefore) * max(1, e.service.TokensPerEvent)
 	switch result {
 	case attemptDelivered:
+		if !e.incomplete {
+			e.recordAnswered()
+		}
 		e.Placement.finish(inFlight, route.Succeeded, outputTokens)
 	case attemptFailed:
-		e.Placement.finish(inFlight, e.failureResult(ctx), outputTokens)
+		e.finishBroken(ctx, decision, inFlight, outputTokens)
 	default:
 		e.Placement.finish(inFlight, route.Cancelled, 0)
 	}
 	return result, errorResponse
 }
 
+// finishBroken ends an attempt that the endpoint didn't complete.
+func (e *exchange) finishBroken(ctx context.Context, decision route.Decision, inFlight *route.InFlightRequest, outputTokens int) {
+	result := e.failureResult(ctx)
+	if result == route.Failed {
+		e.reportBroken(decision.Address, inFlight)
+	}
+	e.Placement.finish(inFlight, result, outputTokens)
+}
+
 // failureResult returns whether a failed attempt counts against the endpoint: it doesn't if ctx has ended.
 func (e *exchange) failureResult(ctx context.Context) route.Result {
 	if ctx.Err() != nil {
@@ -287,6 +302,9 @@
 			e.Placement.recordFirstToken(inFlight)
 			e.writeStreamHeader(response)
 			e.relayedEvents = stream.count
+			if stream.count-e.eventsBefore >= answeredEvents {
+				e.recordAnswered()
+			}
 			if !e.writeStreamData(events) {
 				e.incomplete = true
 				return attemptDelivered
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -14,6 +14,7 @@
 	duration      metric.Float64Histogram
 	firstEvent    metric.Float64Histogram
 	deniedRetries metric.Int64Counter
+	stopped       metric.Int64Counter
 }
 
 // latencyBucketsSeconds are the histograms' bucket boundaries. They cover the latency objectives and timeouts of
@@ -30,6 +31,9 @@
 	if m.deniedRetries, err = meter.Int64Counter("forward_retries_denied", metric.WithDescription("Retries that the shared budget did not allow.")); err != nil {
 		return nil, err
 	}
+	if m.stopped, err = meter.Int64Counter("forward_content_stopped", metric.WithDescription("Requests that were not sent, or not sent again, because their content crashes endpoints.")); err != nil {
+		return nil, err
+	}
 	if m.duration, err = meter.Float64Histogram("forward_duration", metric.WithUnit("s"), latencyBucketsSeconds, metric.WithDescription("Time to the end of the answer.")); err != nil {
 		return nil, err
 	}
@@ -55,3 +59,9 @@
 		m.deniedRetries.Add(context.Background(), 1)
 	}
 }
+
+func (m *Metrics) recordStopped() {
+	if m != nil && m.stopped != nil {
+		m.stopped.Add(context.Background(), 1)
+	}
+}
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -55,6 +55,15 @@
 	return decision, inFlight
 }
 
+// servingRun returns a name for the present run of the request's endpoint, which differs after a restart. ok is false if the
+// endpoint is leaving or no longer listed, so that its end is planned.
+func (p *Placement) servingRun(inFlight *route.InFlightRequest) (run string, ok bool) {
+	p.owner.Do(func(t *table) {
+		run, ok = inFlight.Run(), t.Serves(inFlight)
+	})
+	return run, ok
+}
+
 func (p *Placement) recordFirstToken(inFlight *route.InFlightRequest) {
 	p.owner.Post(func(t *table) { t.FirstToken(time.Now(), inFlight) })
 }
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lavendershunt/lavendershunt/pkg/catalog"
+	"github.com/lavendershunt/lavendershunt/pkg/poison"
 )
 
 // ErrMalformed is wrapped by the errors of Dialect.Decode.
@@ -50,6 +51,27 @@
 	return hashes, ends
 }
 
+// features returns the properties of the request that may crash an endpoint: each part of its prompt that other requests
+// may share, and last the request as a whole, which its caller may repeat.
+func (r *Request) features(organisation string) []poison.Feature {
+	var features []poison.Feature
+	whole := xxhash.New()
+	_, _ = whole.WriteString(r.Method + " " + r.Target + "\n") // Writes to a digest never fail.
+	if r.Prompt != nil {
+		for i, id := range r.Prompt.sharedPartIDs() {
+			hash := xxhash.Sum64String(r.Prompt.Model + "/" + id)
+			features = append(features, poison.Feature{Fingerprint: poison.Fingerprint{BodyHash: hash}, Depth: i, Name: "part " + id})
+		}
+		// Different prompts may come with the same body.
+		for _, part := range r.Prompt.Parts {
+			_, _ = whole.WriteString(part.ID + ",")
+		}
+	}
+	_, _ = whole.Write(r.Body)
+	fingerprint := poison.Fingerprint{Organisation: organisation, BodyHash: whole.Sum64()}
+	return append(features, poison.Feature{Fingerprint: fingerprint, Depth: poison.DepthOfRequest, Name: "request"})
+}
+
 // sharedPartIDs returns the ids of the parts that other requests may share.
 func (p *Prompt) sharedPartIDs() []string {
 	if len(p.Parts) < 2 {
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -16,6 +16,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/catalog"
 	"github.com/lavendershunt/lavendershunt/pkg/logging"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
+	"github.com/lavendershunt/lavendershunt/pkg/poison"
 	"github.com/lavendershunt/lavendershunt/pkg/retry"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
@@ -51,6 +52,8 @@
 	Client        *upstream.Client
 	Allowances    *allowance.Accounts
 	Retries       *retry.Budget
+	// CrashRecords stop requests whose content crashes endpoints. Optional.
+	CrashRecords *poison.Registry
 	// Routers returns the number of routers that share the retry budget.
 	Routers func() int
 	Log     log.Interface
@@ -65,6 +68,7 @@
 	draining atomic.Bool
 	active   atomic.Int64
 	buffers  *bufferPool
+	crashes  *crashDetector
 	// The log lines of served requests and of failed ones have separate rate limits, so that a burst of served requests
 	// doesn't suppress the lines of failed ones.
 	servedLimiter, unservedLimiter *logging.Limiter
@@ -81,7 +85,11 @@
 	if o.BufferBytes <= 0 {
 		o.BufferBytes = defaultBufferBytes
 	}
-	return &Server{Options: o, buffers: &bufferPool{limit: o.BufferBytes}, servedLimiter: logging.NewLimiter(servedLinesPerSecond), unservedLimiter: logging.NewLimiter(unservedLinesPerSecond)}
+	return &Server{
+		Options: o, buffers: &bufferPool{limit: o.BufferBytes},
+		crashes:       &crashDetector{client: o.Client, registry: o.CrashRecords, checks: map[string]*crashCheck{}},
+		servedLimiter: logging.NewLimiter(servedLinesPerSecond), unservedLimiter: logging.NewLimiter(unservedLinesPerSecond),
+	}
 }
 
 // Drain makes the server send "Connection: close" with each response from now on.
@@ -104,8 +112,13 @@
 	deadline time.Time
 
 	attempts int
-	// answerBegun is set once the latest attempt got the header of an answer.
-	answerBegun bool
+	// answerBegun is set once the latest attempt got the header of an answer, and attemptAnswered once it showed that the
+	// endpoint can answer the request.
+	answerBegun, attemptAnswered bool
+	// eventsBefore is the number of events that were relayed before the latest attempt.
+	eventsBefore int
+	// features are set by contentFeatures.
+	features []poison.Feature
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// delivered is set once a part of an endpoint's answer was written to the caller.
@@ -153,6 +166,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), e.deadline)
 	defer cancel()
+	if failure := e.checkContent(); failure != nil {
+		e.refuse(failure)
+		return
+	}
 	reserved, failure := e.reserve(ctx)
 	if failure != nil {
 		e.refuse(failure)
--- a/pkg/poison/recordset.go
+++ b/pkg/poison/recordset.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/list"
+	"iter"
 	"slices"
 	"time"
 )
@@ -20,13 +21,21 @@
 	Observer string
 	// At is the time of the report by the observer's clock.
 	At time.Time
+	// Request is the hash of the request that was running, for the record of a part; 0 if it isn't known.
+	Request uint64
+	// Begun is set if the answer to the request had begun, but for its first event.
+	Begun bool
 }
 
 // Record holds the crashes of a fingerprint. Records are merged by the union of their crashes and the latest
 // ClearedAt, so the order and repetition of merges have no effect.
 type Record struct {
 	Fingerprint Fingerprint
-	Crashes     []Crash
+	// Depth is the position of a part in its prompt, larger for a whole request. A deeper part is shared by fewer requests.
+	Depth int
+	// Label describes the fingerprint in log lines.
+	Label   string
+	Crashes []Crash
 	// ClearedAt is the time of the latest run that completed, or zero; earlier crashes don't count.
 	ClearedAt time.Time
 }
@@ -46,10 +55,12 @@
 
 // Rules determine how a RecordSet counts crashes.
 type Rules struct {
-	// StopAfter is the number of crashes after which a fingerprint is stopped.
-	StopAfter int
+	// StopAfter is the number of crashes after which a fingerprint is stopped, and StopRequestAfter that for a whole request
+	// where parts of requests are judged as well.
+	StopAfter, StopRequestAfter int
 	// SameCrash is the time within which reports about one VM by several routers count as the same crash. It covers
-	// differences in detection time and between clocks. If clocks differ by more, one crash counts as two.
+	// differences in detection time and between clocks. If clocks differ by more, one crash counts as two. 0 suits VM names
+	// that differ between two starts: then all reports about one name are the same crash.
 	SameCrash time.Duration
 	// Independent is the time within which crashes of several VMs count as one, because they may have one cause that isn't a
 	// request, such as the loss of a rack.
@@ -67,8 +78,9 @@
 	sameReportWindow = time.Second
 	// maxClockSkew is the largest tolerated difference between the clocks of two routers.
 	maxClockSkew = 5 * time.Minute
-	// maxCrashesPerRecord is the largest number of crashes of a record; the latest are kept.
-	maxCrashesPerRecord = 16
+	// maxCrashesPerRecord is the largest number of reports of a record; the latest are kept. It has room for two from each of
+	// a few observers for each of several crashes.
+	maxCrashesPerRecord = 64
 	// Retention is the time after which a crash no longer counts.
 	Retention = time.Hour
 	// maxRecords is the largest number of records; the least recently changed are dropped.
@@ -115,6 +127,44 @@
 	return r.countCrashes(now, s.rules), latest
 }
 
+// lacksCrash reports whether the record has a crash that the set doesn't have.
+func (s *RecordSet) lacksCrash(now time.Time, r Record) bool {
+	r = s.filterTimes(now, r)
+	element := s.records[r.Fingerprint]
+	if element == nil {
+		return len(r.Crashes) > 0
+	}
+	existing := element.Value.(*Record)
+	return slices.ContainsFunc(r.Crashes, func(c Crash) bool {
+		_, found := slices.BinarySearchFunc(existing.Crashes, c, compareCrashes)
+		return !found
+	})
+}
+
+// reports returns how many reports the record has of the crash of a VM by one observer.
+func (s *RecordSet) reports(f Fingerprint, vm, observer string) int {
+	element := s.records[f]
+	if element == nil {
+		return 0
+	}
+	n := 0
+	for _, c := range element.Value.(*Record).Crashes {
+		if c.VM == vm && c.Observer == observer {
+			n++
+		}
+	}
+	return n
+}
+
+// newest returns the time of the record's newest entry, or t if that is later.
+func (r *Record) newest(t time.Time) time.Time {
+	times := []time.Time{t, r.ClearedAt}
+	for _, c := range r.Crashes {
+		times = append(times, c.At)
+	}
+	return slices.MaxFunc(times, time.Time.Compare)
+}
+
 // Len returns the number of records.
 func (s *RecordSet) Len() int { return s.order.Len() }
 
@@ -133,31 +183,42 @@
 
 // countCrashes returns the number of distinct crashes after ClearedAt and within Retention.
 func (r *Record) countCrashes(now time.Time, rules Rules) int {
-	// groupStart is the index of the first report of the latest crash.
-	groupStart := 0
-	var times []time.Time
-	for i, c := range r.Crashes { // sorted by VM and time
-		if !c.At.After(r.ClearedAt) || now.Sub(c.At) > Retention {
-			groupStart = i + 1
-			continue
+	return countIndependent(r.distinctCrashes(now, rules.SameCrash), rules.Independent)
+}
+
+// distinctCrashes returns the first report of each crash after ClearedAt and within Retention.
+func (r *Record) distinctCrashes(now time.Time, sameCrash time.Duration) []Crash {
+	// group holds the reports of the latest crash.
+	var group, distinct []Crash
+	for c := range r.countingReports(now) {
+		if !isSameCrash(c, group, sameCrash) {
+			distinct, group = append(distinct, c), nil
 		}
-		if !isSameCrash(c, r.Crashes[groupStart:i], rules.SameCrash) {
-			times = append(times, c.At)
-			groupStart = i
+		group = append(group, c)
+	}
+	return distinct
+}
+
+// countingReports returns the reports after ClearedAt and within Retention, sorted by VM and time.
+func (r *Record) countingReports(now time.Time) iter.Seq[Crash] {
+	return func(yield func(Crash) bool) {
+		for _, c := range r.Crashes {
+			if c.At.After(r.ClearedAt) && now.Sub(c.At) <= Retention && !yield(c) {
+				return
+			}
 		}
 	}
-	return countIndependent(times, rules.Independent)
 }
 
 // countIndependent returns the number of crashes without those that follow a counted one by less than the window.
-func countIndependent(times []time.Time, window time.Duration) int {
-	slices.SortFunc(times, time.Time.Compare)
+func countIndependent(crashes []Crash, window time.Duration) int {
+	byTime := slices.SortedFunc(slices.Values(crashes), func(a, b Crash) int { return a.At.Compare(b.At) })
 	n := 0
 	var counted time.Time
-	for _, at := range times {
-		if n == 0 || at.Sub(counted) >= window {
+	for _, c := range byTime {
+		if n == 0 || c.At.Sub(counted) >= window {
 			n++
-			counted = at
+			counted = c.At
 		}
 	}
 	return n
@@ -165,7 +226,13 @@
 
 // isSameCrash reports whether c is another report of the crash that the earlier reports, sorted by time, describe.
 func isSameCrash(c Crash, earlier []Crash, window time.Duration) bool {
-	if len(earlier) == 0 || c.VM != earlier[0].VM || c.At.Sub(earlier[0].At) > window {
+	if len(earlier) == 0 || c.VM != earlier[0].VM {
+		return false
+	}
+	if window == 0 {
+		return true
+	}
+	if c.At.Sub(earlier[0].At) > window {
 		return false
 	}
 	return !slices.ContainsFunc(earlier, func(e Crash) bool {
@@ -190,6 +257,7 @@
 		element = s.records[r.Fingerprint]
 	}
 	existing := element.Value.(*Record)
+	existing.Depth, existing.Label = max(existing.Depth, r.Depth), cmp.Or(existing.Label, r.Label)
 	changed := r.ClearedAt.After(existing.ClearedAt)
 	if changed {
 		existing.ClearedAt = r.ClearedAt
@@ -224,9 +292,9 @@
 	return r
 }
 
-// compareCrashes orders crashes by VM, time and observer.
+// compareCrashes orders crashes by VM, time, observer and request.
 func compareCrashes(a, b Crash) int {
-	return cmp.Or(cmp.Compare(a.VM, b.VM), a.At.Compare(b.At), cmp.Compare(a.Observer, b.Observer))
+	return cmp.Or(cmp.Compare(a.VM, b.VM), a.At.Compare(b.At), cmp.Compare(a.Observer, b.Observer), cmp.Compare(a.Request, b.Request))
 }
 
 func (r *Record) dropOldestCrashes() {
--- a/pkg/route/inflight.go
+++ b/pkg/route/inflight.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // InFlightRequest is one request in progress at an endpoint. It stays valid when the endpoint is removed from the
 // table.
@@ -19,6 +22,16 @@
 // VM returns the name of the endpoint's VM.
 func (f *InFlightRequest) VM() string { return f.endpoint.vm.Name }
 
+// Run names the present run of the request's endpoint. The name differs after a restart.
+func (f *InFlightRequest) Run() string {
+	return f.endpoint.vm.Name + "@" + strconv.FormatInt(f.endpoint.vm.Started, 10)
+}
+
+// Serves reports whether the request's endpoint is still listed and not leaving.
+func (t *Table) Serves(f *InFlightRequest) bool {
+	return !f.endpoint.removed && !f.endpoint.isLeaving()
+}
+
 func (f *InFlightRequest) uncachedTokens() int { return f.promptTokens - f.cachedTokens }
 
 // Begin accounts for a request that is about to be sent to the chosen endpoint. Every Begin must be followed by one
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -226,6 +227,17 @@
 	return newConn(dialled), nil
 }
 
+// Refuses reports whether the address refuses a new connection, as it does when nothing listens there.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	c.Stats.Dials.Add(1)
+	dialled, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.putIdle(address, newConn(dialled))
+	return false
+}
+
 func (c *Client) popIdle(address string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
