Treat a stream that ends inside an event as broken off

An answer may come without a length or chunks and end with its connection. The router took every such end for the end of the answer: a caller got half an event, or no event at all, as a complete stream.

Now such a stream is broken off if it ends inside an event, or without any event for a caller that had none: it resumes at another engine, or is left incomplete. A stream with a length or chunks tells its end, so nothing changes for it; other answers that end with their connection are passed on whole, and a reset one never was.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -315,6 +315,8 @@
 			return attemptFailed
 		}
 		switch {
+		case err == io.EOF && response.EndsWithConnection && !e.endsWhole(stream):
+			return attemptFailed
 		case err == io.EOF:
 			e.writeStreamHeader(response)
 			e.writeStreamData(stream.partial)
@@ -325,6 +327,12 @@
 	}
 }
 
+// endsWhole reports whether a stream that ended with its connection may be complete: it must not end inside an event, and
+// only a caller that has events already may get none.
+func (e *exchange) endsWhole(stream *eventStream) bool {
+	return len(stream.partial) == 0 && (stream.lastID >= 0 || e.request.LastEvent != "")
+}
+
 // writeStreamHeader sends the header of a stream. Later calls do nothing.
 func (e *exchange) writeStreamHeader(response *upstream.Response) {
 	if e.headerSent {
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -53,6 +53,9 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// EndsWithConnection is set if the body has neither a length nor chunks, so that its end can't be told from an endpoint
+	// that breaks off in order.
+	EndsWithConnection bool
 }
 
 // Stats counts connection attempts, reuses of a connection, skipped or refused responses to other requests, and requests
@@ -170,7 +173,10 @@
 		}
 		e.reusable = !r.Close
 		e.conn.applyKeepAlive(r.Header)
-		return &Response{Status: r.StatusCode, Header: r.Header, Body: &responseBody{ReadCloser: r.Body, release: e.release}}, nil
+		return &Response{
+			Status: r.StatusCode, Header: r.Header, Body: &responseBody{ReadCloser: r.Body, release: e.release},
+			EndsWithConnection: r.ContentLength < 0 && len(r.TransferEncoding) == 0,
+		}, nil
 	}
 }
 
