Log the limit of requests that an engine names

The logs couldn't tell routers that don't read a limit from routers that react too little or repeat too much. endpoint_limit is written when an engine's answer names another limit than the one before, or none. Nothing acts on it yet.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -205,6 +205,7 @@
 		return attemptFailed, nil
 	}
 	e.answerBegun = true
+	e.recordLimit(response, inFlight)
 	result, errorResponse := e.handleResponse(response, inFlight, stream)
 	_ = response.Body.Close() // Returns the connection to the pool or closes it; Close reports no useful error.
 	outputTokens := (stream.count - e.eventsBefore) * max(1, e.service.TokensPerEvent)
@@ -222,6 +223,16 @@
 	return result, errorResponse
 }
 
+// recordLimit records the limit of requests that the endpoint names in its answer, or that it names none.
+func (e *exchange) recordLimit(response *upstream.Response, inFlight *route.InFlightRequest) {
+	perSecond, named := e.Dialect.RequestLimit(response.Header)
+	if e.Placement.recordLimit(inFlight, perSecond, named) {
+		e.Log.WithFields(log.Fields{
+			"request": e.request.ID, "endpoint": inFlight.VM(), "status": response.Status, "per_second": perSecond, "named": named,
+		}).Info("endpoint_limit")
+	}
+}
+
 // finishBroken ends an attempt that the endpoint didn't complete.
 func (e *exchange) finishBroken(ctx context.Context, decision route.Decision, inFlight *route.InFlightRequest, outputTokens int) {
 	result := e.failureResult(ctx)
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -55,6 +55,18 @@
 	return decision, inFlight
 }
 
+// recordLimit records whether an answer of the request's endpoint named a limit, and reports whether that is a change.
+func (p *Placement) recordLimit(inFlight *route.InFlightRequest, perSecond float64, named bool) (changed bool) {
+	p.owner.Do(func(t *table) {
+		if named {
+			changed = t.NameLimit(time.Now(), inFlight, perSecond)
+		} else {
+			changed = t.NameNoLimit(inFlight)
+		}
+	})
+	return changed
+}
+
 // servingRun returns a name for the present run of the request's endpoint, which differs after a restart. ok is false if the
 // endpoint is leaving or no longer listed, so that its end is planned.
 func (p *Placement) servingRun(inFlight *route.InFlightRequest) (run string, ok bool) {
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -26,6 +26,7 @@
 	staleRecheckAt time.Time
 	health         health
 	speed          speed
+	limit          requestLimit
 
 	// State of the endpoint's prefix cache: the number of its last event, the time before which no index entry is valid,
 	// and the time of the last gap in its events. Both times are those of prefixIndex.elapsed.
