Reject what the engines beside a limited one can't serve

Once several engines of a service name limits, the others get what these no longer take.

While an engine of a pool has a limit, another one with 8 waiting requests by its last report takes no others, also not as a last resort. A request for which no engine is left is rejected at once with 429.

Tried: the same bound in all pools at all times, with 8, 16 and 32.

TestOverloadBesideALimitIsRejected fails without the bound.

--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -143,15 +143,16 @@
 // routeOptions configures the placement for the platform's engines. A router sees only a small share of the requests
 // with a given prefix, so it assumes that the first endpoint on the ring has the prefix cached.
 var routeOptions = route.Options{
-	AssumeRingCacheHit: true,
-	LastResort:         true,
-	PromptWeight:       3,
-	CongestionWeight:   -1,
-	SpeedHalfLife:      time.Millisecond,
-	PrefillTokensPerMS: 50,
-	PrefixAge:          20 * time.Second,
-	MaxPrefixEntries:   20_000,
-	MaxFailureBackoff:  4 * time.Second,
+	AssumeRingCacheHit:   true,
+	LastResort:           true,
+	PromptWeight:         3,
+	CongestionWeight:     -1,
+	SpeedHalfLife:        time.Millisecond,
+	PrefillTokensPerMS:   50,
+	PrefixAge:            20 * time.Second,
+	MaxPrefixEntries:     20_000,
+	MaxFailureBackoff:    4 * time.Second,
+	MaxQueuedBesideLimit: 8,
 }
 
 // prepaid returns the organisation's budget in tokens from the newest configuration, 0 if it has none.
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -88,7 +88,7 @@
 	for _, i := range rng.Perm(len(p.all)) {
 		e := p.all[i]
 		load := float64(e.inFlight) / float64(max(1, e.vm.MaxInFlight))
-		if e.isLeaving() || e.isAtLimit(now) || load >= overloadRatio || !isUsable(e, r) {
+		if e.isLeaving() || e.isAtLimit(now) || t.isQueueFull(now, e) || load >= overloadRatio || !isUsable(e, r) {
 			continue
 		}
 		if e.isUnhealthy(now) {
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -54,6 +54,10 @@
 		return
 	}
 	closed := e.isLeaving() || e.isUnhealthy(now)
+	if !closed && t.isQueueFull(now, e) {
+		closed = true
+		t.scheduleStaleRecheck(e)
+	}
 	if !closed && e.isAtLimit(now) {
 		closed = true
 		t.scheduleLimitRecheck(now, e)
--- a/pkg/route/limit.go
+++ b/pkg/route/limit.go
@@ -79,6 +79,38 @@
 	}
 }
 
+// isQueueFull reports whether as many requests wait at the endpoint as Options.MaxQueuedBesideLimit allows. It answers a load
+// that several endpoints no longer take: the others get it, and would let it wait until its deadlines.
+func (t *Table) isQueueFull(now time.Time, e *endpoint) bool {
+	bound := t.options.MaxQueuedBesideLimit
+	return bound > 0 && e.isBesideLimit() && e.queuedRequests(now, t.options.StaleAfter) >= bound
+}
+
+// isBesideLimit reports whether an endpoint of one of the endpoint's pools has named a limit.
+func (e *endpoint) isBesideLimit() bool {
+	for _, m := range e.memberships {
+		if m.pool.limited > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// endLimit ends the endpoint's limit, if it has one.
+func (e *endpoint) endLimit() {
+	if e.limit.isActive() {
+		e.limit = requestLimit{}
+		e.countLimited(-1)
+	}
+}
+
+// countLimited adds to the number of endpoints with a limit in the endpoint's pools.
+func (e *endpoint) countLimited(n int) {
+	for _, m := range e.memberships {
+		m.pool.limited += n
+	}
+}
+
 // scheduleLimitRecheck schedules a recheck of an endpoint at its limit for the time at which it takes another request.
 func (t *Table) scheduleLimitRecheck(now time.Time, e *endpoint) {
 	wait, ok := e.limit.wait(now)
@@ -102,6 +134,7 @@
 	if !l.isActive() {
 		// The request whose answer names the limit for the first time has used what this router may send now.
 		l.credit, l.updatedAt = 0, now
+		e.countLimited(1)
 	}
 	l.update(now)
 	l.perSecond, l.share, l.namedAt = perSecond, share, now
@@ -116,7 +149,7 @@
 	if e == nil || !e.limit.isActive() || !sentAt.After(e.limit.namedAt) {
 		return false
 	}
-	e.limit = requestLimit{}
+	e.endLimit()
 	t.refresh(now, e)
 	return true
 }
@@ -136,7 +169,7 @@
 func (t *Table) ForgetLimits(now time.Time, age time.Duration) {
 	for _, vm := range t.StaleLimits(now, age) {
 		e := t.endpoints[vm]
-		e.limit = requestLimit{}
+		e.endLimit()
 		t.refresh(now, e)
 	}
 }
--- a/pkg/route/limit_test.go
+++ b/pkg/route/limit_test.go
@@ -123,3 +123,34 @@
 	table.ForgetLimits(start.Add(2*time.Minute), time.Minute)
 	must.True(t, open(2*time.Minute))
 }
+
+// Guards against requests that wait for their deadlines at endpoints which get what others no longer take. Replays a
+// pool of which one endpoint has named a limit and the others report a queue.
+func TestOverloadBesideALimitIsRejected(t *testing.T) {
+	table := limitTestTable(3)
+	table.options.MaxQueuedBesideLimit = 8
+	rng := rand.New(rand.NewPCG(1, 1))
+	choose := func(at time.Duration) *Decision {
+		d := table.Choose(start.Add(at), rng, Request{Pool: Service("s")})
+		return &d
+	}
+	for _, vm := range []string{"e1", "e2"} {
+		table.Report(start, vm, LoadReport{Running: 30, Queued: 10})
+	}
+	must.True(t, choose(0).OK())
+	table.NameLimit(start, "e0", 1, 0.5)
+	for _, vm := range []string{"e1", "e2"} {
+		table.Report(start.Add(time.Second), vm, LoadReport{Running: 30, Queued: 10})
+	}
+	d := choose(time.Second)
+	must.False(t, d.OK(), must.Sprint(d.Chosen))
+	must.EqOp(t, 429, d.Failure().Status())
+	d = choose(2100 * time.Millisecond)
+	must.EqOp(t, "e0", d.Chosen, must.Sprint("its limit allows one"))
+	table.Begin(start.Add(2100*time.Millisecond), *d)
+	table.Report(start.Add(3*time.Second), "e1", LoadReport{Running: 30, Queued: 2})
+	must.EqOp(t, "e1", choose(3*time.Second).Chosen)
+
+	table.Update(start.Add(3*time.Second), []platform.VM{table.endpoints["e1"].vm, table.endpoints["e2"].vm}, nil)
+	must.Zero(t, table.pools[Service("s")].limited, must.Sprint("the limited endpoint is gone"))
+}
--- a/pkg/route/options.go
+++ b/pkg/route/options.go
@@ -31,6 +31,9 @@
 	RequestMS float64
 	// QueuedMS is the additional delay caused by one request that waits for a slot in the batch.
 	QueuedMS float64
+	// MaxQueuedBesideLimit is the number of requests that wait at an endpoint from which it takes no others while another one
+	// of its pool has named a limit; 0 means no bound.
+	MaxQueuedBesideLimit float64
 	// KVFullMS is the delay added to the score of an endpoint whose KV cache is full.
 	KVFullMS float64
 	// ZoneDistanceMS and RegionDistanceMS are the round-trip times to another availability zone and another region.
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -9,7 +9,9 @@
 	all  []*endpoint
 	open []*endpoint
 	// tokenMS is the average time between output tokens in ms.
-	tokenMS   average
+	tokenMS average
+	// limited is the number of endpoints that have named a limit of requests.
+	limited   int
 	ring      []ringPoint
 	ringValid bool
 }
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -160,6 +160,7 @@
 }
 
 func (t *Table) removeEndpoint(e *endpoint) {
+	e.endLimit()
 	e.removeFromOpenLists()
 	for _, m := range e.memberships {
 		m.pool.remove(e)
