Don't suspect a stream that had events when its engine crashed

While there were no crash records yet, answers weren't noted, so that all streams at the first crash were suspects, however far they had come. Callers would have seen one of their parts stopped earlier than it may be. Found by reading the change.

TestAnsweredStreamIsNoSuspect failed before. Also adds tests of the crash check and of the features of a request.

--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -109,11 +109,13 @@
 
 // recordAnswered reports that the endpoint can answer the request.
 func (e *exchange) recordAnswered() {
-	if e.CrashRecords == nil || e.attemptAnswered || e.CrashRecords.IsEmpty() {
+	if e.CrashRecords == nil || e.attemptAnswered {
 		return
 	}
 	e.attemptAnswered = true
-	e.CrashRecords.ReportCompleted(e.contentFeatures())
+	if !e.CrashRecords.IsEmpty() {
+		e.CrashRecords.ReportCompleted(e.contentFeatures())
+	}
 }
 
 // reportBroken reports that the attempt broke, so that its endpoint may have crashed by the content of the request. It waits
--- /dev/null
+++ b/pkg/forward/crash_test.go
@@ -0,0 +1,72 @@
+package forward
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/internal/loopback"
+	"github.com/lavendershunt/lavendershunt/pkg/catalog"
+	"github.com/lavendershunt/lavendershunt/pkg/poison"
+	"github.com/lavendershunt/lavendershunt/pkg/upstream"
+)
+
+func testRegistry() *poison.Registry {
+	return poison.NewRegistry(poison.RegistryOptions{
+		VM: "r0", Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, IsFirst: func(string) bool { return false },
+	})
+}
+
+// Guards against suspecting a stream that had events already when its engine crashed, at the first crash of all.
+func TestAnsweredStreamIsNoSuspect(t *testing.T) {
+	e := testExchange(catalog.Route{Streaming: true})
+	e.CrashRecords = testRegistry()
+	e.recordAnswered()
+	must.True(t, e.attemptAnswered)
+}
+
+// Guards against taking an endpoint that resets single connections, or one that can't be reached, for a crashed one: its
+// requests would be stopped.
+func TestOnlyRefusedConnectionsAreCrashes(t *testing.T) {
+	listener, err := net.Listen("tcp4", loopback.Address())
+	must.NoError(t, err)
+	defer listener.Close()
+	registry := testRegistry()
+	d := &crashDetector{client: upstream.NewClient(), registry: registry, checks: map[string]*crashCheck{}}
+	features := (&Request{Method: "POST", Target: "/a", Body: []byte("a")}).features("o")
+	<-d.report("listening@1", listener.Addr().String(), features, true)
+	must.True(t, registry.IsEmpty())
+	<-d.report("closed@1", loopback.Address(), features, true)
+	must.False(t, registry.IsEmpty())
+}
+
+// Guards against stopping different prompts that have the same body, and against parts that only one request has.
+func TestFeatures(t *testing.T) {
+	request := func(id string) *Request {
+		return &Request{Method: "POST", Target: "/a", Body: []byte("a"), Prompt: &Prompt{Model: "m", Parts: []Part{{ID: "shared"}, {ID: id}}}}
+	}
+	a, b, repeated := request("1").features("o"), request("2").features("o"), request("1").features("o")
+	must.Len(t, 2, a)
+	must.Eq(t, a, repeated)
+	must.Eq(t, a[0], b[0])
+	must.NotEq(t, a[1], b[1])
+	must.NotEq(t, a[1], request("1").features("p")[1])
+	must.EqOp(t, poison.DepthOfRequest, a[1].Depth)
+}
+
+// Guards against checks that pile up for an endpoint at which many requests broke.
+func TestCrashIsCheckedOnce(t *testing.T) {
+	d := &crashDetector{client: upstream.NewClient(), registry: testRegistry(), checks: map[string]*crashCheck{}}
+	address := loopback.Address()
+	for range 20 {
+		must.True(t, d.hasCrashed("e@1", address))
+	}
+	must.EqOp(t, 1, d.client.Stats.Dials.Load())
+	d.checks["e@1"].startedAt = time.Now().Add(-2 * crashCheckTTL)
+	must.True(t, d.hasCrashed("e@1", address))
+	must.EqOp(t, 2, d.client.Stats.Dials.Load())
+}
