--- a/pkg/poison/doc.go
+++ b/pkg/poison/doc.go
@@ -16,4 +16,8 @@
 //
 // If an endpoint fails twice for another reason while the same request happens to run there as the only suspect,
 // that request is stopped wrongly until its record expires.
+//
+// A Registry does the same for routers that share records through the platform's store instead of connections to all others,
+// and for parts that requests have in common. It doesn't isolate suspects: it finds the fewest fingerprints that explain
+// the crashes.
 package poison
