Bound crash records and the names in them

Names are cut to 64 bytes, a line has at most 16 ids, a router holds 4,096 records, and the search reads them in place. TestNamesOfPartsAreBounded fails with the bounds set to 1,000.

--- a/pkg/forward/crash_test.go
+++ b/pkg/forward/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,6 +59,17 @@
 	must.EqOp(t, poison.DepthOfRequest, a[1].Depth)
 }
 
+// Guards against crash records and log lines that grow with what a caller sends.
+func TestNamesOfPartsAreBounded(t *testing.T) {
+	r := &Request{Prompt: &Prompt{}}
+	for range 200 {
+		r.Prompt.Parts = append(r.Prompt.Parts, Part{ID: strings.Repeat("a", 1000)})
+	}
+	must.Len(t, maxLoggedParts, r.Prompt.loggedPartIDs())
+	must.Len(t, maxNameBytes, []byte(r.Prompt.loggedPartIDs()[0]))
+	must.LessEq(t, maxNameBytes+len("part "), len(r.features("o")[0].Name))
+}
+
 // Guards against checks that pile up for an endpoint at which many requests broke.
 func TestCrashIsCheckedOnce(t *testing.T) {
 	d := &crashDetector{client: upstream.NewClient(), registry: testRegistry(), checks: map[string]*crashCheck{}}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -106,7 +106,7 @@
 		"answer_begun": e.answerBegun, "kv_use": decision.KVUse,
 	}
 	if p := e.request.Prompt; p != nil {
-		fields["prompt_tokens"], fields["parts"] = p.Tokens, p.sharedPartIDs()
+		fields["prompt_tokens"], fields["parts"] = p.Tokens, p.loggedPartIDs()
 	}
 	e.Log.WithFields(fields).Info("attempt_failed")
 }
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -51,6 +51,13 @@
 	return hashes, ends
 }
 
+// maxNameBytes bounds the part of a caller's id that is kept in crash records and log lines, and maxLoggedParts the ids in
+// one line.
+const (
+	maxNameBytes   = 64
+	maxLoggedParts = 16
+)
+
 // features returns the properties of the request that may crash an endpoint: each part of its prompt that other requests
 // may share, and last the request as a whole, which its caller may repeat.
 func (r *Request) features(organisation string) []poison.Feature {
@@ -60,7 +67,7 @@
 	if r.Prompt != nil {
 		for i, id := range r.Prompt.sharedPartIDs() {
 			hash := xxhash.Sum64String(r.Prompt.Model + "/" + id)
-			features = append(features, poison.Feature{Fingerprint: poison.Fingerprint{BodyHash: hash}, Depth: i, Name: "part " + id})
+			features = append(features, poison.Feature{Fingerprint: poison.Fingerprint{BodyHash: hash}, Depth: i, Name: "part " + id[:min(maxNameBytes, len(id))]})
 		}
 		// Different prompts may come with the same body.
 		for _, part := range r.Prompt.Parts {
@@ -84,6 +91,16 @@
 	return ids
 }
 
+// loggedPartIDs returns the ids of sharedPartIDs, bounded in number and length.
+func (p *Prompt) loggedPartIDs() []string {
+	ids := p.sharedPartIDs()
+	ids = ids[:min(maxLoggedParts, len(ids))]
+	for i, id := range ids {
+		ids[i] = id[:min(maxNameBytes, len(id))]
+	}
+	return ids
+}
+
 // Request is a caller's request.
 type Request struct {
 	ID     string
--- a/pkg/poison/culprit.go
+++ b/pkg/poison/culprit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 )
@@ -25,9 +26,12 @@
 //
 // It answers requests that crash one engine after the other beside many requests that share the caller, the first part of
 // the prompt, or only the engine: at each crash these are present as well, some of them at most crashes.
-func findCulprits(now time.Time, records []Record, rules Rules) map[Fingerprint]int {
+func findCulprits(now time.Time, records iter.Seq[*Record], rules Rules) map[Fingerprint]int {
 	var suspects []suspect
-	for _, r := range records {
+	for r := range records {
+		if len(r.Crashes) < min(rules.StopAfter, rules.StopRequestAfter) {
+			continue
+		}
 		if s := newSuspect(now, r, rules); countIndependent(s.crashes, rules.Independent) >= s.stopAfter {
 			suspects = append(suspects, s)
 		}
@@ -53,7 +57,7 @@
 	}
 }
 
-func newSuspect(now time.Time, r Record, rules Rules) suspect {
+func newSuspect(now time.Time, r *Record, rules Rules) suspect {
 	s := suspect{fingerprint: r.Fingerprint, depth: r.Depth, crashes: r.distinctCrashes(now, rules.SameCrash), stopAfter: rules.StopAfter}
 	if r.Depth == DepthOfRequest {
 		s.stopAfter = rules.StopRequestAfter
--- a/pkg/poison/culprit_test.go
+++ b/pkg/poison/culprit_test.go
@@ -35,7 +35,7 @@
 }
 
 func (d *crashDay) culprits() map[Fingerprint]int {
-	return findCulprits(d.now, d.set.Records(), registryRules)
+	return findCulprits(d.now, d.set.all(), registryRules)
 }
 
 // request returns the features of a request with the parts; id makes it different from others.
--- a/pkg/poison/recordset.go
+++ b/pkg/poison/recordset.go
@@ -334,6 +334,17 @@
 	}
 }
 
+// all returns the records, which must not be changed, the most recently changed first.
+func (s *RecordSet) all() iter.Seq[*Record] {
+	return func(yield func(*Record) bool) {
+		for element := s.order.Front(); element != nil; element = element.Next() {
+			if !yield(element.Value.(*Record)) {
+				return
+			}
+		}
+	}
+}
+
 // Records returns copies of all records, the most recently changed first.
 func (s *RecordSet) Records() []Record {
 	records := make([]Record, 0, s.order.Len())
--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -35,6 +35,8 @@
 	maxClearDelay = 400 * time.Millisecond
 	// publishRetryDelay is the pause after a write that failed.
 	publishRetryDelay = time.Second
+	// maxRegistryRecords bounds the records of the fleet that a router holds. Each crash adds those of the parts that were there.
+	maxRegistryRecords = 4096
 	// maxPublishedRecords bounds the records in a router's object, the most recently changed first.
 	maxPublishedRecords = 256
 	// expiryInterval is the period at which records that no longer count are removed.
@@ -110,10 +112,12 @@
 
 // NewRegistry returns a Registry without records.
 func NewRegistry(o RegistryOptions) *Registry {
+	known, shared := NewRecordSet(registryRules), NewRecordSet(registryRules)
+	known.limit, shared.limit = maxRegistryRecords, maxRegistryRecords
 	return &Registry{
 		RegistryOptions: o, object: &platform.OwnedObject{Store: o.Store, Key: RegistryKind + "/" + o.VM},
 		publishNow: make(chan struct{}, 1), publishLater: make(chan struct{}, 1),
-		known: NewRecordSet(registryRules), shared: NewRecordSet(registryRules),
+		known: known, shared: shared,
 		authored: map[Fingerprint]bool{}, crashedRuns: map[string]time.Time{}, stopped: map[Fingerprint]int{},
 		triedAt: map[Fingerprint]time.Time{}, objects: map[string]storedObject{},
 	}
@@ -237,10 +241,9 @@
 		return
 	}
 	r.changed = false
-	records := r.known.Records()
 	previous := r.stopped
-	r.stopped = findCulprits(now, records, registryRules)
-	for _, record := range records {
+	r.stopped = findCulprits(now, r.known.all(), registryRules)
+	for record := range r.known.all() {
 		n, stopped := r.stopped[record.Fingerprint]
 		if _, before := previous[record.Fingerprint]; before == stopped {
 			continue
@@ -250,7 +253,7 @@
 			message = "content_stopped"
 		}
 		r.Log.WithFields(log.Fields{
-			"feature": record.Label, "fingerprint": record.Fingerprint.key(), "crashes": n, "records": len(records),
+			"feature": record.Label, "fingerprint": record.Fingerprint.key(), "crashes": n, "records": r.known.Len(),
 			"newest_ago_ms": now.Sub(record.newest(time.Time{})).Milliseconds(),
 		}).Warn(message)
 	}
@@ -305,7 +308,7 @@
 	now := time.Now()
 	var records []Record
 	changed := false
-	for _, record := range r.known.Records() {
+	for record := range r.known.all() {
 		if !r.authored[record.Fingerprint] {
 			continue
 		}
@@ -313,8 +316,8 @@
 			delete(r.authored, record.Fingerprint)
 			continue
 		}
-		records = append(records, record)
-		changed = changed || r.shared.lacksCrash(now, record) || r.othersNeedClearing(now, record.Fingerprint)
+		records = append(records, *record)
+		changed = changed || r.shared.lacksCrash(now, *record) || r.othersNeedClearing(now, record.Fingerprint)
 	}
 	if !changed {
 		return nil, nil
