Record an answer's limit without waiting for it

Each answer waited for the task that owns the endpoints to find out whether its limit was a change, only to write a log line. The task writes the line itself now, with this router's share.

--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -9,8 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/apex/log"
-
+	"github.com/lavendershunt/lavendershunt/pkg/forward"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
@@ -108,9 +107,7 @@
 	}
 	defer response.Body.Close()
 	perSecond, named := r.adapter.Dialect.RequestLimit(response.Header)
-	if r.placement.RecordLimit(vm.Name, sentAt, perSecond, named) {
-		r.log.WithFields(log.Fields{"endpoint": vm.Name, "status": response.Status, "per_second": perSecond, "named": named}).Info("endpoint_limit")
-	}
+	r.placement.RecordLimit(forward.LimitAnswer{VM: vm.Name, SentAt: sentAt, Status: response.Status, PerSecond: perSecond, Named: named}, r.log)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
 	if err != nil {
 		return route.LoadReport{}, err
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -226,11 +226,7 @@
 // recordLimit records the limit of requests that the endpoint names in its answer, or that it names none.
 func (e *exchange) recordLimit(response *upstream.Response, endpoint string, sentAt time.Time) {
 	perSecond, named := e.Dialect.RequestLimit(response.Header)
-	if e.Placement.RecordLimit(endpoint, sentAt, perSecond, named) {
-		e.Log.WithFields(log.Fields{
-			"request": e.request.ID, "endpoint": endpoint, "status": response.Status, "per_second": perSecond, "named": named,
-		}).Info("endpoint_limit")
-	}
+	e.Placement.RecordLimit(LimitAnswer{VM: endpoint, SentAt: sentAt, Status: response.Status, PerSecond: perSecond, Named: named}, e.Log)
 }
 
 // finishBroken ends an attempt that the endpoint didn't complete.
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/task"
@@ -59,21 +61,36 @@
 	return decision, inFlight
 }
 
-// RecordLimit records whether an answer of the endpoint to a request sent at sentAt named a limit, and reports whether that is
-// a change.
-func (p *Placement) RecordLimit(vm string, sentAt time.Time, perSecond float64, named bool) (changed bool) {
+// LimitAnswer is what an endpoint's answer says about its limit of requests.
+type LimitAnswer struct {
+	VM string
+	// SentAt is the time at which the request was sent, Status the answer's status.
+	SentAt time.Time
+	Status int
+	// PerSecond is the limit if Named is set.
+	PerSecond float64
+	Named     bool
+}
+
+// RecordLimit records whether an answer named a limit, and logs a change.
+func (p *Placement) RecordLimit(a LimitAnswer, logger log.Interface) {
 	share := 0.0
-	if named && p.LimitShare != nil {
-		share = p.LimitShare(vm, perSecond)
+	if a.Named && p.LimitShare != nil {
+		share = p.LimitShare(a.VM, a.PerSecond)
 	}
-	p.owner.Do(func(t *table) {
-		if named {
-			changed = t.NameLimit(time.Now(), vm, perSecond, share)
+	p.owner.Post(func(t *table) {
+		changed := false
+		if a.Named {
+			changed = t.NameLimit(time.Now(), a.VM, a.PerSecond, share)
 		} else {
-			changed = t.NameNoLimit(time.Now(), vm, sentAt)
+			changed = t.NameNoLimit(time.Now(), a.VM, a.SentAt)
+		}
+		if changed {
+			logger.WithFields(log.Fields{
+				"endpoint": a.VM, "status": a.Status, "per_second": a.PerSecond, "share": share, "named": a.Named,
+			}).Info("endpoint_limit")
 		}
 	})
-	return changed
 }
 
 // StaleLimits returns the VMs of endpoints whose limit no answer has named for the given time.
