Deliver an engine's answer when its content was stopped meanwhile

A request whose first engine answered with a whole 500, and whose content other requests had stopped by then, got the router's own 502 instead of that answer.

TestAnswerIsDeliveredWhenContentIsStoppedMeanwhile failed before.

--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -55,8 +55,8 @@
 	watchPauseLargeFleet = 500 * time.Millisecond
 )
 
-// newFeeds creates the feeds of the configuration, of the endpoints, of the routers' records and of their crash records. In a large fleet the
-// leaders of an availability zone read the store and pass the changes on to the others in it.
+// newFeeds creates the feeds of the configuration, of the endpoints, of the routers' records and of their crash records. In
+// a large fleet the leaders of an availability zone read the store and pass the changes on to the others in it.
 func (r *Router) newFeeds(peers feed.PeerClient) {
 	options := feed.Options{
 		Log: r.log, Client: peers,
--- a/pkg/forward/crash_test.go
+++ b/pkg/forward/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -12,7 +14,9 @@
 
 	"github.com/lavendershunt/lavendershunt/internal/loopback"
 	"github.com/lavendershunt/lavendershunt/pkg/catalog"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/poison"
+	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
 
@@ -82,3 +86,40 @@
 	must.True(t, d.hasCrashed("e@1", address))
 	must.EqOp(t, 2, d.client.Stats.Dials.Load())
 }
+
+// plainDialect is a Dialect for requests without a prompt.
+type plainDialect struct{}
+
+func (plainDialect) Decode(*http.Request) (Request, error)    { return Request{}, ErrMalformed }
+func (plainDialect) Encode(*Request, Dispatch) http.Header    { return http.Header{"Id": {"1"}} }
+func (plainDialect) IDHeader() string                         { return "Id" }
+func (plainDialect) NotRun(int, http.Header) bool             { return false }
+func (plainDialect) RequestLimit(http.Header) (float64, bool) { return 0, false }
+
+// Guards against replacing an endpoint's answer by a failure of the router, because the content was stopped while the
+// endpoint ran the request.
+func TestAnswerIsDeliveredWhenContentIsStoppedMeanwhile(t *testing.T) {
+	registry := testRegistry()
+	request := Request{ID: "1", Method: "POST", Target: "/a", Host: "h", Body: []byte("a")}
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		registry.ReportCrash("a@1", request.features(""), true)
+		time.Sleep(250 * time.Millisecond) // Two crashes at the same time count as one.
+		registry.ReportCrash("b@1", request.features(""), true)
+		w.Header().Set("Id", "1")
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	defer endpoint.Close()
+	placement := NewPlacement("a", route.Options{})
+	go placement.Run(t.Context())
+	placement.Update([]platform.VM{{Name: "e0", Role: platform.RoleService, Service: "s", State: platform.VMLive, Address: endpoint.Listener.Addr().String()}})
+	e := testExchange(catalog.Route{Semantics: catalog.Idempotent, MaxAttempts: 3})
+	e.Log = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	e.Dialect, e.Placement, e.Client, e.CrashRecords = plainDialect{}, placement, upstream.NewClient(), registry
+	e.request, e.service, e.attempts = request, catalog.Service{Name: "s"}, 0
+	e.buffers.limit = 1 << 20
+	recorder := httptest.NewRecorder()
+	e.writer = recorder
+	e.forward(t.Context())
+	must.Nil(t, e.failure)
+	must.EqOp(t, http.StatusInternalServerError, recorder.Code)
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -88,7 +88,7 @@
 			return
 		}
 		if failure := e.checkContent(); failure != nil {
-			e.finishFailed(nil, failure)
+			e.finishFailed(lastErrorResponse, failure)
 			return
 		}
 		if !e.canRetry(result, stream) {
