--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// lastResortEndpoint returns a closed endpoint if Options.LastResort is set, but none that has named a limit which this
-// router has used up. It prefers an endpoint at its limit to an
+// lastResortEndpoint returns a closed endpoint if Options.LastResort is set, but none that has named a limit of requests
+// which this router has used up, nor one with a full queue beside it. It prefers an endpoint without a free slot to an
 // unhealthy one, and then the one with the fewest requests of this router per slot. In a small pool a few failures can
 // close every endpoint although most requests would succeed; refusing them would serve none.
 func (t *Table) lastResortEndpoint(now time.Time, rng *rand.Rand, p *pool, r *Request) *endpoint {
