--- a/pkg/poison/recordset.go
+++ b/pkg/poison/recordset.go
@@ -23,7 +23,7 @@
 	At time.Time
 	// Request is the hash of the request that was running, for the record of a part; 0 if it isn't known.
 	Request uint64
-	// Begun is set if the answer to the request had begun, but for its first event.
+	// Begun is set if the head of the answer had come when the endpoint crashed, with one event at most.
 	Begun bool
 }
 
--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -42,7 +42,7 @@
 	// expiryInterval is the period at which records that no longer count are removed.
 	expiryInterval = time.Minute
 	// firstTrialDelay is the time after the last crash from which a stopped fingerprint may be tried again. Each crash
-	// beyond registryStopAfter doubles it trialDoublings times, up to Retention.
+	// beyond registryStopAfter doubles it trialDoublings times, up to Retention, which maxTrialDoublings exceed.
 	firstTrialDelay   = 15 * time.Second
 	trialDoublings    = 2
 	maxTrialDoublings = 8
@@ -172,8 +172,8 @@
 }
 
 // ReportCrash records that a run of an endpoint crashed while it had a request with the features, the last of which is the
-// request as a whole. The run's name must differ between two starts of the endpoint. begun is set if the answer had begun,
-// but for its first event.
+// request as a whole. The run's name must differ between two starts of the endpoint. begun is the Begun of
+// the crash.
 func (r *Registry) ReportCrash(run string, features []Feature, begun bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
