Log what goes back when the store returns from an older copy

The logs could not tell a configuration that is ignored from one that never arrives, nor show that a budget's record has fewer drawn tokens than a router has seen. Three lines at changes of belief, no change of logic.

--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -94,6 +94,11 @@
 	var p drawPlan
 	acc.owner.Do(func(t *accountTable) {
 		a := t.account(name)
+		if last := t.records[name]; current.revision < last.revision {
+			acc.Log.WithFields(log.Fields{
+				"organisation": name, "revision": current.revision, "seen": last.revision, "drawn": current.record.Drawn, "drawn_seen": last.record.Drawn, "free": a.free,
+			}).Warn("allowance_record_older")
+		}
 		if fresh || current.revision > 0 {
 			a.applyRead(current.record.Drawn, current.record.LastWrites[acc.VM], current.revision)
 		}
--- a/pkg/entry/configuration.go
+++ b/pkg/entry/configuration.go
@@ -101,6 +101,9 @@
 	for {
 		current := c.newest.Load()
 		if current != nil && current.Revision >= o.Revision {
+			if current.Revision > o.Revision {
+				c.log.WithFields(log.Fields{"revision": o.Revision, "held": current.Revision, "version": current.Version}).Info("configuration_ignored")
+			}
 			return
 		}
 		next, err := c.decode(o.Value, o.Revision)
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -176,6 +176,9 @@
 	if err != nil {
 		return err
 	}
+	if revision < f.revision {
+		f.Log.WithFields(log.Fields{"kind": f.Kind, "revision": revision, "seen": f.revision, "objects": len(objects)}).Warn("store_revision_decreased")
+	}
 	f.replaceAll(objects, revision, f.sinceContact(), 0)
 	failures := 0
 	for {
