Show the faults after a restored store in tests, which fail

The stand-in of the store can come back from an older copy: it gives revisions out again and counts its eras in a header.

--- a/pkg/allowance/accounts_test.go
+++ b/pkg/allowance/accounts_test.go
@@ -116,18 +116,55 @@
 		seed := rapid.Uint64().Draw(rt, "seed")
 		lost := rapid.SampledFrom([]float64{0, 0.2, 0.6}).Draw(rt, "lost")
 		var spent, prepaid int64
-		synctest.Test(t, func(t *testing.T) { spent, prepaid = simulateSpending(t, seed, lost) })
+		synctest.Test(t, func(t *testing.T) { spent, prepaid = simulateSpending(t, seed, lost, false) })
 		if spent > prepaid {
 			rt.Fatalf("spent %d of %d", spent, prepaid)
 		}
 	})
 }
 
-func simulateSpending(t *testing.T, seed uint64, lost float64) (spent, prepaid int64) {
+// Guards against drawing tokens a second time after the store has come back from an older copy, which doesn't know the
+// latest draws.
+func TestRestoredStoreNeverOverspends(t *testing.T) {
+	for seed := range uint64(60) {
+		for _, lost := range []float64{0, 0.2} {
+			var spent, prepaid int64
+			synctest.Test(t, func(t *testing.T) { spent, prepaid = simulateSpending(t, seed, lost, true) })
+			must.LessEq(t, prepaid, spent, must.Sprint("seed ", seed, " lost ", lost))
+		}
+	}
+}
+
+// storeCopies takes copies of a store, from which it can be restored.
+type storeCopies struct {
+	memory *memstore.Store
+	taken  []memstore.Copy
+}
+
+const copyInterval = 250 * time.Millisecond
+
+func (c *storeCopies) take(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.taken = append(c.taken, c.memory.Copy())
+		time.Sleep(copyInterval)
+	}
+}
+
+// restore restores the store from one of the copies of the last four seconds.
+func (c *storeCopies) restore(random *rand.Rand) {
+	latest := c.taken[max(0, len(c.taken)-int(4*time.Second/copyInterval)):]
+	c.memory.Restore(latest[random.IntN(len(latest))])
+}
+
+// simulateSpending returns what was spent of a budget by routers under faults. With restores, the store comes back from older
+// copies; then no router stops while the others can't be told what it has drawn.
+func simulateSpending(t *testing.T, seed uint64, lost float64, restores bool) (spent, prepaid int64) {
 	random := rand.New(rand.NewPCG(seed, 0))
-	store := &lossyStore{Store: memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1}).Client("test"), random: rand.New(rand.NewPCG(seed, 1)), lostShare: lost}
+	copies := &storeCopies{memory: memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})}
+	store := &lossyStore{Store: copies.memory.Client("test"), random: rand.New(rand.NewPCG(seed, 1)), lostShare: lost}
 	f := &fleet{accounts: map[string]*Accounts{}, isolated: map[string]bool{}}
 	ctx, stopAll := context.WithCancel(t.Context())
+	go copies.take(ctx)
 	stops := map[string]context.CancelFunc{}
 	starts := 0
 	// vm3 gets its tokens from these.
@@ -154,16 +191,18 @@
 	prepaid = 20_000
 	for range 120 {
 		vm := vms[random.IntN(len(vms))]
-		switch random.IntN(20) {
-		case 0:
+		switch event := random.IntN(20); {
+		case event == 0 && (!restores || !f.isolated[vm]):
 			stops[vm]()
 			start(vm)
-		case 1:
+		case event == 1:
 			f.mu.Lock()
 			f.isolated[vm] = !f.isolated[vm]
 			f.mu.Unlock()
-		case 2:
+		case event == 2:
 			prepaid += 1000
+		case event == 3 && restores:
+			copies.restore(random)
 		default:
 			f.mu.Lock()
 			acc := f.accounts[vm]
--- a/pkg/platform/memstore/store.go
+++ b/pkg/platform/memstore/store.go
@@ -6,7 +6,9 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -62,7 +64,8 @@
 	vmLag      time.Duration
 	maxHistory int
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// revision is the newest one, with the store's era.
 	revision uint64
 	objects  map[string]platform.Object
 	history  []platform.Object
@@ -122,6 +125,47 @@
 	return s.counters
 }
 
+// Copy is the content of a Store at one moment.
+type Copy struct {
+	revision, trimmedRevision uint64
+	objects                   map[string]platform.Object
+	history                   []platform.Object
+}
+
+// Copy returns a copy of the objects and of their history.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{revision: s.revision, trimmedRevision: s.trimmedRevision, objects: maps.Clone(s.objects), history: slices.Clone(s.history)}
+}
+
+// Restore replaces the objects by those of an older copy and begins a new era. Numbers of revisions are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := platform.Era(s.revision) + 1
+	inEra := func(revision uint64) uint64 { return platform.NewRevision(era, platform.RevisionNumber(revision)) }
+	s.revision, s.trimmedRevision = inEra(c.revision), inEra(c.trimmedRevision)
+	s.objects = make(map[string]platform.Object, len(c.objects))
+	for key, object := range c.objects {
+		object.Revision = inEra(object.Revision)
+		s.objects[key] = object
+	}
+	s.history, s.historyBytes = slices.Clone(c.history), 0
+	for i := range s.history {
+		s.history[i].Revision = inEra(s.history[i].Revision)
+		s.historyBytes += len(s.history[i].Value)
+	}
+	s.broadcast()
+}
+
+// Era returns the number of times that the store was restored from a copy.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return platform.Era(s.revision)
+}
+
 // broadcast makes pending polls check for changes and faults again. The caller holds mu.
 func (s *Store) broadcast() {
 	close(s.changed)
@@ -167,7 +211,7 @@
 
 // changes returns the history below prefix after the given revision. The caller holds mu.
 func (s *Store) changes(prefix string, after uint64) ([]platform.Object, error) {
-	if after < s.trimmedRevision || after > s.revision {
+	if after < s.trimmedRevision || after > s.revision || platform.Era(after) != platform.Era(s.revision) {
 		return nil, platform.ErrGap
 	}
 	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
