Order configurations by the operator's version

Routers got version 20 at revision 109 and ignored it, because version 17 had revision 167 (configuration_ignored in their logs). Revisions only order the changes of one copy of the store. The operator's version increases whatever the store does, so it decides now, and the configuration of the copy is ignored until the operator has written its own again.

--- a/pkg/entry/configuration.go
+++ b/pkg/entry/configuration.go
@@ -25,7 +25,7 @@
 // configDecoder decodes the value of the configuration's object in the store.
 type configDecoder func(value []byte, revision uint64) (*catalog.Snapshot, error)
 
-// configuration holds the newest configuration that the process has read. It never returns to an older revision. It is
+// configuration holds the newest configuration that the process has read. It never returns to an older version. It is
 // safe for concurrent use.
 type configuration struct {
 	key    string
@@ -100,24 +100,36 @@
 	}
 	for {
 		current := c.newest.Load()
-		if current != nil && current.Revision >= o.Revision {
-			if current.Revision > o.Revision {
-				c.log.WithFields(log.Fields{"revision": o.Revision, "held": current.Revision, "version": current.Version}).Info("configuration_ignored")
-			}
+		if current != nil && current.Revision == o.Revision {
 			return
 		}
 		next, err := c.decode(o.Value, o.Revision)
 		if err != nil {
-			c.log.WithField("revision", o.Revision).WithError(err).Error("configuration_rejected")
+			c.log.WithField("revision", platform.FormatRevision(o.Revision)).WithError(err).Error("configuration_rejected")
+			return
+		}
+		if current != nil && !isNewer(next, current) {
+			c.log.WithFields(log.Fields{
+				"version": next.Version, "revision": platform.FormatRevision(next.Revision), "held": current.Version, "held_revision": platform.FormatRevision(current.Revision),
+			}).Info("configuration_ignored")
 			return
 		}
 		if c.newest.CompareAndSwap(current, next) {
-			c.log.WithFields(log.Fields{"version": next.Version, "revision": next.Revision}).Info("configuration_applied")
+			c.log.WithFields(log.Fields{"version": next.Version, "revision": platform.FormatRevision(next.Revision)}).Info("configuration_applied")
 			return
 		}
 	}
 }
 
+// isNewer reports whether a configuration replaces the current one. The operator's version decides: a store that comes back
+// from an older copy has an older configuration at first, and later ones there may have lower revisions.
+func isNewer(next, current *catalog.Snapshot) bool {
+	if next.Version != current.Version {
+		return next.Version > current.Version
+	}
+	return next.Revision > current.Revision
+}
+
 // configFeed makes the configuration a feed.Consumer.
 type configFeed struct{ *configuration }
 
