--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -96,7 +96,7 @@
 		a := t.account(name)
 		if last := t.records[name]; current.revision < last.revision {
 			acc.Log.WithFields(log.Fields{
-				"organisation": name, "revision": current.revision, "seen": last.revision, "drawn": current.record.Drawn, "drawn_seen": last.record.Drawn, "free": a.free,
+				"organisation": name, "revision": platform.FormatRevision(current.revision), "seen": platform.FormatRevision(last.revision), "drawn": current.record.Drawn, "drawn_seen": last.record.Drawn, "free": a.free,
 			}).Warn("allowance_record_older")
 		}
 		if fresh || current.revision > 0 {
@@ -179,7 +179,7 @@
 		t.records[name] = current
 		a.applyDraw(current.record.Drawn, amount)
 		acc.Log.WithFields(log.Fields{
-			"organisation": name, "tokens": amount, "drawn": a.drawn, "prepaid": a.prepaid, "revision": current.revision,
+			"organisation": name, "tokens": amount, "drawn": a.drawn, "prepaid": a.prepaid, "revision": platform.FormatRevision(current.revision),
 		}).Info("allowance_drawn")
 		acc.advance(t, name, a)
 	})
--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -103,12 +103,12 @@
 	if err != nil {
 		// An invalid entry also ends the use of the endpoint that it named before.
 		delete(e.registered, o.Key)
-		e.log.WithFields(log.Fields{"key": o.Key, "revision": o.Revision}).WithError(err).Warn("endpoint_entry_skipped")
+		e.log.WithFields(log.Fields{"key": o.Key, "revision": platform.FormatRevision(o.Revision)}).WithError(err).Warn("endpoint_entry_skipped")
 		return
 	}
 	if old, ok := e.registered[o.Key]; !ok || old.State != vm.State || old.Address != vm.Address || old.Started != vm.Started {
 		e.log.WithFields(log.Fields{
-			"endpoint": vm.Name, "service": vm.Service, "state": string(vm.State), "address": vm.Address, "revision": o.Revision,
+			"endpoint": vm.Name, "service": vm.Service, "state": string(vm.State), "address": vm.Address, "revision": platform.FormatRevision(o.Revision),
 		}).Info("endpoint_changed")
 	}
 	e.registered[o.Key] = vm
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -117,7 +117,7 @@
 			return
 		}
 		if f.following {
-			f.Log.WithFields(log.Fields{"kind": f.Kind, "peer": address, "revision": f.revision, "age_ms": f.sinceContact().Milliseconds()}).WithError(err).Info("feed_leader_lost")
+			f.Log.WithFields(log.Fields{"kind": f.Kind, "peer": address, "revision": platform.FormatRevision(f.revision), "age_ms": f.sinceContact().Milliseconds()}).WithError(err).Info("feed_leader_lost")
 		}
 	}
 }
@@ -176,9 +176,6 @@
 	if err != nil {
 		return err
 	}
-	if revision < f.revision {
-		f.Log.WithFields(log.Fields{"kind": f.Kind, "revision": revision, "seen": f.revision, "objects": len(objects)}).Warn("store_revision_decreased")
-	}
 	f.replaceAll(objects, revision, f.sinceContact(), 0)
 	failures := 0
 	for {
@@ -244,16 +241,26 @@
 	return time.Since(f.contact)
 }
 
+// advance records the revision up to which the consumer has every change.
+func (f *Feed) advance(revision uint64) {
+	if f.revision != 0 && platform.Era(revision) > platform.Era(f.revision) {
+		f.Log.WithFields(log.Fields{
+			"kind": f.Kind, "revision": platform.FormatRevision(revision), "seen": platform.FormatRevision(f.revision),
+		}).Warn("store_restored")
+	}
+	f.revision = max(f.revision, revision)
+}
+
 func (f *Feed) replaceAll(objects []platform.Object, revision uint64, sinceContact, age time.Duration) {
 	f.recordContact(age)
-	f.revision = max(f.revision, revision)
+	f.advance(revision)
 	f.Consumer.ReplaceAll(objects, sinceContact)
 	f.hub.replaceAll(objects, revision, sinceContact, f.contact)
 }
 
 func (f *Feed) applyChanges(changes []platform.Object, revision uint64, age time.Duration) {
 	f.recordContact(age)
-	f.revision = max(f.revision, revision)
+	f.advance(revision)
 	if len(changes) > 0 {
 		f.Consumer.ApplyChanges(changes)
 	}
--- a/pkg/feed/peer.go
+++ b/pkg/feed/peer.go
@@ -156,7 +156,7 @@
 		m := stream.Msg()
 		age := time.Duration(m.GetAgeMs()) * time.Millisecond
 		if age > f.maxAge() {
-			return fmt.Errorf("%w: age %s, revision %d, latest seen %d", ErrStaleLeader, age, m.GetRevision(), f.revision)
+			return fmt.Errorf("%w: age %s, revision %s, latest seen %s", ErrStaleLeader, age, platform.FormatRevision(m.GetRevision()), platform.FormatRevision(f.revision))
 		}
 		if err := f.applyMessage(m, age); err != nil {
 			return err
--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -392,7 +392,7 @@
 		}
 		records, err := decodeRecords(o.Value)
 		if err != nil {
-			r.Log.WithFields(log.Fields{"key": o.Key, "revision": o.Revision}).WithError(err).Warn("crash_records_unreadable")
+			r.Log.WithFields(log.Fields{"key": o.Key, "revision": platform.FormatRevision(o.Revision)}).WithError(err).Warn("crash_records_unreadable")
 			continue
 		}
 		object := storedObject{revision: o.Revision}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -241,7 +241,7 @@
 		}
 		record := Record{}
 		if err := json.Unmarshal(o.Value, &record); err != nil {
-			r.log.WithFields(log.Fields{"key": o.Key, "revision": o.Revision}).WithError(err).Warn("router_record_unreadable")
+			r.log.WithFields(log.Fields{"key": o.Key, "revision": platform.FormatRevision(o.Revision)}).WithError(err).Warn("router_record_unreadable")
 			continue
 		}
 		record.name = name
