Remember what was drawn when the store comes back from an older copy

The record of a budget held one sum. After a restore it lacked the latest draws, routers held or had spent them, and the same tokens were drawn again: the record said 418,668, the router had seen 606,602 (allowance_record_older).

A record now divides what was drawn by the store's era. In one era the writes follow each other, so of two states the one with more writes includes the other, and eras add up; any two copies can be joined without counting twice. Each router keeps the latest state, tells the other allocators after each draw, and writes what a restored record lacks. For 1.5 s after a restore only a primary allocator that was running before draws. A draw that lands in another era than it counts for is given up. Tokens drawn beyond the total aren't spent and go back. If nobody remembers, because all routers lost power around the restore, what was spent is estimated from the record's demand.

--- a/api/ls/allowance/v1/allowancev1connect/allowance.connect.go
+++ b/api/ls/allowance/v1/allowancev1connect/allowance.connect.go
@@ -36,12 +36,16 @@
 const (
 	// AllowanceServiceGiveProcedure is the fully-qualified name of the AllowanceService's Give RPC.
 	AllowanceServiceGiveProcedure = "/ls.allowance.v1.AllowanceService/Give"
+	// AllowanceServiceInformProcedure is the fully-qualified name of the AllowanceService's Inform RPC.
+	AllowanceServiceInformProcedure = "/ls.allowance.v1.AllowanceService/Inform"
 )
 
 // AllowanceServiceClient is a client for the ls.allowance.v1.AllowanceService service.
 type AllowanceServiceClient interface {
 	// Give transfers tokens from the callee's account to the caller.
 	Give(context.Context, *connect.Request[v1.GiveRequest]) (*connect.Response[v1.GiveResponse], error)
+	// Inform tells the callee what routers have drawn, so that it is remembered if the store comes back from an older copy.
+	Inform(context.Context, *connect.Request[v1.InformRequest]) (*connect.Response[v1.InformResponse], error)
 }
 
 // NewAllowanceServiceClient constructs a client for the ls.allowance.v1.AllowanceService service.
@@ -61,12 +65,19 @@
 			connect.WithSchema(allowanceServiceMethods.ByName("Give")),
 			connect.WithClientOptions(opts...),
 		),
+		inform: connect.NewClient[v1.InformRequest, v1.InformResponse](
+			httpClient,
+			baseURL+AllowanceServiceInformProcedure,
+			connect.WithSchema(allowanceServiceMethods.ByName("Inform")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // allowanceServiceClient implements AllowanceServiceClient.
 type allowanceServiceClient struct {
-	give *connect.Client[v1.GiveRequest, v1.GiveResponse]
+	give   *connect.Client[v1.GiveRequest, v1.GiveResponse]
+	inform *connect.Client[v1.InformRequest, v1.InformResponse]
 }
 
 // Give calls ls.allowance.v1.AllowanceService.Give.
@@ -74,10 +85,17 @@
 	return c.give.CallUnary(ctx, req)
 }
 
+// Inform calls ls.allowance.v1.AllowanceService.Inform.
+func (c *allowanceServiceClient) Inform(ctx context.Context, req *connect.Request[v1.InformRequest]) (*connect.Response[v1.InformResponse], error) {
+	return c.inform.CallUnary(ctx, req)
+}
+
 // AllowanceServiceHandler is an implementation of the ls.allowance.v1.AllowanceService service.
 type AllowanceServiceHandler interface {
 	// Give transfers tokens from the callee's account to the caller.
 	Give(context.Context, *connect.Request[v1.GiveRequest]) (*connect.Response[v1.GiveResponse], error)
+	// Inform tells the callee what routers have drawn, so that it is remembered if the store comes back from an older copy.
+	Inform(context.Context, *connect.Request[v1.InformRequest]) (*connect.Response[v1.InformResponse], error)
 }
 
 // NewAllowanceServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -93,10 +111,18 @@
 		connect.WithSchema(allowanceServiceMethods.ByName("Give")),
 		connect.WithHandlerOptions(opts...),
 	)
+	allowanceServiceInformHandler := connect.NewUnaryHandler(
+		AllowanceServiceInformProcedure,
+		svc.Inform,
+		connect.WithSchema(allowanceServiceMethods.ByName("Inform")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/ls.allowance.v1.AllowanceService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AllowanceServiceGiveProcedure:
 			allowanceServiceGiveHandler.ServeHTTP(w, r)
+		case AllowanceServiceInformProcedure:
+			allowanceServiceInformHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -109,3 +135,7 @@
 func (UnimplementedAllowanceServiceHandler) Give(context.Context, *connect.Request[v1.GiveRequest]) (*connect.Response[v1.GiveResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ls.allowance.v1.AllowanceService.Give is not implemented"))
 }
+
+func (UnimplementedAllowanceServiceHandler) Inform(context.Context, *connect.Request[v1.InformRequest]) (*connect.Response[v1.InformResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ls.allowance.v1.AllowanceService.Inform is not implemented"))
+}
--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -54,6 +54,11 @@
 	// the fleet ever more requests between routers.
 	minRefusalDuration = 700 * time.Millisecond
 	maxRefusalDuration = 4 * time.Second
+	// settleTime is the time after a restore of the store in which the routers tell it again what they have drawn. Meanwhile only
+	// a primary allocator draws, which knows nearly all draws.
+	settleTime = 1500 * time.Millisecond
+	// maxCopyAge is more than the age of a copy from which the store is restored: older changes are in the copy.
+	maxCopyAge = time.Minute
 )
 
 // Verdict is the outcome of a reservation.
@@ -89,6 +94,15 @@
 	// known.
 	prepaid, drawn int64
 	loaded         bool
+	// known is the latest state of each era that this router has heard of, and knownAt the time of its last change.
+	known   Draws
+	knownAt time.Time
+	// mustReconcile is set after a restore of the store until the record has all draws that this router knows.
+	mustReconcile bool
+	// settledAt is the end of settleTime after a restore. mustSettle applies it to a primary allocator as well, because it
+	// knows nothing of the time before the restore.
+	settledAt  time.Time
+	mustSettle bool
 	// free is the number of drawn tokens that are neither spent nor reserved.
 	free    int64
 	waiters []waiter
@@ -127,7 +141,7 @@
 func (a *account) reserve(now time.Time, w waiter) {
 	a.lastUse = now
 	switch {
-	case len(a.waiters) == 0 && w.tokens <= a.free:
+	case len(a.waiters) == 0 && w.tokens <= a.spendable():
 		a.recordDemand(now, w.tokens)
 		a.free -= w.tokens
 		w.verdict <- Granted
@@ -175,7 +189,7 @@
 // tokens cover them.
 func (a *account) credit(tokens int64) {
 	a.free += tokens
-	for len(a.waiters) > 0 && a.waiters[0].tokens <= a.free {
+	for len(a.waiters) > 0 && a.waiters[0].tokens <= a.spendable() {
 		a.free -= a.waiters[0].tokens
 		a.waiters[0].verdict <- Granted
 		a.waiters = a.waiters[1:]
@@ -188,7 +202,7 @@
 // shortage returns the number of tokens missing for all waiting requests. It is negative if more tokens are free than
 // they need.
 func (a *account) shortage() int64 {
-	sum := -a.free
+	sum := -a.spendable()
 	for _, w := range a.waiters {
 		sum += w.tokens
 	}
@@ -200,7 +214,7 @@
 	if len(a.waiters) == 0 {
 		return 0
 	}
-	return max(1, a.waiters[0].tokens-a.free)
+	return max(1, a.waiters[0].tokens-a.spendable())
 }
 
 // target returns the number of free tokens that the account should hold.
@@ -219,6 +233,39 @@
 	return maxHeldShare * left * left
 }
 
+// spendable returns the free tokens without those that were drawn beyond the total, which are to be returned.
+func (a *account) spendable() int64 { return a.free - a.overdrawn() }
+
+// overdrawn returns the number of free tokens that were drawn beyond the total: routers that draw while the store lacks the
+// latest draws draw too much, and the operator may lower the total.
+func (a *account) overdrawn() int64 {
+	if a.prepaid <= 0 || !a.loaded {
+		return 0
+	}
+	return min(a.free, max(0, a.drawn-a.prepaid))
+}
+
+// mayCallStore reports whether the account may draw: neither after a failed call, nor while what others have drawn before a
+// restore isn't known yet.
+func (a *account) mayCallStore(now time.Time, primary bool) bool {
+	return !now.Before(a.retryAt) && (primary && !a.mustSettle || !now.Before(a.settledAt))
+}
+
+// restored begins the time after a restore of the store.
+func (a *account) restored(now time.Time) {
+	a.settledAt = now.Add(settleTime)
+	a.mustReconcile = a.mustReconcile || len(a.known) > 0 && now.Sub(a.knownAt) < maxCopyAge
+}
+
+// learn adds what routers have drawn.
+func (a *account) learn(now time.Time, d Draws) {
+	if a.known.lacks(d) {
+		a.knownAt = now
+	}
+	a.known = a.known.merged(d)
+	a.drawn, a.loaded = a.known.total(), true
+}
+
 // shouldDraw reports whether the account should draw from the store now. Only the organisation's primary allocator
 // draws ahead of need. The other routers ask the allocators first and draw what they need themselves if they can't
 // reach them.
@@ -226,6 +273,12 @@
 	if a.storeCallInProgress || now.Before(a.retryAt) {
 		return false
 	}
+	if a.mustReconcile {
+		return true
+	}
+	if !a.mayCallStore(now, primary) {
+		return false
+	}
 	if len(a.waiters) > 0 {
 		return !a.peerRequestInProgress && (primary || a.drawDirectly)
 	}
@@ -248,7 +301,7 @@
 	if len(a.waiters) == 0 {
 		return !primary && !now.Before(a.refuseUntil) && !now.Before(a.askAheadAt) && a.free < a.askTarget(now)/2
 	}
-	return now.Before(a.retryAt) || !primary && !a.drawDirectly
+	return !a.mayCallStore(now, primary) || !primary && !a.drawDirectly
 }
 
 // askTarget returns the number of free tokens that a router which isn't the primary allocator should hold, 0 if its
@@ -280,7 +333,7 @@
 	need := max(0, a.shortage())
 	if len(a.waiters) > 0 && need > remainder {
 		// Serve the first request if not all can be served.
-		need = a.waiters[0].tokens - a.free
+		need = a.waiters[0].tokens - a.spendable()
 	}
 	if need > remainder || remainder <= 0 {
 		return 0
@@ -289,25 +342,28 @@
 	return min(remainder, max(need, ahead))
 }
 
-// applyRead updates the account from the store's object: drawn is its total, writeID this router's last write in it.
-func (a *account) applyRead(drawn int64, writeID string, revision uint64) {
-	a.drawn, a.loaded = drawn, true
+// applyRead updates the account from the store's object: writeID is this router's last write in it. It reports whether that is
+// a draw whose response was lost.
+func (a *account) applyRead(now time.Time, d Draws, writeID string, revision uint64) (recognised bool) {
+	a.learn(now, d)
 	if w, ok := a.pendingDraws[writeID]; ok {
 		// This write took effect, so the other pending ones, conditional on the same or an older revision, did not.
 		clear(a.pendingDraws)
 		a.credit(w.amount)
-		return
+		return true
 	}
 	for id, w := range a.pendingDraws {
 		if w.baseRevision < revision {
 			delete(a.pendingDraws, id)
 		}
 	}
+	return false
 }
 
 // applyDraw updates the account after a successful draw of tokens.
-func (a *account) applyDraw(drawn, tokens int64) {
-	a.drawn, a.loaded = drawn, true
+func (a *account) applyDraw(now time.Time, d Draws, tokens int64) {
+	a.learn(now, d)
+	a.mustReconcile = false
 	clear(a.pendingDraws)
 	if tokens >= a.refuseTokens {
 		a.refusalDuration = 0
@@ -328,8 +384,8 @@
 	}
 	a.waiters, a.drawDirectly = nil, false
 	shortest, longest := minRefusalDuration, maxRefusalDuration
-	if now.Before(a.retryAt) {
-		// The store can't be reached. Its tokens become available as soon as it answers, so the refusal is shorter.
+	if now.Before(a.retryAt) || now.Before(a.settledAt) {
+		// The store can't be drawn on. Its tokens become available as soon as it answers, so the refusal is shorter.
 		shortest, longest = minBackoff, maxBackoff
 	}
 	a.refusalDuration = min(max(shortest, 2*a.refusalDuration), longest)
@@ -351,10 +407,11 @@
 // want tokens short in all. If fewer than need tokens are free, it transfers all of them, because they would not serve
 // such a request here either. Beyond the need it transfers at most half of the free tokens.
 func (a *account) transferOut(now time.Time, need, want int64) int64 {
-	if len(a.waiters) > 0 || a.free <= 0 || need <= 0 {
+	free := a.spendable()
+	if len(a.waiters) > 0 || free <= 0 || need <= 0 {
 		return 0
 	}
-	tokens := min(a.free, max(need, min(want, a.free/2)))
+	tokens := min(free, max(need, min(want, free/2)))
 	a.free -= tokens
 	// Transfers count as demand, so that an allocator holds enough for other routers.
 	a.recordDemand(now, tokens)
@@ -363,10 +420,16 @@
 }
 
 // surplus returns the number of tokens to return to the store: all free tokens of a router that has used none for
-// idleTimeout. The primary allocator returns tokens only when the budget is scarce. Returning fewer tokens than an
-// average request needs is not worth a call.
+// idleTimeout, and those drawn beyond the total at once. The primary allocator returns tokens only when the budget is scarce.
+// Returning fewer tokens than an average request needs is not worth a call.
 func (a *account) surplus(now time.Time, primary bool) int64 {
-	if a.storeCallInProgress || len(a.waiters) > 0 || now.Sub(a.lastUse) < idleTimeout || now.Before(a.retryAt) {
+	if a.storeCallInProgress || a.mustReconcile || now.Before(a.retryAt) {
+		return 0
+	}
+	if excess := a.overdrawn(); excess > 0 {
+		return excess
+	}
+	if len(a.waiters) > 0 || now.Sub(a.lastUse) < idleTimeout {
 		return 0
 	}
 	if primary && !a.isScarce() || float64(a.free) < a.meanRequestTokens() {
--- a/pkg/allowance/accounts.go
+++ b/pkg/allowance/accounts.go
@@ -27,6 +27,8 @@
 type Peers interface {
 	// RequestTokens asks the other allocators for tokens. It calls late with tokens that arrive after it has returned.
 	RequestTokens(ctx context.Context, allocators []string, organisation string, shortage Shortage, late func(tokens int64)) RequestResult
+	// Inform tells the other allocators what routers have drawn. It doesn't wait for them.
+	Inform(allocators []string, organisation string, draws Draws)
 }
 
 // RequestResult is the sum of the answers of other routers to a request for tokens.
@@ -58,7 +60,8 @@
 // Accounts holds the budgets of all organisations at this router. It is safe for concurrent use.
 type Accounts struct {
 	Options
-	owner *task.Owner[accountTable]
+	owner     *task.Owner[accountTable]
+	startedAt time.Time
 }
 
 type accountTable struct {
@@ -70,6 +73,9 @@
 	// whether one account's draw is testing the store meanwhile.
 	retryDelay      time.Duration
 	probeInProgress bool
+	// era is the store's newest known era, and eraKnown is set once the store has answered.
+	era      uint64
+	eraKnown bool
 	// closing is set when the router stops: free tokens are returned and none are drawn.
 	closing bool
 }
@@ -99,7 +105,7 @@
 
 // NewAccounts returns Accounts whose methods block until Run is called.
 func NewAccounts(o Options) *Accounts {
-	return &Accounts{Options: o, owner: task.New(&accountTable{accounts: map[string]*account{}, records: map[string]storedRecord{}})}
+	return &Accounts{Options: o, startedAt: time.Now(), owner: task.New(&accountTable{accounts: map[string]*account{}, records: map[string]storedRecord{}})}
 }
 
 // Run serves the accounts until ctx ends.
@@ -215,7 +221,7 @@
 	acc.owner.Do(func(t *accountTable) {
 		a := t.account(organisation)
 		transferred = a.transferOut(time.Now(), need, want)
-		draw = draw && !time.Now().Before(a.retryAt)
+		draw = draw && a.mayCallStore(time.Now(), acc.isPrimary(organisation))
 		acc.advance(t, organisation, a)
 	})
 	if prepaid := acc.Prepaid(organisation); draw && prepaid > 0 && need > transferred {
@@ -235,6 +241,11 @@
 	return transferred, exhausted
 }
 
+// Learn records what routers have drawn of the organisation's budget, as another router tells.
+func (acc *Accounts) Learn(organisation string, draws Draws) {
+	acc.owner.Post(func(t *accountTable) { t.account(organisation).learn(time.Now(), draws) })
+}
+
 // peerRequestDelay is the time after which other routers are asked while a draw has no answer. The store usually
 // answers in 4 ms.
 const peerRequestDelay = 60 * time.Millisecond
@@ -281,7 +292,7 @@
 				// The other routers may have more; advance asks again for the next request.
 			case result.Exhausted:
 				a.refuse(time.Now(), Exhausted)
-			case len(a.waiters) > 0 && !a.drawDirectly && !result.Complete && !time.Now().Before(a.retryAt):
+			case len(a.waiters) > 0 && !a.drawDirectly && !result.Complete && a.mayCallStore(time.Now(), acc.isPrimary(name)):
 				// An allocator did not answer, so this router draws from the store itself.
 				a.drawDirectly = true
 			case !result.Complete:
--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"time"
 
 	"github.com/apex/log"
@@ -20,19 +18,8 @@
 	maxAttempts = 12
 	// callTimeout bounds one call to the store, which usually answers in 4 ms, or in about 250 ms when it is slow.
 	callTimeout = 500 * time.Millisecond
-	// maxLastWrites bounds the routers whose last write an object holds, so that its value stays under 32 KB.
-	maxLastWrites = 512
 )
 
-// record is the value of the store's object for an organisation.
-type record struct {
-	// Drawn is the number of tokens that routers have drawn and not returned.
-	Drawn int64 `json:"drawn"`
-	// LastWrites holds the ID of each router's last write by the router's name. After a lost response, the router sees
-	// from it whether its write took effect.
-	LastWrites map[string]string `json:"marks,omitempty"`
-}
-
 type storedRecord struct {
 	revision uint64
 	record   record
@@ -53,11 +40,14 @@
 	step    drawStep
 	amount  int64
 	writeID string
-	next    record
+	// era is the one to which the write counts.
+	era  uint64
+	next record
 }
 
 // draw adds to the drawn tokens by conditional update. If too little is left according to the last known record, draw
-// reads the record again first, because other routers may have returned tokens.
+// reads the record again first, because other routers may have returned tokens. After a restore of the store it also writes
+// draws that the record lacks.
 func (acc *Accounts) draw(name string, current storedRecord) {
 	fresh := false
 	for range maxAttempts {
@@ -69,10 +59,14 @@
 			return
 		case stepPut:
 			object, err = acc.putRecord(name, p.next, current.revision)
-			if err == nil {
+			if err == nil && platform.Era(object.Revision) == p.era {
 				acc.finishDraw(name, storedRecord{revision: object.Revision, record: p.next}, p.amount)
 				return
 			}
+			if err == nil {
+				acc.giveUpDraw(name, p, object.Revision)
+				break
+			}
 			if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrUncertain) {
 				acc.failDraw(name, err)
 				return
@@ -94,58 +88,118 @@
 	var p drawPlan
 	acc.owner.Do(func(t *accountTable) {
 		a := t.account(name)
-		if last := t.records[name]; current.revision < last.revision {
+		now, primary := time.Now(), acc.isPrimary(name)
+		acc.observeEra(t, now, current.revision)
+		isOpen := current.record.isOpenIn(t.era)
+		switch {
+		case fresh && current.record.undivided:
+			a.known = nil // Routers of an earlier version draw without telling others apart, so only the record counts.
+		case fresh && !isOpen && len(a.known) == 0:
+			// This router was not running before the restore. It waits for what the others remember.
+			a.mustSettle, a.settledAt = true, now.Add(settleTime)
+		}
+		lacks := fresh && current.record.Eras.lacks(a.known)
+		if lacks {
 			acc.Log.WithFields(log.Fields{
-				"organisation": name, "revision": platform.FormatRevision(current.revision), "seen": platform.FormatRevision(last.revision), "drawn": current.record.Drawn, "drawn_seen": last.record.Drawn, "free": a.free,
+				"organisation": name, "revision": platform.FormatRevision(current.revision), "drawn": current.record.Drawn, "drawn_known": a.known.total(), "free": a.free,
 			}).Warn("allowance_record_older")
 		}
-		if fresh || current.revision > 0 {
-			a.applyRead(current.record.Drawn, current.record.LastWrites[acc.VM], current.revision)
+		if (fresh || current.revision > 0) && a.applyRead(now, current.record.Eras, current.record.LastWrites[acc.VM], current.revision) {
+			acc.Peers.Inform(acc.Allocators(name), name, a.known)
 		}
+		mayDraw := a.mayCallStore(now, primary)
+		if fresh && mayDraw && a.mustSettle {
+			a.mustSettle = false
+			if !isOpen {
+				acc.estimateDraws(name, a, now, current.record)
+			}
+		}
+		current.record = current.record.with(a.known)
 		t.records[name] = current
-		now := time.Now()
-		p.amount = a.drawAmount(now)
+		if mayDraw {
+			p.amount = a.drawAmount(now)
+		}
+		mustRead := !fresh && (a.mustReconcile || a.mustSettle)
 		switch {
-		case p.amount > 0 && (len(a.waiters) > 0 || !fresh):
+		case fresh && a.mustReconcile && (lacks || !isOpen), p.amount > 0 && (len(a.waiters) > 0 || !fresh) && !mustRead:
 			t.writeCount++
-			p.step, p.writeID = stepPut, fmt.Sprintf("%s/%d", acc.Instance, t.writeCount)
-			p.next = current.record.withWrite(acc.VM, p.writeID, p.amount)
+			p.step, p.writeID, p.era = stepPut, fmt.Sprintf("%s/%d", acc.Instance, t.writeCount), t.era
+			if current.revision > 0 {
+				p.era = platform.Era(current.revision)
+			}
+			p.next = current.record.after(write{
+				vm: acc.VM, id: p.writeID, era: p.era, amount: p.amount, at: now, demand: int64(a.demandRate(now)), held: max(0, p.amount-a.shortage()),
+			})
 			a.pendingDraws[p.writeID] = pendingDraw{amount: p.amount, baseRevision: current.revision}
-		case len(a.waiters) > 0 && !fresh:
+		case mustRead, len(a.waiters) > 0 && !fresh:
 			p.step = stepGet
 		default:
 			a.storeCallInProgress = false
 			if fresh {
+				a.mustReconcile = false
 				t.recordStoreAnswer()
 			} else {
 				t.probeInProgress = false // No call was made, so whether the store answers is still unknown.
 			}
-			if len(a.waiters) > 0 {
+			if len(a.waiters) > 0 && mayDraw {
 				acc.requestFromPeers(name, a, Exhausted)
+			} else if len(a.waiters) > 0 {
+				acc.requestFromPeers(name, a, Unavailable)
 			}
 		}
 	})
 	return p
 }
 
-// withWrite returns the record after a write of the router vm that changes the drawn tokens by amount.
-func (r record) withWrite(vm, writeID string, amount int64) record {
-	next := record{Drawn: r.Drawn + amount, LastWrites: maps.Clone(r.LastWrites)}
-	if next.LastWrites == nil || len(next.LastWrites) > maxLastWrites {
-		next.LastWrites = map[string]string{}
+// estimateDraws adds an estimate of the draws that the record of an older copy lacks and that no router remembers.
+func (acc *Accounts) estimateDraws(name string, a *account, now time.Time, r record) {
+	estimated := r.withEstimate(acc.startedAt, a.prepaid-a.drawn)
+	a.learn(now, estimated.Eras)
+	a.mustReconcile = true
+	acc.Log.WithFields(log.Fields{
+		"organisation": name, "drawn": r.Drawn, "drawn_estimated": a.drawn, "demand": r.Demand, "held": r.Held, "written_ago_ms": acc.startedAt.UnixMilli() - r.AtMS,
+	}).Warn("allowance_estimated")
+}
+
+// observeEra begins the time after a restore of the store if the revision is the first one of a new era.
+func (acc *Accounts) observeEra(t *accountTable, now time.Time, revision uint64) {
+	era := platform.Era(revision)
+	if era <= t.era {
+		return
 	}
-	next.LastWrites[vm] = writeID
-	return next
+	if t.eraKnown {
+		for _, a := range t.accounts {
+			a.restored(now)
+		}
+	}
+	t.era, t.eraKnown = era, true
+}
+
+// StoreReached tells the accounts a revision that the store has reached. If it has come back from an older copy, they write
+// again what they have drawn since.
+func (acc *Accounts) StoreReached(revision uint64) {
+	acc.owner.Post(func(t *accountTable) {
+		acc.observeEra(t, time.Now(), revision)
+		t.eraKnown = true
+		for name, a := range t.accounts {
+			if a.mustReconcile {
+				acc.advance(t, name, a)
+			}
+		}
+	})
+}
+
+// giveUpDraw gives up the tokens of a draw that was written in another era than it counts for: the store was restored
+// meanwhile. A later state of that era may replace it, so the tokens must not be used.
+func (acc *Accounts) giveUpDraw(name string, p drawPlan, revision uint64) {
+	acc.owner.Do(func(t *accountTable) { delete(t.account(name).pendingDraws, p.writeID) })
+	acc.Log.WithFields(log.Fields{"organisation": name, "tokens": p.amount, "era": p.era, "revision": platform.FormatRevision(revision)}).Warn("allowance_draw_given_up")
 }
 
 func (acc *Accounts) putRecord(name string, r record, revision uint64) (platform.Object, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	value, err := json.Marshal(r)
-	if err != nil {
-		panic(fmt.Sprintf("allowance: encode record: %v", err))
-	}
-	return acc.Store.Put(ctx, objectKind+"/"+name, value, revision)
+	return acc.Store.Put(ctx, objectKind+"/"+name, r.encode(), revision)
 }
 
 // currentRecord returns the stored record after a conflict or a lost response. It reads the record from the store
@@ -164,8 +218,8 @@
 			return storedRecord{}, fmt.Errorf("allowance: read object of %s: %w", name, err)
 		}
 	}
-	var r record
-	if err := json.Unmarshal(object.Value, &r); err != nil {
+	r, err := decodeRecord(object.Value)
+	if err != nil {
 		return storedRecord{}, fmt.Errorf("allowance: decode object of %s: %w", name, err)
 	}
 	return storedRecord{revision: object.Revision, record: r}, nil
@@ -177,7 +231,10 @@
 		a.storeCallInProgress = false
 		t.recordStoreAnswer()
 		t.records[name] = current
-		a.applyDraw(current.record.Drawn, amount)
+		now := time.Now()
+		acc.observeEra(t, now, current.revision)
+		a.applyDraw(now, current.record.Eras, amount)
+		acc.Peers.Inform(acc.Allocators(name), name, a.known)
 		acc.Log.WithFields(log.Fields{
 			"organisation": name, "tokens": amount, "drawn": a.drawn, "prepaid": a.prepaid, "revision": platform.FormatRevision(current.revision),
 		}).Info("allowance_drawn")
@@ -221,14 +278,20 @@
 	a.free -= tokens
 	a.storeCallInProgress = true
 	t.writeCount++
-	go acc.writeReturn(name, t.records[name], tokens, fmt.Sprintf("%s/%d", acc.Instance, t.writeCount))
+	current := t.records[name]
+	current.record = current.record.with(a.known)
+	go acc.writeReturn(name, current, t.era, tokens, fmt.Sprintf("%s/%d", acc.Instance, t.writeCount))
 }
 
-func (acc *Accounts) writeReturn(name string, current storedRecord, tokens int64, writeID string) {
+// writeReturn writes a return; era is the store's, as far as it is known.
+func (acc *Accounts) writeReturn(name string, current storedRecord, era uint64, tokens int64, writeID string) {
 	var err error
 	for range maxAttempts {
 		var object platform.Object
-		next := current.record.withWrite(acc.VM, writeID, -tokens)
+		if current.revision > 0 {
+			era = platform.Era(current.revision)
+		}
+		next := current.record.after(write{vm: acc.VM, id: writeID, era: era, amount: -tokens, at: time.Now()})
 		if object, err = acc.putRecord(name, next, current.revision); err == nil {
 			current = storedRecord{revision: object.Revision, record: next}
 			break
@@ -236,9 +299,11 @@
 		if !errors.Is(err, platform.ErrConflict) {
 			break
 		}
+		known := current.record.Eras
 		if current, err = acc.currentRecord(name, object); err != nil {
 			break
 		}
+		current.record = current.record.with(known)
 	}
 	acc.owner.Post(func(t *accountTable) {
 		a := t.account(name)
@@ -249,7 +314,9 @@
 			a.retryAt = time.Now().Add(t.recordStoreFailure())
 		} else {
 			t.recordStoreAnswer()
-			t.records[name], a.drawn = current, current.record.Drawn
+			t.records[name] = current
+			a.learn(time.Now(), current.record.Eras)
+			acc.Peers.Inform(acc.Allocators(name), name, a.known)
 			entry.Info("allowance_returned")
 		}
 		acc.advance(t, name, a)
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -24,6 +24,8 @@
 	// peerDrawTimeout bounds the time in which an allocator draws tokens for another router. It is below answerTimeout,
 	// because the other router waits no longer than that.
 	peerDrawTimeout = 80 * time.Millisecond
+	// informTimeout bounds a call that informs an allocator.
+	informTimeout = time.Second
 	// unresponsiveDuration is the time during which a router that did not answer is asked last.
 	unresponsiveDuration = 2 * time.Second
 )
@@ -51,6 +53,16 @@
 	return connect.NewResponse(&allowancev1.GiveResponse{Tokens: transferred, Exhausted: exhausted}), nil
 }
 
+// Inform implements AllowanceService: it records what routers have drawn.
+func (s *Service) Inform(_ context.Context, req *connect.Request[allowancev1.InformRequest]) (*connect.Response[allowancev1.InformResponse], error) {
+	draws := Draws{}
+	for _, e := range req.Msg.GetEras() {
+		draws[e.GetEra()] = EraDraws{Writes: e.GetWrites(), Drawn: e.GetDrawn()}
+	}
+	s.accounts.Learn(req.Msg.GetOrganisation(), draws)
+	return connect.NewResponse(&allowancev1.InformResponse{}), nil
+}
+
 // RemotePeers implements Peers over the network.
 type RemotePeers struct {
 	// Addresses returns the peer addresses of the other routers by name.
@@ -89,6 +101,27 @@
 	return result
 }
 
+// Inform implements Peers.
+func (r *RemotePeers) Inform(allocators []string, organisation string, draws Draws) {
+	request := &allowancev1.InformRequest{Organisation: organisation}
+	for era, e := range draws {
+		request.Eras = append(request.Eras, &allowancev1.EraDraws{Era: era, Writes: e.Writes, Drawn: e.Drawn})
+	}
+	for _, p := range r.orderPeers(allocators) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), informTimeout)
+			defer cancel()
+			if _, err := r.client(p).Inform(ctx, connect.NewRequest(request)); err != nil {
+				r.Log.WithFields(log.Fields{"peer": p.name, "organisation": organisation}).WithError(err).Info("allowance_peer_not_informed")
+			}
+		}()
+	}
+}
+
+func (r *RemotePeers) client(p peer) allowancev1connect.AllowanceServiceClient {
+	return allowancev1connect.NewAllowanceServiceClient(r.Client, "http://"+p.address, connect.WithReadMaxBytes(peerhttp.MaxMessageBytes))
+}
+
 // orderPeers returns the other allocators in order, followed by those that did not answer recently.
 func (r *RemotePeers) orderPeers(allocators []string) []peer {
 	addresses := r.Addresses()
@@ -184,8 +217,7 @@
 func (r *RemotePeers) requestFromPeer(p peer, request *allowancev1.GiveRequest) peerAnswer {
 	ctx, cancel := context.WithTimeout(context.Background(), lateAnswerTimeout)
 	defer cancel()
-	client := allowancev1connect.NewAllowanceServiceClient(r.Client, "http://"+p.address, connect.WithReadMaxBytes(peerhttp.MaxMessageBytes))
-	response, err := client.Give(ctx, connect.NewRequest(request))
+	response, err := r.client(p).Give(ctx, connect.NewRequest(request))
 	if err != nil {
 		r.Log.WithFields(log.Fields{"peer": p.name, "organisation": request.GetOrganisation()}).WithError(err).Info("allowance_peer_silent")
 		return peerAnswer{from: p.name}
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -70,6 +70,7 @@
 	config, endpoints, records, crashes := options, options, options, options
 	config.Kind, config.Store, config.Consumer = r.adapter.ConfigKind, r.adapter.Store, configFeed{r.config}
 	config.SetStoreLost = r.breaker.open.Store
+	config.StoreReached = r.accounts.StoreReached
 	endpoints.Kind, endpoints.Store, endpoints.Consumer = r.adapter.EndpointKind, r.breaker, r.endpoints
 	records.Kind, records.Store, records.Consumer = roster.Kind, r.breaker, r.roster
 	records.StaleListInterval = roster.ListInterval
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -65,6 +65,9 @@
 	Leaders func() []string
 	// Client calls other routers. Needed with Leaders.
 	Client PeerClient
+	// StoreReached is called with the first revision of the store and with the first one after each restore from an older copy.
+	// Optional.
+	StoreReached func(revision uint64)
 	// SetStoreLost is called with true when calls to the store start to fail and with false when the store answers again.
 	// Optional.
 	SetStoreLost func(lost bool)
@@ -243,7 +246,11 @@
 
 // advance records the revision up to which the consumer has every change.
 func (f *Feed) advance(revision uint64) {
-	if f.revision != 0 && platform.Era(revision) > platform.Era(f.revision) {
+	restored := platform.Era(revision) > platform.Era(f.revision)
+	if f.StoreReached != nil && (f.revision == 0 || restored) {
+		f.StoreReached(revision)
+	}
+	if f.revision != 0 && restored {
 		f.Log.WithFields(log.Fields{
 			"kind": f.Kind, "revision": platform.FormatRevision(revision), "seen": platform.FormatRevision(f.revision),
 		}).Warn("store_restored")
