Don't use endpoints again that an older copy of the store brings back

An older copy names engines as ready that have announced since that they leave, or whose entries are gone; routers sent them requests again until the engines had written once more. Engines that registered since are missing there and were dropped at once. A run that leaves stays so now; one that was gone gets nothing for 5 s unless its entry is written again, which is longer than the entry of an engine that no longer runs is kept; after a restore a missing entry has the same grace time as after an outage. TestRestoredStoreBringsNoEndpointBack failed before (b live instead of leaving).

--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -19,8 +19,27 @@
 	// reregistrationTime is the time within which live endpoints register again once the store is back. An entry that
 	// is still missing then is removed.
 	reregistrationTime = 2100 * time.Millisecond
+	// restoredHold is how long an endpoint that was gone gets no requests after an older copy of the store has brought its entry
+	// back. The entry of an endpoint that no longer runs lapses within this time, after three heartbeats and some slack.
+	restoredHold = 5 * time.Second
+	// goneRetention is more than the age of a copy from which the store is restored.
+	goneRetention = time.Minute
 )
 
+// goneRun is a run of an endpoint whose entry was removed.
+type goneRun struct {
+	// started is the VM's Started, era the store's era at that time.
+	started int64
+	era     uint64
+	at      time.Time
+}
+
+// heldEntry is an entry that an older copy of the store has brought back.
+type heldEntry struct {
+	vm    platform.VM
+	until time.Time
+}
+
 // endpointDecoder decodes an endpoint's object in the store.
 type endpointDecoder func(platform.Object) (platform.VM, error)
 
@@ -39,10 +58,14 @@
 	// graceUntil is the end of the grace time in which an entry that disappears may still come back.
 	graceUntil time.Time
 	loaded     bool
+	// era is the store's newest era, gone the runs that were removed, and held the entries that came back in a later era.
+	era  uint64
+	gone map[string]goneRun
+	held map[string]heldEntry
 }
 
 func newEndpointSet(decode endpointDecoder, logger log.Interface, publish func([]platform.VM)) *endpointSet {
-	return &endpointSet{decode: decode, log: logger, publish: publish, registered: map[string]platform.VM{}, removeAt: map[string]time.Time{}}
+	return &endpointSet{decode: decode, log: logger, publish: publish, registered: map[string]platform.VM{}, removeAt: map[string]time.Time{}, gone: map[string]goneRun{}, held: map[string]heldEntry{}}
 }
 
 // isLoaded reports whether a complete list has been read.
@@ -56,14 +79,19 @@
 func (e *endpointSet) ReplaceAll(objects []platform.Object, sinceContact time.Duration) {
 	e.mu.Lock()
 	now := time.Now()
-	if sinceContact > graceOutageThreshold {
+	era := e.era
+	for _, o := range objects {
+		era = max(era, platform.Era(o.Revision))
+	}
+	restored := e.loaded && era > e.era
+	if sinceContact > graceOutageThreshold || restored {
 		e.graceUntil = now.Add(reregistrationTime)
 	}
-	e.loaded = true
+	e.loaded, e.era = true, era
 	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		listed[o.Key] = true
-		e.put(o)
+		e.put(now, o, restored)
 	}
 	for key := range e.registered {
 		if !listed[key] {
@@ -82,7 +110,7 @@
 		if o.Deleted {
 			e.remove(now, o.Key)
 		} else {
-			e.put(o)
+			e.put(now, o, false)
 		}
 	}
 	e.mu.Unlock()
@@ -96,16 +124,19 @@
 	return slices.Collect(maps.Values(e.registered))
 }
 
-// put adds or updates the endpoint of an entry. e.mu must be held.
-func (e *endpointSet) put(o platform.Object) {
+// put adds or updates the endpoint of an entry; restored is set if the entry may be from an older copy of the store. e.mu must be
+// held.
+func (e *endpointSet) put(now time.Time, o platform.Object, restored bool) {
 	delete(e.removeAt, o.Key)
 	vm, err := e.decode(o)
 	if err != nil {
 		// An invalid entry also ends the use of the endpoint that it named before.
 		delete(e.registered, o.Key)
+		delete(e.held, o.Key)
 		e.log.WithFields(log.Fields{"key": o.Key, "revision": platform.FormatRevision(o.Revision)}).WithError(err).Warn("endpoint_entry_skipped")
 		return
 	}
+	vm.State = e.effectiveState(now, o, vm, restored)
 	if old, ok := e.registered[o.Key]; !ok || old.State != vm.State || old.Address != vm.Address || old.Started != vm.Started {
 		e.log.WithFields(log.Fields{
 			"endpoint": vm.Name, "service": vm.Service, "state": string(vm.State), "address": vm.Address, "revision": platform.FormatRevision(o.Revision),
@@ -114,6 +145,24 @@
 	e.registered[o.Key] = vm
 }
 
+// effectiveState returns the state in which an entry's endpoint is used. An endpoint that leaves stays so for the rest of its run,
+// and one that was gone is used again only if its entry was written since or doesn't lapse. e.mu must be held.
+func (e *endpointSet) effectiveState(now time.Time, o platform.Object, vm platform.VM, restored bool) platform.VMState {
+	_, wasHeld := e.held[o.Key]
+	delete(e.held, o.Key)
+	old, registered := e.registered[o.Key]
+	gone, wasGone := e.gone[o.Key]
+	switch {
+	case vm.State == platform.VMLeaving:
+	case registered && !wasHeld && old.State == platform.VMLeaving && old.Started == vm.Started:
+		return platform.VMLeaving
+	case restored && !registered && wasGone && gone.started == vm.Started && gone.era < platform.Era(o.Revision) && now.Sub(gone.at) < goneRetention:
+		e.held[o.Key] = heldEntry{vm: vm, until: now.Add(restoredHold)}
+		return platform.VMLeaving
+	}
+	return vm.State
+}
+
 // remove removes an endpoint at once, or after the grace time that follows an outage of the store. Endpoints that are
 // leaving get no grace time. e.mu must be held.
 func (e *endpointSet) remove(now time.Time, key string) {
@@ -130,11 +179,18 @@
 	}
 	delete(e.registered, key)
 	delete(e.removeAt, key)
+	delete(e.held, key)
+	for other, g := range e.gone {
+		if now.Sub(g.at) > goneRetention {
+			delete(e.gone, other)
+		}
+	}
+	e.gone[key] = goneRun{started: vm.Started, era: e.era, at: now}
 	e.log.WithField("endpoint", vm.Name).Info("endpoint_gone")
 }
 
-// expireAndPublish removes the entries whose grace time is over and publishes the set. It calls itself again when the
-// next grace time ends.
+// expireAndPublish removes the entries whose grace time is over, releases those that were held, and publishes the set. It calls
+// itself again when the next of these times ends.
 func (e *endpointSet) expireAndPublish() {
 	e.mu.Lock()
 	now := time.Now()
@@ -149,6 +205,15 @@
 			next = deadline
 		}
 	}
+	for key, h := range e.held {
+		if !now.Before(h.until) {
+			e.registered[key] = h.vm
+			delete(e.held, key)
+			e.log.WithField("endpoint", h.vm.Name).Info("endpoint_released")
+		} else if next.IsZero() || h.until.Before(next) {
+			next = h.until
+		}
+	}
 	e.mu.Unlock()
 	e.publishMu.Lock()
 	e.publish(e.list())
--- a/pkg/entry/endpoints_test.go
+++ b/pkg/entry/endpoints_test.go
@@ -132,3 +132,59 @@
 	e.ReplaceAll(endpointObjects("live", "b"), 2*time.Second)
 	must.Eq(t, []string{"b"}, p.names())
 }
+
+// inEra returns the objects with revisions of an era of the store.
+func inEra(era uint64, objects []platform.Object) []platform.Object {
+	for i := range objects {
+		objects[i].Revision = platform.NewRevision(era, uint64(1+i))
+	}
+	return objects
+}
+
+// publishedStates holds the states of the endpoints that were published last.
+type publishedStates struct {
+	mu     sync.Mutex
+	states map[string]platform.VMState
+}
+
+func (p *publishedStates) set(vms []platform.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.states = map[string]platform.VMState{}
+	for _, vm := range vms {
+		p.states[vm.Name] = vm.State
+	}
+}
+
+func (p *publishedStates) get() map[string]platform.VMState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.states
+}
+
+// Guards against sending requests to an endpoint that leaves or is gone because an older copy of the store has an earlier entry of
+// it, and against dropping one that registered after the copy was taken.
+func TestRestoredStoreBringsNoEndpointBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const live, leaving = platform.VMLive, platform.VMLeaving
+		p := &publishedStates{}
+		e := newEndpointSet(decodeTestEndpoint, discardLog(), p.set)
+		e.ReplaceAll(inEra(1, endpointObjects("live", "a", "b", "c", "d")), 0)
+		time.Sleep(10 * time.Second)
+		e.ApplyChanges(inEra(1, endpointObjects("leaving", "b")))
+		e.ApplyChanges([]platform.Object{{Key: "c", Revision: platform.NewRevision(1, 8), Deleted: true}, {Key: "d", Revision: platform.NewRevision(1, 9), Deleted: true}})
+		e.ApplyChanges(inEra(1, endpointObjects("live", "new")))
+		must.Eq(t, map[string]platform.VMState{"a": live, "b": leaving, "new": live}, p.get())
+
+		e.ReplaceAll(inEra(2, endpointObjects("live", "a", "b", "c", "d")), time.Second)
+		must.Eq(t, map[string]platform.VMState{"a": live, "b": leaving, "c": leaving, "d": leaving, "new": live}, p.get())
+		time.Sleep(time.Second)
+		e.ApplyChanges(inEra(2, endpointObjects("live", "new")))
+		time.Sleep(2 * time.Second)
+		e.ApplyChanges([]platform.Object{{Key: "c", Revision: platform.NewRevision(2, 8), Deleted: true}})
+		must.Eq(t, map[string]platform.VMState{"a": live, "b": leaving, "d": leaving, "new": live}, p.get())
+		time.Sleep(restoredHold)
+		synctest.Wait()
+		must.Eq(t, map[string]platform.VMState{"a": live, "b": leaving, "d": live, "new": live}, p.get())
+	})
+}
