Keep the routers of the fleet when the store comes back from an older copy

Renewals are ordered by the start and the count in the record now, so a record of the copy is neither a renewal nor does it hide later ones. Routers whose records the copy lacks stay until they would have to renew, and all renew theirs within a second. TestRestoredStoreKeepsMembers fails with either part off.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -34,6 +34,8 @@
 	// the age that a list from the store may have, is added to them.
 	missedRenewals = 2.5
 	maxListAge     = 3 * time.Second
+	// maxRestoredDelay spreads the renewals of all routers after the store has come back from an older copy.
+	maxRestoredDelay = time.Second
 	// recordRetention is the time without a renewal after which a dead router's record is deleted, and retainedRenewals the
 	// least number of its renewal intervals: the records of a fleet of 500 are renewed in a minute.
 	recordRetention  = time.Minute
@@ -248,7 +250,10 @@
 		found[name] = member{record: record, revision: o.Revision}
 	}
 	previous := r.view.members
-	r.view.applyList(time.Now(), r.self, found)
+	if r.view.applyList(time.Now(), r.self, found) {
+		// The copy has an earlier record of this router, or none.
+		time.AfterFunc(rand.N(maxRestoredDelay), r.requestRenewal)
+	}
 	clear(r.preferenceLists)
 	var changed []string
 	for name, m := range r.view.members {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -9,6 +9,8 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
 func newRecord(zone, address string, state State) Record {
@@ -181,3 +183,30 @@
 		}
 	}
 }
+
+// Guards against taking routers for dead after the store has come back from an older copy, which lacks the records of routers that
+// started since and counts revisions again, and against taking the copy's records for renewals.
+func TestRestoredStoreKeepsMembers(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	at := func(era, number, renewal uint64, name string, state State) member {
+		r := newRecord("a", name, state)
+		r.Instance, r.Renewal = name+"-1", renewal
+		return member{record: r, revision: platform.NewRevision(era, number)}
+	}
+	v := view{members: map[string]member{}}
+	must.False(t, v.applyList(now, Record{}, map[string]member{
+		"living": at(1, 100, 9, "living", Ready), "dead": at(1, 101, 9, "dead", Ready), "leaving": at(1, 102, 9, "leaving", Leaving), "new": at(1, 103, 1, "new", Ready),
+	}))
+	limit := maxListAge + time.Duration(missedRenewals*float64(ListInterval))
+	restored := map[string]member{"living": at(2, 40, 6, "living", Ready), "dead": at(2, 41, 9, "dead", Ready), "leaving": at(2, 42, 6, "leaving", Ready)}
+	must.True(t, v.applyList(now.Add(time.Second), Record{}, restored))
+	must.EqOp(t, Leaving, v.members["leaving"].record.State)
+	must.True(t, v.isAlive(v.members["new"]))
+	for since := 2 * time.Second; since < limit+2*time.Second; since += time.Second {
+		restored["living"] = at(2, 50+uint64(since/time.Second), 10+uint64(since/time.Second), "living", Ready)
+		must.False(t, v.applyList(now.Add(since), Record{}, restored))
+		must.True(t, v.isAlive(v.members["living"]))
+	}
+	must.False(t, v.isAlive(v.members["dead"]), must.Sprint("the record of the older copy counts as a renewal"))
+	must.EqOp(t, platform.NewRevision(2, 41), v.members["dead"].revision)
+}
--- a/pkg/roster/view.go
+++ b/pkg/roster/view.go
@@ -1,6 +1,11 @@
 package roster
 
-import "time"
+import (
+	"maps"
+	"time"
+
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
 
 // view is the deterministic part of a Roster, without I/O and clock. Its time advances only while the records are up to
 // date, so that no member expires while the store can't be read.
@@ -14,6 +19,8 @@
 	// routers among them.
 	largestCapacity float64
 	primaryCount    int
+	// era is the store's newest era.
+	era uint64
 }
 
 // maxListGap bounds the time by which view.elapsed increases at once.
@@ -29,15 +36,21 @@
 	v.advancedAt = now
 }
 
-// applyList replaces the members by the result of a list; self is this router's own record. A member whose revision has
-// not increased keeps its previous record and time of change.
-func (v *view) applyList(now time.Time, self Record, found map[string]member) {
+// applyList replaces the members by the result of a list; self is this router's own record. A member whose record
+// is no later one keeps its previous record and time of change. It reports whether the store has come back from an older copy.
+func (v *view) applyList(now time.Time, self Record, found map[string]member) (restored bool) {
 	v.advance(now)
 	changedAt := v.firstListAt.Add(v.elapsed)
 	next := make(map[string]member, len(found))
+	restored = v.beginEra(found)
+	if restored {
+		// A record that was written after the older copy was taken is missing until it is renewed.
+		maps.Copy(next, v.members)
+	}
 	for name, m := range found {
 		m.changedAt = changedAt
-		if old, ok := v.members[name]; ok && old.revision >= m.revision {
+		if old, ok := v.members[name]; ok && !m.isAfter(old) {
+			old.revision = max(old.revision, m.revision)
 			m = old
 		}
 		next[name] = m
@@ -53,6 +66,30 @@
 			v.primaryCount++
 		}
 	}
+	return restored
+}
+
+// beginEra reports whether the records found are the first ones after the store has come back from an older copy.
+func (v *view) beginEra(found map[string]member) bool {
+	previous := v.era
+	for _, m := range found {
+		v.era = max(v.era, platform.Era(m.revision))
+	}
+	return v.era > previous && len(v.members) > 0
+}
+
+// isAfter reports whether the member's record was written after the other one. After the store has come back from an older copy,
+// an earlier record of the same start has a later revision.
+func (m member) isAfter(other member) bool {
+	if m.record.Instance == other.record.Instance {
+		if m.record.Renewal != other.record.Renewal {
+			return m.record.Renewal > other.record.Renewal
+		}
+		if platform.Era(m.revision) != platform.Era(other.revision) {
+			return false
+		}
+	}
+	return m.revision > other.revision
 }
 
 // isAlive reports whether the member has renewed its record recently.
