Write crash records again when the store comes back from an older copy

The copy lacks the latest crashes. Routers remembered them, but took them for stored, so nobody wrote them again and a router that restarted forwarded content that crashes engines. What the store has is counted anew from each list now; a router publishes again what it reported itself, and the first one what a stopped router had reported. TestRestoredStoreGetsCrashRecordsAgain fails without it.

--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -112,12 +112,10 @@
 
 // NewRegistry returns a Registry without records.
 func NewRegistry(o RegistryOptions) *Registry {
-	known, shared := NewRecordSet(registryRules), NewRecordSet(registryRules)
-	known.limit, shared.limit = maxRegistryRecords, maxRegistryRecords
 	return &Registry{
 		RegistryOptions: o, object: &platform.OwnedObject{Store: o.Store, Key: RegistryKind + "/" + o.VM},
 		publishNow: make(chan struct{}, 1), publishLater: make(chan struct{}, 1),
-		known: known, shared: shared,
+		known: newRegistrySet(), shared: newRegistrySet(),
 		authored: map[Fingerprint]bool{}, crashedRuns: map[string]time.Time{}, stopped: map[Fingerprint]int{},
 		triedAt: map[Fingerprint]time.Time{}, objects: map[string]storedObject{},
 	}
@@ -366,13 +364,36 @@
 	}
 }
 
-// ReplaceAll implements feed.Consumer. Records are only added: what another router has written stays true.
+// ReplaceAll implements feed.Consumer. Records are only added to the known ones: what another router has written stays true. A
+// store that comes back from an older copy lacks the latest ones, which are written again.
 func (r *Registry) ReplaceAll(objects []platform.Object, _ time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.objects)
+	r.shared = newRegistrySet()
 	r.apply(objects)
 	r.loaded = true
+	r.publishMissing(time.Now())
+}
+
+// publishMissing publishes the crashes that the store lacks. Those of a router that has stopped are published by the first one.
+// r.mu must be held.
+func (r *Registry) publishMissing(now time.Time) {
+	for record := range r.known.all() {
+		f := record.Fingerprint
+		if !r.shared.lacksCrash(now, *record) || !r.authored[f] && !r.IsFirst(f.key()) {
+			continue
+		}
+		r.authored[f] = true
+		signal(r.publishNow)
+	}
+}
+
+// newRegistrySet returns an empty set of a registry.
+func newRegistrySet() *RecordSet {
+	s := NewRecordSet(registryRules)
+	s.limit = maxRegistryRecords
+	return s
 }
 
 // ApplyChanges implements feed.Consumer.
--- a/pkg/poison/registry_test.go
+++ b/pkg/poison/registry_test.go
@@ -18,6 +18,7 @@
 
 // registryFleet runs registries on one store.
 type registryFleet struct {
+	memory     *memstore.Store
 	store      platform.Store
 	feedDelay  time.Duration
 	registries []*Registry
@@ -32,7 +33,8 @@
 // runRegistries runs f with n registries in a bubble with a fake clock.
 func runRegistries(t *testing.T, n int, feedDelay time.Duration, f func(fleet *registryFleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		fleet := &registryFleet{store: memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1}).Client("fleet"), feedDelay: feedDelay}
+		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+		fleet := &registryFleet{memory: memory, store: memory.Client("fleet"), feedDelay: feedDelay}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		for i := range n {
@@ -170,3 +172,26 @@
 	_, err = decodeRecords([]byte(`{"records":[`))
 	must.Error(t, err)
 }
+
+// Guards against routers that forget content that crashes endpoints when they restart after the store has come back from an older
+// copy, because nobody has written the crashes again.
+func TestRestoredStoreGetsCrashRecordsAgain(t *testing.T) {
+	runRegistries(t, 4, fleetFeedDelay, func(f *registryFleet) {
+		time.Sleep(time.Second)
+		copied := f.memory.Copy()
+		for i, r := range f.registries[1:] {
+			r.ReportCrash(fmt.Sprintf("e%d@1", i), request(uint64(i), 1, 99), true)
+			time.Sleep(500 * time.Millisecond)
+			f.registries[0].ReportCompleted(request(50+uint64(i), 1))
+		}
+		time.Sleep(fleetFeedDelay)
+		f.memory.Restore(copied)
+		time.Sleep(2 * time.Second)
+		objects, _, err := f.store.List(t.Context(), RegistryKind+"/")
+		must.NoError(t, err)
+		restarted := NewRegistry(f.registries[3].RegistryOptions)
+		restarted.ReplaceAll(objects, 0)
+		must.True(t, restarted.stops(request(70, 1, 99)))
+		must.False(t, restarted.stops(request(71, 1)))
+	})
+}
