--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -139,7 +139,7 @@
 	vm.State = e.effectiveState(now, o, vm, restored)
 	if old, ok := e.registered[o.Key]; !ok || old.State != vm.State || old.Address != vm.Address || old.Started != vm.Started {
 		e.log.WithFields(log.Fields{
-			"endpoint": vm.Name, "service": vm.Service, "state": string(vm.State), "address": vm.Address, "revision": platform.FormatRevision(o.Revision),
+			"endpoint": vm.Name, "service": vm.Service, "state": string(vm.State), "address": vm.Address, "software": vm.Software, "revision": platform.FormatRevision(o.Revision),
 		}).Info("endpoint_changed")
 	}
 	e.registered[o.Key] = vm
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -103,7 +103,7 @@
 func (e *exchange) logFailedAttempt(decision route.Decision, result attemptResult, stream *eventStream) {
 	fields := log.Fields{
 		"request": e.request.ID, "endpoint": decision.Chosen, "attempt": e.attempts, "outcome": result.String(), "events": stream.count,
-		"answer_begun": e.answerBegun, "kv_use": decision.KVUse,
+		"answer_begun": e.answerBegun, "kv_use": decision.KVUse, "software": decision.Software,
 	}
 	if p := e.request.Prompt; p != nil {
 		fields["prompt_tokens"], fields["parts"] = p.Tokens, p.loggedPartIDs()
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -118,6 +118,8 @@
 	Prompt *Prompt
 	// LastEvent is the id of the last event that the caller has, empty for a new stream.
 	LastEvent string
+	// BeganAs is the id of the request that brought the first event of the stream, empty for a new stream.
+	BeganAs string
 }
 
 // Dispatch is what the router adds to a request for one endpoint.
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -341,9 +341,12 @@
 		fields["lines_left_out"] = skipped
 	}
 	if e.decision != nil {
-		fields["endpoint"] = e.decision.Chosen
+		fields["endpoint"], fields["software"] = e.decision.Chosen, e.decision.Software
 		fields["candidates"], fields["choice"], fields["cached"] = e.decision.Candidates, string(e.decision.Reason), e.decision.Cached()
 	}
+	if e.request.LastEvent != "" {
+		fields["began_as"], fields["after"] = e.request.BeganAs, e.request.LastEvent
+	}
 	if e.config != nil {
 		fields["config"] = e.config.Version
 	}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -105,6 +105,9 @@
 	// Service names the plain service of a service endpoint.
 	Service string  `json:"service,omitempty"`
 	Fencing Fencing `json:"fencing,omitempty"`
+	// Software is the version of the endpoint's software, empty if the platform doesn't report it. Streams of two versions of a
+	// service don't fit together.
+	Software string `json:"software,omitempty"`
 	// MaxInFlight is the number of requests that the endpoint accepts concurrently; 0 means no limit.
 	MaxInFlight int `json:"max_in_flight,omitempty"`
 	// Started is the start time as a Unix time in ms, 0 if the platform doesn't report it. It distinguishes
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -66,7 +66,7 @@
 }
 
 func (d *Decision) setChosen(e *endpoint, reason Reason) {
-	d.endpoint, d.Chosen, d.Address, d.Reason = e, e.vm.Name, e.vm.Address, reason
+	d.endpoint, d.Chosen, d.Address, d.Software, d.Reason = e, e.vm.Name, e.vm.Address, e.vm.Software, reason
 	if e.report.valid {
 		d.KVUse = e.report.KVUse
 	}
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -85,9 +85,9 @@
 	Considered []Candidate
 	// Chosen is the name of the chosen VM; it is empty if there was no usable endpoint.
 	Chosen string
-	// Address is the IP address and port of the chosen endpoint.
-	Address string
-	Reason  Reason
+	// Address is the IP address and port of the chosen endpoint, and Software the version of its software.
+	Address, Software string
+	Reason            Reason
 	// RetryAfter is the retry delay for the caller if no endpoint was chosen.
 	RetryAfter time.Duration
 	// KVUse is the used share of the chosen endpoint's KV cache by its last report, 0 without one.
