Resume a stream only at endpoints of the software version that began it

The version whose first event was passed on restricts all later choices for that stream now; if no such endpoint is left, the stream is broken off, so that it doesn't look complete.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -116,7 +116,7 @@
 }
 
 func (e *exchange) placementRequest(excluded []string) route.Request {
-	r := route.Request{ID: e.request.ID, Pool: route.Service(e.service.Name), Exclude: excluded}
+	r := route.Request{ID: e.request.ID, Pool: route.Service(e.service.Name), Exclude: excluded, WithSoftware: e.begun, Software: e.software}
 	if p := e.request.Prompt; p != nil {
 		r.PromptTokens, r.OutputTokens = int(p.Tokens), int(p.MaxOutput)
 		r.Blocks, r.BlockEnds = p.sharedPrefixes()
@@ -307,6 +307,9 @@
 				e.firstByteAt = time.Now()
 			}
 			e.Placement.recordFirstToken(inFlight)
+			if stream.count > 0 {
+				e.recordBegin()
+			}
 			e.writeStreamHeader(response)
 			e.relayedEvents = stream.count
 			if stream.count-e.eventsBefore >= answeredEvents {
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -119,6 +119,9 @@
 	eventsBefore int
 	// features are set by contentFeatures.
 	features []poison.Feature
+	// begun is set once the stream has begun. software is the version of the endpoint's software that sent its first event.
+	begun    bool
+	software string
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// delivered is set once a part of an endpoint's answer was written to the caller.
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -188,5 +188,8 @@
 }
 
 func isUsable(e *endpoint, r *Request) bool {
+	if r.WithSoftware && e.vm.Software != r.Software {
+		return false
+	}
 	return !(r.Suspect && e.suspects > 0) && !slices.Contains(r.Exclude, e.vm.Name)
 }
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -33,6 +33,9 @@
 	// Suspect marks a request that may have crashed an endpoint. It is not sent to an endpoint that runs
 	// another suspect.
 	Suspect bool
+	// WithSoftware restricts the choice to endpoints whose software has the version Software.
+	WithSoftware bool
+	Software     string
 }
 
 // Reason is why an endpoint was chosen, or why none was.
@@ -53,7 +56,8 @@
 	ReasonFull Reason = "endpoints_full"
 	// ReasonAtLimit means that the endpoints that could take the request have named limits, which this router has used up.
 	ReasonAtLimit Reason = "endpoints_at_limit"
-	// ReasonExcluded means that the request excludes all open endpoints, or is a suspect and all others run one too.
+	// ReasonExcluded means that the request excludes all open endpoints, is a suspect and all others run one too, or needs software
+	// that none of them has.
 	ReasonExcluded Reason = "endpoints_excluded_by_request"
 )
 
