Let callers take streams up only at the version that began them

A caller takes a broken stream up at any router and names only the id of its first attempt.

pkg/origin finds the version. While a service has had one version for 30 s it is that one. Otherwise each stream is told to three routers by rendezvous hashing of its id within 10 ms of its first event; they are asked. For a power failure of all routers each one writes its open streams into one object in the store every 0.4 s, only while there are several versions, and a record for each service says since when it has had one version only; a record from before a restore of the store isn't trusted. If nobody knows, the request is rejected as not run.

--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -10,6 +10,7 @@
 	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
 	"github.com/lavendershunt/lavendershunt/pkg/feed"
+	"github.com/lavendershunt/lavendershunt/pkg/origin"
 	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
 	"github.com/lavendershunt/lavendershunt/pkg/poison"
 	"github.com/lavendershunt/lavendershunt/pkg/roster"
@@ -30,6 +31,7 @@
 func (r *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(allowance.NewService(r.accounts).Handler())
+	mux.Handle(origin.NewService(r.origins).Handler())
 	mux.Handle(feed.NewService(r.configFeed, r.endpointFeed, r.rosterFeed, r.crashFeed).Handler())
 	return mux
 }
@@ -70,7 +72,10 @@
 	config, endpoints, records, crashes := options, options, options, options
 	config.Kind, config.Store, config.Consumer = r.adapter.ConfigKind, r.adapter.Store, configFeed{r.config}
 	config.SetStoreLost = r.breaker.open.Store
-	config.StoreReached = r.accounts.StoreReached
+	config.StoreReached = func(revision uint64) {
+		r.accounts.StoreReached(revision)
+		r.origins.StoreReached(revision)
+	}
 	endpoints.Kind, endpoints.Store, endpoints.Consumer = r.adapter.EndpointKind, r.breaker, r.endpoints
 	records.Kind, records.Store, records.Consumer = roster.Kind, r.breaker, r.roster
 	records.StaleListInterval = roster.ListInterval
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -17,6 +17,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
 	"github.com/lavendershunt/lavendershunt/pkg/feed"
 	"github.com/lavendershunt/lavendershunt/pkg/forward"
+	"github.com/lavendershunt/lavendershunt/pkg/origin"
 	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/poison"
@@ -88,6 +89,7 @@
 	accounts  *allowance.Accounts
 	roster    *roster.Roster
 	crashes   *poison.Registry
+	origins   *origin.Registry
 	client    *upstream.Client
 	metrics   *telemetry.Metrics
 	draining  atomic.Bool
@@ -129,12 +131,18 @@
 		Store: r.breaker, VM: s.VM, Log: logger,
 		IsFirst: func(key string) bool { return r.roster.PreferenceList(key, 1)[0] == s.VM },
 	})
+	r.origins = origin.NewRegistry(origin.Options{
+		Store: r.breaker, VM: s.VM, Log: logger, Routers: r.roster.Count,
+		Keepers: func(stream string, n int) []string { return r.roster.PreferenceList("stream/"+stream, n) },
+		IsFirst: func(key string) bool { return r.roster.PreferenceList(key, 1)[0] == s.VM },
+		Peers:   &origin.RemotePeers{Addresses: r.roster.Peers, Client: peers, Log: logger},
+	})
 	r.newFeeds(peers)
 	r.server = forward.NewServer(forward.Options{
 		Configuration: r.config, Dialect: a.Dialect, Placement: r.placement, Client: r.client, Allowances: r.accounts,
 		Retries:      retry.New(s.Retry, time.Now(), s.FirstStart),
-		CrashRecords: r.crashes,
-		Routers:      r.roster.Count, Log: logger, Metrics: metrics,
+		CrashRecords: r.crashes, Origins: r.origins,
+		Routers: r.roster.Count, Log: logger, Metrics: metrics,
 		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)),
 	})
 	return r, nil
@@ -168,6 +176,7 @@
 // updateEndpoints passes the endpoints to the placement and closes the idle connections to all others.
 func (r *Router) updateEndpoints(vms []platform.VM) {
 	r.placement.Update(vms)
+	r.origins.Update(vms)
 	keep := make(map[string]bool, len(vms))
 	for _, vm := range vms {
 		keep[vm.Address] = true
@@ -192,6 +201,7 @@
 	tasks.Go(func() { r.roster.Run(backgroundCtx, r.rosterFeed.Age) })
 	tasks.Go(func() { r.runFeeds(backgroundCtx) })
 	tasks.Go(func() { r.crashes.Run(backgroundCtx) })
+	tasks.Go(func() { r.origins.Run(backgroundCtx) })
 	tasks.Go(func() { r.announceReady(backgroundCtx) })
 	tasks.Go(func() { r.pollReports(backgroundCtx) })
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -213,6 +213,7 @@
 	case attemptDelivered:
 		if !e.incomplete {
 			e.recordAnswered()
+			e.recordEnd()
 		}
 		e.Placement.finish(inFlight, route.Succeeded, outputTokens)
 	case attemptFailed:
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -15,6 +15,7 @@
 	firstEvent    metric.Float64Histogram
 	deniedRetries metric.Int64Counter
 	stopped       metric.Int64Counter
+	takenUp       metric.Int64Counter
 }
 
 // latencyBucketsSeconds are the histograms' bucket boundaries. They cover the latency objectives and timeouts of
@@ -34,6 +35,9 @@
 	if m.stopped, err = meter.Int64Counter("forward_content_stopped", metric.WithDescription("Requests that were not sent, or not sent again, because their content crashes endpoints.")); err != nil {
 		return nil, err
 	}
+	if m.takenUp, err = meter.Int64Counter("forward_streams_taken_up", metric.WithDescription("Streams that callers took up again, by how their software version was found.")); err != nil {
+		return nil, err
+	}
 	if m.duration, err = meter.Float64Histogram("forward_duration", metric.WithUnit("s"), latencyBucketsSeconds, metric.WithDescription("Time to the end of the answer.")); err != nil {
 		return nil, err
 	}
@@ -65,3 +69,9 @@
 		m.stopped.Add(context.Background(), 1)
 	}
 }
+
+func (m *Metrics) recordTakenUp(source string) {
+	if m != nil && m.takenUp != nil {
+		m.takenUp.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("source", source))))
+	}
+}
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -15,6 +15,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
 	"github.com/lavendershunt/lavendershunt/pkg/catalog"
 	"github.com/lavendershunt/lavendershunt/pkg/logging"
+	"github.com/lavendershunt/lavendershunt/pkg/origin"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/poison"
 	"github.com/lavendershunt/lavendershunt/pkg/retry"
@@ -54,6 +55,8 @@
 	Retries       *retry.Budget
 	// CrashRecords stop requests whose content crashes endpoints. Optional.
 	CrashRecords *poison.Registry
+	// Origins tell at which version of a service's software a stream began. Without them streams go on at any endpoint.
+	Origins *origin.Registry
 	// Routers returns the number of routers that share the retry budget.
 	Routers func() int
 	Log     log.Interface
@@ -119,7 +122,8 @@
 	eventsBefore int
 	// features are set by contentFeatures.
 	features []poison.Feature
-	// begun is set once the stream has begun. software is the version of the endpoint's software that sent its first event.
+	// begun is set once the stream has begun, here or at an earlier attempt of the caller. software is the version of the endpoint's
+	// software that sent its first event.
 	begun    bool
 	software string
 	// mayHaveRun is set once an endpoint may have run the request.
@@ -173,6 +177,10 @@
 		e.refuse(failure)
 		return
 	}
+	if failure := e.findOrigin(ctx); failure != nil {
+		e.refuse(failure)
+		return
+	}
 	reserved, failure := e.reserve(ctx)
 	if failure != nil {
 		e.refuse(failure)
--- /dev/null
+++ b/pkg/origin/registry.go
@@ -0,0 +1,486 @@
+package origin
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+const (
+	// keepers is the number of routers that remember a stream besides the one that began it, so that it survives the loss of some.
+	keepers = 3
+	// announceDelay collects announcements to the same router into one call.
+	announceDelay = 10 * time.Millisecond
+	// peerTimeout bounds the question to other routers, and storeTimeout that to the store. A caller's request waits for both.
+	peerTimeout  = 100 * time.Millisecond
+	storeTimeout = 300 * time.Millisecond
+	// storeInterval is the time between two writes of a router's streams in a fleet of up to smallFleet routers. What begins in
+	// between is forgotten if all routers lose power.
+	storeInterval = 400 * time.Millisecond
+	smallFleet    = 16
+	// listInterval is the least time between two lists of all routers' streams.
+	listInterval = 300 * time.Millisecond
+	// writeInterval is the period at which the record of a service is written again if the store lacks it.
+	writeInterval = 2 * time.Second
+	// maxQueued bounds the announcements that wait; further ones are dropped.
+	maxQueued = 1024
+)
+
+// Source tells how a router found the version at which a stream began.
+type Source string
+
+// Sources.
+const (
+	// SourceOnly means that the service has had one version only.
+	SourceOnly Source = "only_version"
+	// SourceStream means that this router remembers the stream, SourcePeer that another one does.
+	SourceStream Source = "stream"
+	SourcePeer   Source = "peer"
+	// SourceStored means that the router which began the stream wrote it into the store.
+	SourceStored Source = "stored"
+	// SourceRecord means that the service has had one version only, by its record in the store.
+	SourceRecord Source = "record"
+	// SourceUnknown means that nobody knows.
+	SourceUnknown Source = "unknown"
+)
+
+// Store is the part of the platform's store that a Registry uses.
+type Store interface {
+	platform.ObjectWriter
+	List(ctx context.Context, prefix string) ([]platform.Object, uint64, error)
+}
+
+// Options configures a Registry.
+type Options struct {
+	Store Store
+	// VM is this router's name.
+	VM  string
+	Log log.Interface
+	// Routers returns the number of routers of the fleet.
+	Routers func() int
+	// Keepers returns the names of at most n routers that remember a stream, this router's own may be among them.
+	Keepers func(stream string, n int) []string
+	// IsFirst reports whether this router is the first of those that are alive for the key. One router writes a service's record.
+	IsFirst func(key string) bool
+	Peers   Peers
+}
+
+// Peers calls other routers by name.
+type Peers interface {
+	// Announce tells a router the versions at which streams began, by the streams' ids. It doesn't wait.
+	Announce(router string, software map[string]string)
+	// Find asks routers at the same time and returns the first answer that isn't empty-handed.
+	Find(ctx context.Context, routers []string, stream string) (software string, ok bool)
+}
+
+// Registry finds the versions at which streams began. It is safe for concurrent use.
+type Registry struct {
+	Options
+	// queue holds the streams to announce, and changed a value after a change of the versions.
+	queue   chan stream
+	changed chan struct{}
+	// begun holds a value while streams have begun that the store lacks.
+	begun chan struct{}
+	// object is this router's object with its streams.
+	object *platform.OwnedObject
+	// listing is held during a list of all routers' streams, so that several requests share one.
+	listing sync.Mutex
+
+	mu       sync.Mutex
+	services map[string]*service
+	streams  streams
+	// stored holds the streams of all routers by the latest list, which was read at listedAt.
+	stored   map[string]stream
+	listedAt time.Time
+	// era is the store's era.
+	era uint64
+}
+
+// service is what a router knows of a service.
+type service struct {
+	versions
+	object *platform.OwnedObject
+	// stored is the record as this router has read or written it last, and read is set once it has done so.
+	stored record
+	read   bool
+}
+
+// NewRegistry returns a Registry that knows no streams.
+func NewRegistry(o Options) *Registry {
+	return &Registry{
+		Options: o, object: &platform.OwnedObject{Store: o.Store, Key: streamKind + "/" + o.VM},
+		queue: make(chan stream, maxQueued), changed: make(chan struct{}, 1), begun: make(chan struct{}, 1), services: map[string]*service{}, streams: streams{byID: map[string]stream{}},
+	}
+}
+
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// StoreReached tells the registry a revision that the store has reached. After a restore from an older copy the records are written
+// again.
+func (r *Registry) StoreReached(revision uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.era = max(r.era, platform.Era(revision))
+}
+
+// Update sets the endpoints. When a service gets a second version, the streams that this router knows are announced.
+func (r *Registry) Update(vms []platform.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	current := map[string]map[string]bool{}
+	for _, vm := range vms {
+		if current[vm.Service] == nil {
+			current[vm.Service] = map[string]bool{}
+		}
+		current[vm.Service][vm.Software] = true
+	}
+	for name, software := range current {
+		s := r.service(name)
+		_, wasSettled := s.settled(now)
+		if !s.update(now, software) {
+			continue
+		}
+		r.Log.WithFields(log.Fields{"service": name, "versions": len(software), "was_settled": wasSettled}).Info("software_versions_changed")
+		for _, st := range r.streams.own(now, func(service string) bool { return service == name }, maxQueued) {
+			r.enqueue(st)
+		}
+		signal(r.changed)
+		signal(r.begun)
+	}
+}
+
+// service returns what is known of a service. r.mu must be held.
+func (r *Registry) service(name string) *service {
+	s := r.services[name]
+	if s == nil {
+		s = &service{object: &platform.OwnedObject{Store: r.Store, Key: Kind + "/" + name}}
+		r.services[name] = s
+	}
+	return s
+}
+
+// enqueue queues a stream to be announced. r.mu may be held.
+func (r *Registry) enqueue(st stream) {
+	select {
+	case r.queue <- st:
+	default:
+		r.Log.WithField("stream", st.id).Warn("stream_not_announced")
+	}
+}
+
+// Record remembers that a stream began at a version of the service's software.
+func (r *Registry) Record(id, serviceName, software string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	st := stream{id: id, service: serviceName, software: software, at: now}
+	r.streams.add(now, st)
+	if _, settled := r.service(serviceName).settled(now); !settled {
+		r.enqueue(st)
+		signal(r.begun)
+	}
+}
+
+// Forget forgets a stream that has been delivered to its end.
+func (r *Registry) Forget(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.streams.byID, id)
+}
+
+// Learn remembers streams that another router has announced.
+func (r *Registry) Learn(software map[string]string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for id, version := range software {
+		r.streams.add(now, stream{id: id, software: version, at: now})
+	}
+}
+
+// Known returns the version at which a stream began, if this router remembers it.
+func (r *Registry) Known(id string) (software string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.streams.find(time.Now(), id)
+}
+
+// Find returns the version at which a stream of the service began. With SourceUnknown nobody knows, and the stream can't go on.
+func (r *Registry) Find(ctx context.Context, id, serviceName string) (software string, source Source) {
+	if software, ok := r.Known(id); ok {
+		return software, SourceStream
+	}
+	r.mu.Lock()
+	software, settled := r.service(serviceName).settled(time.Now())
+	r.mu.Unlock()
+	if settled {
+		return software, SourceOnly
+	}
+	if id != "" {
+		if software, ok := r.askPeers(ctx, id); ok {
+			return software, SourcePeer
+		}
+		if software, ok := r.findStored(ctx, id); ok {
+			return software, SourceStored
+		}
+	}
+	if software, ok := r.onlyByRecord(ctx, serviceName); ok {
+		return software, SourceRecord
+	}
+	return "", SourceUnknown
+}
+
+func (r *Registry) askPeers(ctx context.Context, id string) (software string, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return r.Peers.Find(ctx, r.Keepers(id, keepers), id)
+}
+
+// findStored returns the version at which a stream began by what all routers wrote into the store.
+func (r *Registry) findStored(ctx context.Context, id string) (software string, ok bool) {
+	r.listing.Lock()
+	defer r.listing.Unlock()
+	if err := r.listStreams(ctx); err != nil {
+		r.Log.WithField("stream", id).WithError(err).Info("streams_not_listed")
+		return "", false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st, ok := r.stored[id]
+	return st.software, ok
+}
+
+// listStreams lists all routers' streams, unless it was done a short time ago. The first list adds those that an earlier process of
+// this router wrote. r.listing must be held.
+func (r *Registry) listStreams(ctx context.Context) error {
+	if !r.listedAt.IsZero() && time.Since(r.listedAt) < listInterval {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	objects, _, err := r.Store.List(ctx, streamKind+"/")
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	first := r.listedAt.IsZero()
+	r.stored, r.listedAt = map[string]stream{}, now
+	for _, o := range objects {
+		list, err := decodeStreams(now, o.Value)
+		if err != nil {
+			r.Log.WithField("key", o.Key).WithError(err).Warn("streams_unreadable")
+			continue
+		}
+		for _, st := range list {
+			r.stored[st.id] = st
+			if _, known := r.streams.byID[st.id]; first && !known && o.Key == r.object.Key {
+				r.streams.add(now, st)
+			}
+		}
+	}
+	return nil
+}
+
+// onlyByRecord returns the only version of a service if its record says that it has had no other one for MaxStreamAge.
+func (r *Registry) onlyByRecord(ctx context.Context, name string) (string, bool) {
+	r.mu.Lock()
+	software, single := r.service(name).only()
+	read := r.service(name).read
+	r.mu.Unlock()
+	if !single {
+		return "", false
+	}
+	if !read {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		r.readRecord(ctx, name)
+	}
+	// What was read may have set the time from which the service has had its version.
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current, settled := r.service(name).settled(time.Now())
+	return software, settled && current == software
+}
+
+// readRecord reads the record of a service once and adopts its time if it confirms what this router sees.
+func (r *Registry) readRecord(ctx context.Context, name string) {
+	object, err := r.Store.Get(ctx, Kind+"/"+name)
+	if errors.Is(err, platform.ErrNotFound) {
+		err = nil
+	}
+	stored := record{Mixed: true}
+	if err == nil && object.Revision > 0 {
+		stored, err = decodeRecord(object.Value)
+	}
+	if err != nil {
+		r.Log.WithField("service", name).WithError(err).Info("software_record_not_read")
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(name)
+	s.read, s.stored = true, stored
+	software, single := s.only()
+	age := stored.age(time.Now())
+	if single && !s.replaced && stored.confirms(software, object.Revision) && age > time.Since(s.since) {
+		s.since = time.Now().Add(-age)
+		r.Log.WithFields(log.Fields{"service": name, "software": software, "age_ms": age.Milliseconds()}).Info("software_record_confirms")
+	}
+}
+
+// Run announces streams and writes the records of services until ctx ends.
+func (r *Registry) Run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { r.runRecords(ctx) })
+	tasks.Go(func() { r.runStreams(ctx) })
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case st := <-r.queue:
+			if !sleep.For(ctx, announceDelay) {
+				return
+			}
+			r.announce(st)
+		}
+	}
+}
+
+// runStreams writes this router's streams of services with several versions, so that they outlive a power failure of all routers.
+func (r *Registry) runStreams(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.begun:
+		}
+		if err := r.writeStreams(ctx); err != nil {
+			r.Log.WithError(err).Info("streams_not_written")
+			signal(r.begun)
+		}
+		if !sleep.For(ctx, storeInterval*time.Duration(1+r.Routers()/smallFleet)) {
+			return
+		}
+	}
+}
+
+func (r *Registry) writeStreams(ctx context.Context) error {
+	r.listing.Lock()
+	defer r.listing.Unlock()
+	if r.listedAt.IsZero() {
+		if err := r.listStreams(ctx); err != nil {
+			return err
+		}
+	}
+	r.mu.Lock()
+	now := time.Now()
+	list := r.streams.own(now, func(service string) bool {
+		_, settled := r.service(service).settled(now)
+		return !settled
+	}, maxStored)
+	r.mu.Unlock()
+	if len(list) == 0 {
+		return nil
+	}
+	return r.object.Write(ctx, encodeStreams(list))
+}
+
+// runRecords writes the records after each change, and again if a write failed or the store has come back from an older copy.
+func (r *Registry) runRecords(ctx context.Context) {
+	ticker := time.NewTicker(writeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-r.changed:
+		}
+		r.writeRecords(ctx)
+	}
+}
+
+// announce tells the keepers of the queued streams, one call a router.
+func (r *Registry) announce(st stream) {
+	byRouter := map[string]map[string]string{}
+	for more := true; more; {
+		for _, router := range r.Keepers(st.id, keepers) {
+			if byRouter[router] == nil {
+				byRouter[router] = map[string]string{}
+			}
+			byRouter[router][st.id] = st.software
+		}
+		select {
+		case st = <-r.queue:
+		default:
+			more = false
+		}
+	}
+	for router, software := range byRouter {
+		r.Peers.Announce(router, software)
+	}
+}
+
+// writeRecords writes the records of the services for which this router is the first and the store lacks what it knows.
+func (r *Registry) writeRecords(ctx context.Context) {
+	for name, next := range r.recordsToWrite(ctx) {
+		r.mu.Lock()
+		object := r.service(name).object
+		r.mu.Unlock()
+		if err := object.Write(ctx, next.encode()); err != nil {
+			r.Log.WithField("service", name).WithError(err).Warn("software_record_not_written")
+			continue
+		}
+		r.mu.Lock()
+		r.service(name).stored = next
+		r.mu.Unlock()
+		r.Log.WithFields(log.Fields{"service": name, "only": next.Only, "mixed": next.Mixed, "era": next.Era}).Info("software_record_written")
+	}
+}
+
+func (r *Registry) recordsToWrite(ctx context.Context) map[string]record {
+	r.mu.Lock()
+	var names []string
+	for name, s := range r.services {
+		if len(s.current) > 0 && r.IsFirst(Kind+"/"+name) {
+			names = append(names, name)
+		}
+	}
+	r.mu.Unlock()
+	found := map[string]record{}
+	for _, name := range names {
+		r.mu.Lock()
+		read := r.service(name).read
+		r.mu.Unlock()
+		if !read {
+			r.readRecord(ctx, name)
+		}
+		r.mu.Lock()
+		s := r.service(name)
+		next := record{SinceMS: time.Now().Add(-time.Since(s.since)).UnixMilli(), Era: r.era}
+		var single bool
+		next.Only, single = s.only()
+		next.Mixed = !single
+		if s.read && (next.Only != s.stored.Only || next.Mixed != s.stored.Mixed || next.Era != s.stored.Era) {
+			found[name] = next
+		}
+		r.mu.Unlock()
+	}
+	return found
+}
