Take a service's versions for settled when the whole system starts first

In the first 30 s every stream of a new system was told to other routers and written into the store, although none can have begun before. Found on reading the change; TestFirstStartHasNoEarlierStreams failed before.

--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -132,7 +132,7 @@
 		IsFirst: func(key string) bool { return r.roster.PreferenceList(key, 1)[0] == s.VM },
 	})
 	r.origins = origin.NewRegistry(origin.Options{
-		Store: r.breaker, VM: s.VM, Log: logger, Routers: r.roster.Count,
+		Store: r.breaker, VM: s.VM, Log: logger, Routers: r.roster.Count, FirstStart: s.FirstStart,
 		Keepers: func(stream string, n int) []string { return r.roster.PreferenceList("stream/"+stream, n) },
 		IsFirst: func(key string) bool { return r.roster.PreferenceList(key, 1)[0] == s.VM },
 		Peers:   &origin.RemotePeers{Addresses: r.roster.Peers, Client: peers, Log: logger},
--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -65,6 +65,8 @@
 	Log log.Interface
 	// Routers returns the number of routers of the fleet.
 	Routers func() int
+	// FirstStart is set if the whole system starts for the first time, so that no stream began before.
+	FirstStart bool
 	// Keepers returns the names of at most n routers that remember a stream, this router's own may be among them.
 	Keepers func(stream string, n int) []string
 	// IsFirst reports whether this router is the first of those that are alive for the key. One router writes a service's record.
@@ -150,9 +152,13 @@
 	for name, software := range current {
 		s := r.service(name)
 		_, wasSettled := s.settled(now)
+		first := s.current == nil
 		if !s.update(now, software) {
 			continue
 		}
+		if first && r.FirstStart {
+			s.since = now.Add(-MaxStreamAge - maxClockSkew)
+		}
 		r.Log.WithFields(log.Fields{"service": name, "versions": len(software), "was_settled": wasSettled}).Info("software_versions_changed")
 		for _, st := range r.streams.own(now, func(service string) bool { return service == name }, maxQueued) {
 			r.enqueue(st)
--- a/pkg/origin/registry_test.go
+++ b/pkg/origin/registry_test.go
@@ -42,10 +42,13 @@
 }
 
 // start starts a router, or restarts it, which loses what it knew.
-func (f *fleet) start(vm string) *Registry {
+func (f *fleet) start(vm string) *Registry { return f.startAt(vm, false) }
+
+func (f *fleet) startAt(vm string, firstStart bool) *Registry {
 	f.stop(vm)
 	r := NewRegistry(Options{
-		Store: f.memory.Client(vm), VM: vm, Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Routers: func() int { return 3 },
+		FirstStart: firstStart,
+		Store:      f.memory.Client(vm), VM: vm, Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Routers: func() int { return 3 },
 		Keepers: func(string, int) []string { return []string{"vm0", "vm1", "vm2"} },
 		IsFirst: func(string) bool { return vm == firstRouter },
 		Peers:   fleetPeers{f, vm},
@@ -218,3 +221,23 @@
 		must.Eq(t, found{"", SourceUnknown}, find(r, "a"))
 	})
 }
+
+// Guards against announcing and writing every stream in the first seconds of a system, and against rejecting streams that are taken up
+// after a power failure in that time.
+func TestFirstStartHasNoEarlierStreams(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		for i := range 3 {
+			f.startAt(fmt.Sprintf("vm%d", i), true)
+		}
+		f.setSoftware("v1")
+		must.Eq(t, found{"v1", SourceOnly}, find(f.router("vm1"), "a"))
+		time.Sleep(time.Second)
+		writes := f.memory.Counters().Writes
+		f.router("vm1").Record("b", "desk", "v1")
+		time.Sleep(2 * time.Second)
+		must.EqOp(t, writes, f.memory.Counters().Writes)
+		r := f.start("vm1")
+		r.Update(endpoints("v1"))
+		must.Eq(t, found{"v1", SourceRecord}, find(r, "c"))
+	})
+}
