Don't let streams that are taken up wait for the store one after another

Found on reading the change: while the store was silent, each request listed the streams for itself and held up the next one for 0.3 s, and a write of this router's streams held them up as long as it took. The result of an attempt counts for 0.3 s now, also a failed one, and a write holds no list up. TestSilentStoreDelaysNoTakeUpTwice failed before.

--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -78,7 +78,7 @@
 type Peers interface {
 	// Announce tells a router the versions at which streams began, by the streams' ids. It doesn't wait.
 	Announce(router string, software map[string]string)
-	// Find asks routers at the same time and returns the first answer that isn't empty-handed.
+	// Find asks routers at the same time and returns the first answer of one that knows the stream.
 	Find(ctx context.Context, routers []string, stream string) (software string, ok bool)
 }
 
@@ -98,9 +98,12 @@
 	mu       sync.Mutex
 	services map[string]*service
 	streams  streams
-	// stored holds the streams of all routers by the latest list, which was read at listedAt.
-	stored   map[string]stream
-	listedAt time.Time
+	// stored holds the streams of all routers by the latest list, and listed is set once there is one. The latest attempt to list them
+	// ended at triedAt with the error listErr.
+	stored  map[string]stream
+	listed  bool
+	triedAt time.Time
+	listErr error
 	// era is the store's era.
 	era uint64
 }
@@ -269,23 +272,24 @@
 	return st.software, ok
 }
 
-// listStreams lists all routers' streams, unless it was done a short time ago. The first list adds those that an earlier process of
-// this router wrote. r.listing must be held.
+// listStreams lists all routers' streams, or returns the result of an attempt a short time ago, so that requests don't wait for one
+// timeout after another. The first list adds those that an earlier process of this router wrote. r.listing must be held.
 func (r *Registry) listStreams(ctx context.Context) error {
-	if !r.listedAt.IsZero() && time.Since(r.listedAt) < listInterval {
-		return nil
+	if time.Since(r.triedAt) < listInterval {
+		return r.listErr
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	objects, _, err := r.Store.List(ctx, streamKind+"/")
+	r.triedAt, r.listErr = time.Now(), err
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	first := r.listedAt.IsZero()
-	r.stored, r.listedAt = map[string]stream{}, now
+	first := !r.listed
+	r.stored, r.listed = map[string]stream{}, true
 	for _, o := range objects {
 		list, err := decodeStreams(now, o.Value)
 		if err != nil {
@@ -387,12 +391,8 @@
 }
 
 func (r *Registry) writeStreams(ctx context.Context) error {
-	r.listing.Lock()
-	defer r.listing.Unlock()
-	if r.listedAt.IsZero() {
-		if err := r.listStreams(ctx); err != nil {
-			return err
-		}
+	if err := r.listOnce(ctx); err != nil {
+		return err
 	}
 	r.mu.Lock()
 	now := time.Now()
@@ -407,6 +407,16 @@
 	return r.object.Write(ctx, encodeStreams(list))
 }
 
+// listOnce lists the streams unless they have been listed before: a write must keep those of an earlier process.
+func (r *Registry) listOnce(ctx context.Context) error {
+	r.listing.Lock()
+	defer r.listing.Unlock()
+	if r.listed {
+		return nil
+	}
+	return r.listStreams(ctx)
+}
+
 // runRecords writes the records after each change, and again if a write failed or the store has come back from an older copy.
 func (r *Registry) runRecords(ctx context.Context) {
 	ticker := time.NewTicker(writeInterval)
--- a/pkg/origin/registry_test.go
+++ b/pkg/origin/registry_test.go
@@ -241,3 +241,30 @@
 		must.Eq(t, found{"v1", SourceRecord}, find(r, "c"))
 	})
 }
+
+// silentStore doesn't answer lists.
+type silentStore struct{ Store }
+
+func (silentStore) List(ctx context.Context, _ string) ([]platform.Object, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, platform.ErrUnavailable
+}
+
+// Guards against requests that wait for one timeout of the store after another.
+func TestSilentStoreDelaysNoTakeUpTwice(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		r := f.router("vm1")
+		r.Store = silentStore{r.Store}
+		r.Update(endpoints("v1", "v1.1"))
+		time.Sleep(time.Second)
+		started := time.Now()
+		var callers sync.WaitGroup
+		for i := range 20 {
+			callers.Go(func() {
+				must.Eq(t, found{"", SourceUnknown}, find(r, fmt.Sprint("stream", i)))
+			})
+		}
+		callers.Wait()
+		must.LessEq(t, 2*storeTimeout+peerTimeout, time.Since(started))
+	})
+}
