--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -54,8 +54,8 @@
 	// the fleet ever more requests between routers.
 	minRefusalDuration = 700 * time.Millisecond
 	maxRefusalDuration = 4 * time.Second
-	// settleTime is the time after a restore of the store in which the routers tell it again what they have drawn. Meanwhile only
-	// a primary allocator draws, which knows nearly all draws.
+	// settleTime is the time after a restore of the store in which the routers tell it again what they have drawn. Meanwhile none
+	// draws: what another one drew while it could reach neither this one nor the store again is not known yet.
 	settleTime = 1500 * time.Millisecond
 	// maxCopyAge is more than the age of a copy from which the store is restored: older changes are in the copy.
 	maxCopyAge = time.Minute
@@ -99,8 +99,8 @@
 	knownAt time.Time
 	// mustReconcile is set after a restore of the store until the record has all draws that this router knows.
 	mustReconcile bool
-	// settledAt is the end of settleTime after a restore. mustSettle applies it to a primary allocator as well, because it
-	// knows nothing of the time before the restore.
+	// settledAt is the end of settleTime after a restore. mustSettle is set if this router knows nothing of the time before the
+	// restore, so that it has to read the record again then.
 	settledAt  time.Time
 	mustSettle bool
 	// free is the number of drawn tokens that are neither spent nor reserved.
@@ -245,10 +245,10 @@
 	return min(a.free, max(0, a.drawn-a.prepaid))
 }
 
-// mayCallStore reports whether the account may draw: neither after a failed call, nor while what others have drawn before a
+// mayDraw reports whether the account may draw: neither after a failed call, nor while what others have drawn before a
 // restore isn't known yet.
-func (a *account) mayCallStore(now time.Time, primary bool) bool {
-	return !now.Before(a.retryAt) && (primary && !a.mustSettle || !now.Before(a.settledAt))
+func (a *account) mayDraw(now time.Time) bool {
+	return !now.Before(a.retryAt) && !now.Before(a.settledAt)
 }
 
 // restored begins the time after a restore of the store.
@@ -276,7 +276,7 @@
 	if a.mustReconcile {
 		return true
 	}
-	if !a.mayCallStore(now, primary) {
+	if !a.mayDraw(now) {
 		return false
 	}
 	if len(a.waiters) > 0 {
@@ -301,7 +301,7 @@
 	if len(a.waiters) == 0 {
 		return !primary && !now.Before(a.refuseUntil) && !now.Before(a.askAheadAt) && a.free < a.askTarget(now)/2
 	}
-	return !a.mayCallStore(now, primary) || !primary && !a.drawDirectly
+	return !a.mayDraw(now) || !primary && !a.drawDirectly
 }
 
 // askTarget returns the number of free tokens that a router which isn't the primary allocator should hold, 0 if its
--- a/pkg/allowance/accounts.go
+++ b/pkg/allowance/accounts.go
@@ -221,7 +221,7 @@
 	acc.owner.Do(func(t *accountTable) {
 		a := t.account(organisation)
 		transferred = a.transferOut(time.Now(), need, want)
-		draw = draw && a.mayCallStore(time.Now(), acc.isPrimary(organisation))
+		draw = draw && a.mayDraw(time.Now())
 		acc.advance(t, organisation, a)
 	})
 	if prepaid := acc.Prepaid(organisation); draw && prepaid > 0 && need > transferred {
@@ -292,7 +292,7 @@
 				// The other routers may have more; advance asks again for the next request.
 			case result.Exhausted:
 				a.refuse(time.Now(), Exhausted)
-			case len(a.waiters) > 0 && !a.drawDirectly && !result.Complete && a.mayCallStore(time.Now(), acc.isPrimary(name)):
+			case len(a.waiters) > 0 && !a.drawDirectly && !result.Complete && a.mayDraw(time.Now()):
 				// An allocator did not answer, so this router draws from the store itself.
 				a.drawDirectly = true
 			case !result.Complete:
--- a/pkg/allowance/accounts_test.go
+++ b/pkg/allowance/accounts_test.go
@@ -145,16 +145,17 @@
 
 // storeCopies takes copies of a store, from which it can be restored.
 type storeCopies struct {
-	memory *memstore.Store
-	taken  []memstore.Copy
+	memory  *memstore.Store
+	taken   []memstore.Copy
+	takenAt time.Time
 }
 
 const copyInterval = 250 * time.Millisecond
 
-func (c *storeCopies) take(ctx context.Context) {
-	for ctx.Err() == nil {
-		c.taken = append(c.taken, c.memory.Copy())
-		time.Sleep(copyInterval)
+// takeIfDue takes a copy every copyInterval.
+func (c *storeCopies) takeIfDue() {
+	if now := time.Now(); now.Sub(c.takenAt) >= copyInterval {
+		c.taken, c.takenAt = append(c.taken, c.memory.Copy()), now
 	}
 }
 
@@ -170,11 +171,9 @@
 func simulateSpending(t *testing.T, seed uint64, lost float64, restores bool) (spent, prepaid int64) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	copies := &storeCopies{memory: memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})}
-	copies.taken = append(copies.taken, copies.memory.Copy())
 	store := &lossyStore{Store: copies.memory.Client("test"), random: rand.New(rand.NewPCG(seed, 1)), lostShare: lost}
 	f := &fleet{accounts: map[string]*Accounts{}, isolated: map[string]bool{}}
 	ctx, stopAll := context.WithCancel(t.Context())
-	go copies.take(ctx)
 	stops := map[string]context.CancelFunc{}
 	starts := 0
 	// vm3 gets its tokens from these.
@@ -206,6 +205,7 @@
 	var wait sync.WaitGroup
 	prepaid = 20_000
 	for range requests {
+		copies.takeIfDue()
 		vm := vms[random.IntN(len(vms))]
 		switch event := random.IntN(20); {
 		case event == 0 && (!restores || seed%2 == 0):
--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -88,7 +88,7 @@
 	var p drawPlan
 	acc.owner.Do(func(t *accountTable) {
 		a := t.account(name)
-		now, primary := time.Now(), acc.isPrimary(name)
+		now := time.Now()
 		acc.observeEra(t, now, current.revision)
 		isOpen := current.record.isOpenIn(t.era)
 		switch {
@@ -107,7 +107,7 @@
 		if (fresh || current.revision > 0) && a.applyRead(now, current.record.Eras, current.record.LastWrites[acc.VM], current.revision) {
 			acc.Peers.Inform(acc.Allocators(name), name, a.known)
 		}
-		mayDraw := a.mayCallStore(now, primary)
+		mayDraw := a.mayDraw(now)
 		if fresh && mayDraw && a.mustSettle {
 			a.mustSettle = false
 			if !isOpen {
