Draw after kills instead of waiting for the other surviving allocator

Both surviving allocators were asked by the other one to draw while they were waiting for its answer, and both refused all their requests for 0.7 s, because having been asked counted as having drawn. An allocator that got no answer draws now, whoever asked it before. TestSurvivingAllocatorsDontWaitForEachOther failed before.

--- a/pkg/allowance/accounts.go
+++ b/pkg/allowance/accounts.go
@@ -292,8 +292,8 @@
 				// The other routers may have more; advance asks again for the next request.
 			case result.Exhausted:
 				a.refuse(time.Now(), Exhausted)
-			case len(a.waiters) > 0 && !a.drawDirectly && !result.Complete && a.mayDraw(time.Now()):
-				// An allocator did not answer, so this router draws from the store itself.
+			case len(a.waiters) > 0 && fallback == Unavailable && !result.Complete && a.mayDraw(time.Now()):
+				// An allocator did not answer, so this router draws from the store itself. It may be waiting for this one.
 				a.drawDirectly = true
 			case !result.Complete:
 				a.refuse(time.Now(), Unavailable)
--- a/pkg/allowance/accounts_test.go
+++ b/pkg/allowance/accounts_test.go
@@ -71,7 +71,7 @@
 	var accounts []*Accounts
 	names := slices.Concat(allocators, slices.Sorted(maps.Keys(f.accounts)))
 	for i, name := range names {
-		if name != vm && !f.isolated[name] && !f.isolated[vm] && !slices.Contains(names[:i], name) {
+		if f.accounts[name] != nil && name != vm && !f.isolated[name] && !f.isolated[vm] && !slices.Contains(names[:i], name) {
 			accounts = append(accounts, f.accounts[name])
 		}
 	}
@@ -631,3 +631,35 @@
 	}
 	return a.target(now)
 }
+
+// survivorPeers implements Peers for a router whose first allocator is dead.
+type survivorPeers struct{ fleetPeers }
+
+func (p survivorPeers) RequestTokens(ctx context.Context, allocators []string, organisation string, shortage Shortage, late func(int64)) RequestResult {
+	ctx, cancel := context.WithTimeout(ctx, peerDrawTimeout)
+	defer cancel()
+	result := p.fleetPeers.RequestTokens(ctx, allocators, organisation, shortage, late)
+	result.Complete = false
+	return result
+}
+
+// Guards against refusing requests after the primary allocator was killed because the others wait for each other's draws.
+func TestSurvivingAllocatorsDontWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		f := startFleet(ctx, memory, []string{"vm1", "vm2"}, 100_000)
+		for _, acc := range f.accounts {
+			acc.Allocators = func(string) []string { return []string{"dead", "vm1", "vm2"} }
+			acc.Peers = survivorPeers{acc.Peers.(fleetPeers)}
+		}
+		var callers sync.WaitGroup
+		for _, vm := range []string{"vm1", "vm2"} {
+			for range 3 {
+				callers.Go(func() { must.EqOp(t, Granted, f.accounts[vm].Reserve(ctx, organisation, 100_000, 500)) })
+			}
+		}
+		callers.Wait()
+	})
+}
