--- a/pkg/allowance/accounts_test.go
+++ b/pkg/allowance/accounts_test.go
@@ -124,7 +124,7 @@
 		seed := rapid.Uint64().Draw(rt, "seed")
 		lost := rapid.SampledFrom([]float64{0, 0.2, 0.6}).Draw(rt, "lost")
 		var spent, prepaid int64
-		synctest.Test(t, func(t *testing.T) { spent, prepaid = simulateSpending(t, seed, lost, false) })
+		synctest.Test(t, func(t *testing.T) { spent, prepaid = simulateSpending(t, seed, lost, false, false) })
 		if spent > prepaid {
 			rt.Fatalf("spent %d of %d", spent, prepaid)
 		}
@@ -137,12 +137,32 @@
 	for seed := range uint64(60) {
 		for _, lost := range []float64{0, 0.2} {
 			var spent, prepaid int64
-			synctest.Test(t, func(t *testing.T) { spent, prepaid = simulateSpending(t, seed, lost, true) })
+			synctest.Test(t, func(t *testing.T) { spent, prepaid = simulateSpending(t, seed, lost, true, false) })
 			must.LessEq(t, prepaid, spent, must.Sprint("seed ", seed, " lost ", lost))
 		}
 	}
 }
 
+// Guards against drawing tokens a second time when routers are killed before others knew what they had drawn while connections
+// between routers failed.
+func TestRestoredStoreAfterKillsInPartitions(t *testing.T) {
+	for seed := range uint64(60) {
+		for _, lost := range []float64{0, 0.2} {
+			var spent, prepaid int64
+			synctest.Test(t, func(t *testing.T) { spent, prepaid = simulateSpending(t, seed, lost, true, true) })
+			must.LessEq(t, prepaid, spent, must.Sprint("seed ", seed, " lost ", lost))
+		}
+	}
+}
+
+// Guards against drawing tokens a second time when all routers that know a draw are killed around a restore.
+func TestRestoredStoreAfterKillsOfAllRouters(t *testing.T) {
+	const seed = 86
+	var spent, prepaid int64
+	synctest.Test(t, func(t *testing.T) { spent, prepaid = simulateSpending(t, seed, 0, true, false) })
+	must.LessEq(t, prepaid, spent)
+}
+
 // storeCopies takes copies of a store, from which it can be restored.
 type storeCopies struct {
 	memory  *memstore.Store
@@ -166,9 +186,8 @@
 }
 
 // simulateSpending returns what was spent of a budget by routers under faults. With restores, the store comes back from older
-// copies. What a router draws while it can reach no other one is lost if it is killed before the next restore, so kills and failing
-// connections between routers come with different seeds then.
-func simulateSpending(t *testing.T, seed uint64, lost float64, restores bool) (spent, prepaid int64) {
+// copies; with together unset, kills and failing connections between routers come with different seeds then.
+func simulateSpending(t *testing.T, seed uint64, lost float64, restores, together bool) (spent, prepaid int64) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	copies := &storeCopies{memory: memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})}
 	store := &lossyStore{Store: copies.memory.Client("test"), random: rand.New(rand.NewPCG(seed, 1)), lostShare: lost}
@@ -208,10 +227,10 @@
 		copies.takeIfDue()
 		vm := vms[random.IntN(len(vms))]
 		switch event := random.IntN(20); {
-		case event == 0 && (!restores || seed%2 == 0):
+		case event == 0 && (!restores || together || seed%2 == 0):
 			stops[vm]()
 			start(vm)
-		case event == 1 && (!restores || seed%2 == 1):
+		case event == 1 && (!restores || together || seed%2 == 1):
 			f.mu.Lock()
 			f.isolated[vm] = !f.isolated[vm]
 			f.mu.Unlock()
