Don't let a router say it is ready before its endpoints are published

TestResumesStreams failed once beside load: the first request to a ready router got 503 "no endpoint of service/desk". Cause: endpointSet.ReplaceAll set loaded, which makes the router ready, before it passed the endpoints to the placement.

TestNotReadyBeforeEndpointsArePublished failed before the change.

--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -68,7 +68,7 @@
 	return &endpointSet{decode: decode, log: logger, publish: publish, registered: map[string]platform.VM{}, removeAt: map[string]time.Time{}, gone: map[string]goneRun{}, held: map[string]heldEntry{}}
 }
 
-// isLoaded reports whether a complete list has been read.
+// isLoaded reports whether a complete list has been read and published.
 func (e *endpointSet) isLoaded() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -87,7 +87,7 @@
 	if sinceContact > graceOutageThreshold || restored {
 		e.graceUntil = now.Add(reregistrationTime)
 	}
-	e.loaded, e.era = true, era
+	e.era = era
 	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		listed[o.Key] = true
@@ -100,6 +100,10 @@
 	}
 	e.mu.Unlock()
 	e.expireAndPublish()
+	// Set last, because it makes the router ready, and requests are placed on published endpoints only.
+	e.mu.Lock()
+	e.loaded = true
+	e.mu.Unlock()
 }
 
 // ApplyChanges implements feed.Consumer.
--- a/pkg/entry/endpoints_test.go
+++ b/pkg/entry/endpoints_test.go
@@ -76,6 +76,16 @@
 	})
 }
 
+// Guards against a router that says it is ready, and then rejects requests because the placement has no endpoints yet.
+func TestNotReadyBeforeEndpointsArePublished(t *testing.T) {
+	var e *endpointSet
+	loadedWhilePublishing := false
+	e = newEndpointSet(decodeTestEndpoint, discardLog(), func([]platform.VM) { loadedWhilePublishing = e.isLoaded() })
+	e.ReplaceAll(endpointObjects("live", "a"), 0)
+	must.False(t, loadedWhilePublishing)
+	must.True(t, e.isLoaded())
+}
+
 // Guards against sending requests to an endpoint whose entry was removed while the store was reachable.
 func TestRemovedEntryIsDroppedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
