Log why an attempt at an endpoint was not sent

Observability for the incident of stranded routers: attempt_failed says whether a connection was refused, timed out or broke, also for attempts that were not sent, so that a lost link can be told from endpoints that are down. The line endpoint_failed is merged into it.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -108,6 +108,9 @@
 	if p := e.request.Prompt; p != nil {
 		fields["prompt_tokens"], fields["parts"] = p.Tokens, p.loggedPartIDs()
 	}
+	if e.attemptErr != nil {
+		fields["cause"] = e.attemptErr.Error()
+	}
 	e.Log.WithFields(fields).Info("attempt_failed")
 }
 
@@ -188,11 +191,12 @@
 	if stream.lastID >= 0 {
 		dispatch.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
-	e.eventsBefore, e.answerBegun, e.attemptAnswered = stream.count, false, false
+	e.eventsBefore, e.answerBegun, e.attemptAnswered, e.attemptErr = stream.count, false, false, nil
 	response, err := e.Client.Send(ctx, upstream.Call{
 		Address: decision.Address, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Header: e.Dialect.Encode(&e.request, dispatch), Body: e.request.Body, ID: e.request.ID, IDHeader: e.Dialect.IDHeader(),
 	})
+	e.attemptErr = err
 	if errors.Is(err, upstream.ErrNotSent) {
 		e.Placement.finish(inFlight, e.failureResult(ctx), 0)
 		return attemptNotSent, nil
@@ -200,7 +204,6 @@
 	e.attempts++
 	if err != nil {
 		e.mayHaveRun = true
-		e.Log.WithFields(log.Fields{"request": e.request.ID, "endpoint": decision.Chosen}).WithError(err).Info("endpoint_failed")
 		e.finishBroken(ctx, decision, inFlight, 0)
 		return attemptFailed, nil
 	}
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -118,6 +118,8 @@
 	// answerBegun is set once the latest attempt got the header of an answer, and attemptAnswered once it showed that the
 	// endpoint can answer the request.
 	answerBegun, attemptAnswered bool
+	// attemptErr is the error of the latest attempt that got no answer.
+	attemptErr error
 	// eventsBefore is the number of events that were relayed before the latest attempt.
 	eventsBefore int
 	// features are set by contentFeatures.
