Send requests through another router while a VM's links to all endpoints are lost

Cause: a router had no notion of its own path. It counted the loss of its links as a failure of each endpoint, tried them one after the other (600 ms each) and rejected the request, although other routers reached all of them. Class: a fault of the observer's own links that is taken for a fault of what it observes.

Change: pkg/reach decides from connection attempts alone (open connections may hang or live on) whether this VM reaches no endpoint; a failed attempt, a broken answer or a load report that fails leads to a check, so that a few endpoints that are down don't count. While the links are lost, pkg/remote asks other routers whether they can forward, and requests go through one of them (ls.forward.v1): this router keeps admission, budget and the caller, the other one chooses endpoints, retries and answers. A router that declines before it accepts has sent nothing; after that the request may have run. If no router takes a request, it is rejected at once.

--- /dev/null
+++ b/pkg/entry/links.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/reach"
+	"github.com/lavendershunt/lavendershunt/pkg/remote"
+	"github.com/lavendershunt/lavendershunt/pkg/upstream"
+)
+
+// newLinks creates what watches the links to the endpoints, and sends requests through other routers while they are lost.
+func (r *Router) newLinks(peers connect.HTTPClient) {
+	r.links = reach.NewMonitor(reach.MonitorOptions{Listed: r.liveAddresses, Connect: r.client.Connect, Changed: r.linksChanged, Log: r.log})
+	r.client.OnAttempt = func(a upstream.Attempt) { r.links.Record(reach.Attempt(a)) }
+	r.remote = remote.NewClient(remote.Options{Cut: r.links.IsCut, Refusing: r.links.IsRefusing, AwaitCheck: r.links.AwaitCheck, Peers: r.primaryPeers, HTTP: peers, Log: r.log})
+}
+
+// liveAddresses returns the distinct addresses of the endpoints that are not leaving.
+func (r *Router) liveAddresses() []string {
+	var addresses []string
+	for _, vm := range r.endpoints.list() {
+		if vm.State == platform.VMLive {
+			addresses = append(addresses, vm.Address)
+		}
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses) // An entry that is out of date may name an address that is used again.
+}
+
+func (r *Router) primaryPeers() []remote.Peer {
+	var list []remote.Peer
+	for name, address := range r.roster.PrimaryPeers() {
+		list = append(list, remote.Peer{Name: name, Address: address})
+	}
+	return list
+}
+
+// linksChanged is called when the VM has lost its links to all endpoints, or has them back.
+func (r *Router) linksChanged(cut bool, _ time.Time) {
+	r.remote.SetCut(cut)
+	if cut && !r.links.IsRefusing() {
+		r.client.CloseIdleExcept(nil) // Requests on these connections would hang.
+	}
+}
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -13,6 +13,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/origin"
 	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
 	"github.com/lavendershunt/lavendershunt/pkg/poison"
+	"github.com/lavendershunt/lavendershunt/pkg/remote"
 	"github.com/lavendershunt/lavendershunt/pkg/roster"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
@@ -32,6 +33,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(allowance.NewService(r.accounts).Handler())
 	mux.Handle(origin.NewService(r.origins).Handler())
+	mux.Handle(remote.NewService(r.server).Handler())
 	mux.Handle(feed.NewService(r.configFeed, r.endpointFeed, r.rosterFeed, r.crashFeed).Handler())
 	return mux
 }
--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -94,6 +94,7 @@
 	report, err := r.fetchReport(ctx, vm)
 	if err != nil {
 		r.log.WithField("endpoint", vm.Name).WithError(err).Debug("report_failed")
+		r.links.Suspect()
 		return
 	}
 	r.placement.Report(vm.Name, report)
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
 	"github.com/lavendershunt/lavendershunt/pkg/feed"
 	"github.com/lavendershunt/lavendershunt/pkg/forward"
@@ -21,6 +22,8 @@
 	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/poison"
+	"github.com/lavendershunt/lavendershunt/pkg/reach"
+	"github.com/lavendershunt/lavendershunt/pkg/remote"
 	"github.com/lavendershunt/lavendershunt/pkg/retry"
 	"github.com/lavendershunt/lavendershunt/pkg/roster"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
@@ -40,6 +43,8 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is larger than the limit that the configuration states to callers.
 	maxHeaderBytes = 64 << 10
+	// activePollInterval is the time between two checks whether requests are still in progress.
+	activePollInterval = 20 * time.Millisecond
 	// memoryLimitShare is the garbage collector's soft memory limit as a share of the process's memory limit.
 	memoryLimitShare = 0.6
 	// bufferShare is the share of the process's memory limit that buffered responses may use.
@@ -72,6 +77,8 @@
 	// ReportPath is the path of the engines' load reports, and DecodeReport decodes a report.
 	ReportPath   string
 	DecodeReport func([]byte) (route.LoadReport, error)
+	// DialEndpoint replaces the connections to endpoints. Optional.
+	DialEndpoint func(ctx context.Context, network, address string) (net.Conn, error)
 	// EncodeAddresses encodes an address answer, which callers may use for the ttl.
 	EncodeAddresses func(addresses []string, ttl time.Duration) ([]byte, error)
 }
@@ -91,6 +98,8 @@
 	crashes   *poison.Registry
 	origins   *origin.Registry
 	client    *upstream.Client
+	links     *reach.Monitor
+	remote    *remote.Client
 	metrics   *telemetry.Metrics
 	draining  atomic.Bool
 
@@ -114,6 +123,9 @@
 		return nil, err
 	}
 	r.client = upstream.NewClient()
+	if a.DialEndpoint != nil {
+		r.client.DialContext = a.DialEndpoint
+	}
 	r.placement = forward.NewPlacement(s.Zone, routeOptions)
 	r.placement.LimitShare = r.limitShare
 	r.config = newConfiguration(a.ConfigKey, a.DecodeConfig, r.breaker, s.ConfigApply, logger)
@@ -138,10 +150,12 @@
 		Peers:   &origin.RemotePeers{Addresses: r.roster.Peers, Client: peers, Log: logger},
 	})
 	r.newFeeds(peers)
+	r.newLinks(peers)
 	r.server = forward.NewServer(forward.Options{
 		Configuration: r.config, Dialect: a.Dialect, Placement: r.placement, Client: r.client, Allowances: r.accounts,
 		Retries:      retry.New(s.Retry, time.Now(), s.FirstStart),
 		CrashRecords: r.crashes, Origins: r.origins,
+		Remote: r.remote, OnBroken: r.links.Suspect,
 		Routers: r.roster.Count, Log: logger, Metrics: metrics,
 		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)),
 	})
@@ -204,6 +218,8 @@
 	tasks.Go(func() { r.origins.Run(backgroundCtx) })
 	tasks.Go(func() { r.announceReady(backgroundCtx) })
 	tasks.Go(func() { r.pollReports(backgroundCtx) })
+	tasks.Go(func() { r.links.Run(backgroundCtx) })
+	tasks.Go(func() { r.remote.Run(backgroundCtx) })
 
 	callers := r.newHTTPServer(r.server)
 	peers := r.newHTTPServer(r.peerHandler())
@@ -333,6 +349,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := callers.Shutdown(ctx)
+	for r.server.Active() > 0 && sleep.For(ctx, activePollInterval) {
+		// Requests of other routers are still in progress.
+	}
 	returnCtx, cancelReturn := context.WithTimeout(context.Background(), exitMargin/2)
 	defer cancelReturn()
 	r.accounts.ReturnAll(returnCtx)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -24,6 +24,8 @@
 	maxUnsentAttempts = 3
 	// minAttemptTime is the lower bound of an attempt's timeout.
 	minAttemptTime = 20 * time.Millisecond
+	// linksRetryAfter is the Retry-After while this VM has lost its links to all endpoints. Other VMs may be well.
+	linksRetryAfter = 500 * time.Millisecond
 	// relayBufferBytes is the read buffer of a stream, enough for a few events.
 	relayBufferBytes = 4 << 10
 )
@@ -63,25 +65,38 @@
 			e.finishCancelled(ctx)
 			return
 		}
-		decision, inFlight := e.Placement.chooseEndpoint(e.placementRequest(excluded))
-		if inFlight == nil {
-			e.finishFailed(lastErrorResponse, decision.Failure())
+		remotely := e.needsRemote()
+		result, errorResponse, failure := e.nextAttempt(ctx, remotely, excluded, stream)
+		if failure != nil {
+			if !remotely && e.mayBeSentRemotely(ctx) {
+				continue
+			}
+			e.finishFailed(lastErrorResponse, failure)
 			return
 		}
-		e.decision = &decision
-		result, errorResponse := e.attempt(ctx, decision, inFlight, stream)
 		if result == attemptDelivered {
 			return
 		}
-		excluded = append(excluded, decision.Chosen)
 		if errorResponse != nil {
 			lastErrorResponse = errorResponse
 		}
-		e.logFailedAttempt(decision, result, stream)
+		e.logFailedAttempt(result, stream)
+		if remotely && result == attemptNotSent {
+			e.remoteUnavailable = true
+			if !e.Remote.IsRefusing() {
+				e.finishFailed(lastErrorResponse, outcome.NotRunf(outcome.ReasonNoEndpoint, linksRetryAfter, "this router reaches no endpoint, and no other router takes the request"))
+				return
+			}
+			continue
+		}
+		if e.decision != nil {
+			excluded = append(excluded, e.decision.Chosen)
+		}
 		if result == attemptNotSent {
-			if unsentAttempts++; unsentAttempts < maxUnsentAttempts {
+			if unsentAttempts++; unsentAttempts < maxUnsentAttempts || e.mayBeSentRemotely(ctx) {
 				continue
 			}
+			e.unreached = true
 		}
 		if ctx.Err() != nil {
 			e.finishCancelled(ctx)
@@ -99,11 +114,31 @@
 	}
 }
 
+// nextAttempt sends the request to one endpoint, or remotely through another router. It returns a failure if no endpoint can be
+// chosen, or the final one of the other router.
+func (e *exchange) nextAttempt(ctx context.Context, remotely bool, excluded []string, stream *eventStream) (attemptResult, *bufferedResponse, *outcome.Failure) {
+	if remotely {
+		return e.attemptRemotely(ctx, stream)
+	}
+	decision, inFlight := e.Placement.chooseEndpoint(e.placementRequest(excluded))
+	if inFlight == nil {
+		return attemptNotSent, nil, decision.Failure()
+	}
+	e.decision = &decision
+	result, errorResponse := e.attempt(ctx, decision, inFlight, stream)
+	return result, errorResponse, nil
+}
+
 // logFailedAttempt writes what distinguishes an endpoint that failed by itself, under its load, or by the content of a request.
-func (e *exchange) logFailedAttempt(decision route.Decision, result attemptResult, stream *eventStream) {
+func (e *exchange) logFailedAttempt(result attemptResult, stream *eventStream) {
 	fields := log.Fields{
-		"request": e.request.ID, "endpoint": decision.Chosen, "attempt": e.attempts, "outcome": result.String(), "events": stream.count,
-		"answer_begun": e.answerBegun, "kv_use": decision.KVUse, "software": decision.Software,
+		"request": e.request.ID, "attempt": e.attempts, "outcome": result.String(), "events": stream.count, "answer_begun": e.answerBegun,
+	}
+	if d := e.decision; d != nil {
+		fields["endpoint"], fields["kv_use"], fields["software"] = d.Chosen, d.KVUse, d.Software
+	}
+	if e.throughRouter != "" {
+		fields["through_router"] = e.throughRouter
 	}
 	if p := e.request.Prompt; p != nil {
 		fields["prompt_tokens"], fields["parts"] = p.Tokens, p.loggedPartIDs()
@@ -237,6 +272,9 @@
 func (e *exchange) finishBroken(ctx context.Context, decision route.Decision, inFlight *route.InFlightRequest, outputTokens int) {
 	result := e.failureResult(ctx)
 	if result == route.Failed {
+		if e.OnBroken != nil {
+			e.OnBroken()
+		}
 		e.reportBroken(decision.Address, inFlight)
 	}
 	e.Placement.finish(inFlight, result, outputTokens)
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -16,6 +16,7 @@
 	deniedRetries metric.Int64Counter
 	stopped       metric.Int64Counter
 	takenUp       metric.Int64Counter
+	remote        metric.Int64Counter
 }
 
 // latencyBucketsSeconds are the histograms' bucket boundaries. They cover the latency objectives and timeouts of
@@ -38,6 +39,9 @@
 	if m.takenUp, err = meter.Int64Counter("forward_streams_taken_up", metric.WithDescription("Streams that callers took up again, by how their software version was found.")); err != nil {
 		return nil, err
 	}
+	if m.remote, err = meter.Int64Counter("forward_through_routers", metric.WithDescription("Requests that were sent through another router, by result.")); err != nil {
+		return nil, err
+	}
 	if m.duration, err = meter.Float64Histogram("forward_duration", metric.WithUnit("s"), latencyBucketsSeconds, metric.WithDescription("Time to the end of the answer.")); err != nil {
 		return nil, err
 	}
@@ -75,3 +79,9 @@
 		m.takenUp.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("source", source))))
 	}
 }
+
+func (m *Metrics) recordRemote(result string) {
+	if m != nil && m.remote != nil {
+		m.remote.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("result", result))))
+	}
+}
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -113,7 +113,11 @@
 	return run, ok
 }
 
+// recordFirstToken records that the answer has begun. inFlight is nil if another router sent the request.
 func (p *Placement) recordFirstToken(inFlight *route.InFlightRequest) {
+	if inFlight == nil {
+		return
+	}
 	p.owner.Post(func(t *table) { t.FirstToken(time.Now(), inFlight) })
 }
 
--- a/pkg/forward/resume.go
+++ b/pkg/forward/resume.go
@@ -33,12 +33,15 @@
 		return
 	}
 	e.begun, e.software = true, e.decision.Software
+	if e.onBehalf {
+		return // The router that the caller uses records it.
+	}
 	e.Origins.Record(e.request.ID, e.service.Name, e.software)
 }
 
 // recordEnd forgets a stream that the caller has got to its end.
 func (e *exchange) recordEnd() {
-	if e.Origins == nil || !e.begun || e.incomplete {
+	if e.Origins == nil || !e.begun || e.incomplete || e.onBehalf {
 		return
 	}
 	began := e.request.ID
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -57,6 +57,10 @@
 	CrashRecords *poison.Registry
 	// Origins tell at which version of a service's software a stream began. Without them streams go on at any endpoint.
 	Origins *origin.Registry
+	// Remote sends requests through other routers. Without it the router only uses its own links.
+	Remote Remote
+	// OnBroken is called when an endpoint broke an attempt off or gave no answer. Optional.
+	OnBroken func()
 	// Routers returns the number of routers that share the retry budget.
 	Routers func() int
 	Log     log.Interface
@@ -104,8 +108,10 @@
 // exchange is the state of one caller's request in progress.
 type exchange struct {
 	*Server
-	writer    http.ResponseWriter
-	request   Request
+	writer  http.ResponseWriter
+	request Request
+	// incoming contains the request's headers as the caller sent them.
+	incoming  http.Header
 	route     catalog.Route
 	org       *catalog.Organisation
 	config    *catalog.Snapshot
@@ -114,6 +120,14 @@
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
 
+	// unreached is set once the request could not be sent to any of the endpoints that were tried.
+	unreached bool
+	// onBehalf is set if another router has sent the request to this one.
+	onBehalf bool
+	// remoteUnavailable is set once no other router took the request, and throughRouter names the one that did.
+	remoteUnavailable bool
+	throughRouter     string
+
 	attempts int
 	// answerBegun is set once the latest attempt got the header of an answer, and attemptAnswered once it showed that the
 	// endpoint can answer the request.
@@ -188,7 +202,9 @@
 		e.refuse(failure)
 		return
 	}
-	e.Retries.RecordRequest(e.service.Name, time.Now())
+	if !e.needsRemote() {
+		e.Retries.RecordRequest(e.service.Name, time.Now()) // Otherwise the router that sends it counts it.
+	}
 	e.forward(ctx)
 	if reserved > 0 {
 		e.chargedTokens = e.usedTokens(reserved)
@@ -201,6 +217,7 @@
 
 // admit reads the request, finds its route, organisation and service, and sets its deadline.
 func (e *exchange) admit(r *http.Request) *outcome.Failure {
+	e.incoming = r.Header
 	var err error
 	if e.request, err = e.Dialect.Decode(r); err != nil {
 		return outcome.NotRunf(outcome.ReasonBadRequest, 0, "%v", err)
@@ -357,6 +374,12 @@
 		fields["endpoint"], fields["software"] = e.decision.Chosen, e.decision.Software
 		fields["candidates"], fields["choice"], fields["cached"] = e.decision.Candidates, string(e.decision.Reason), e.decision.Cached()
 	}
+	if e.throughRouter != "" {
+		fields["through_router"] = e.throughRouter
+	}
+	if e.onBehalf {
+		fields["for_router"] = true
+	}
 	if e.request.LastEvent != "" {
 		fields["began_as"], fields["after"] = e.request.BeganAs, e.request.LastEvent
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -296,6 +296,18 @@
 	return addresses
 }
 
+// PrimaryPeers returns the peer addresses of the other primary routers that are alive and not leaving, by name.
+func (r *Roster) PrimaryPeers() map[string]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	records := r.aliveRecords(func(m Record) bool { return m.State != Leaving && m.Peer != "" && m.name != r.name })
+	addresses := make(map[string]string, len(records))
+	for _, m := range selectPrimaries(records) {
+		addresses[m.name] = m.Peer
+	}
+	return addresses
+}
+
 // PreferenceList returns the names of at most n routers, ranked for the key by rendezvous hashing over the primary
 // routers that are alive and not leaving, including this one. If all are leaving, it returns this one. The result must
 // not be changed.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -66,16 +66,49 @@
 
 // Client sends requests to endpoints. It never repeats a request. It is safe for concurrent use.
 type Client struct {
-	Stats  Stats
-	dialer *net.Dialer
-	delay  delayMeter
-	mu     sync.Mutex
+	Stats Stats
+	// DialContext connects to an endpoint. NewClient sets it; another one may replace it before the first use.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnAttempt is called at the end of each connection attempt, unless the request that needed the connection ended first.
+	// Optional.
+	OnAttempt func(Attempt)
+	delay     delayMeter
+	mu        sync.Mutex
 	// idle holds the idle connections by address.
 	idle map[string][]*conn
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{dialer: Dialer(dialTimeout), idle: map[string][]*conn{}} }
+func NewClient() *Client {
+	return &Client{DialContext: Dialer(0).DialContext, idle: map[string][]*conn{}}
+}
+
+// Attempt is a connection attempt to an endpoint that has ended. Refused is set if it failed before its timeout.
+type Attempt struct {
+	Address            string
+	Started, Ended     time.Time
+	Connected, Refused bool
+}
+
+// dial connects to the address. timeout bounds the attempt.
+func (c *Client) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	c.Stats.Dials.Add(1)
+	started := time.Now()
+	dialCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	dialled, err := c.DialContext(dialCtx, "tcp", address)
+	ended, timedOut := time.Now(), dialCtx.Err() != nil
+	if err != nil && ctx.Err() != nil {
+		return nil, err
+	}
+	if err == nil || timedOut {
+		c.delay.record(ended, ended.Sub(started))
+	}
+	if c.OnAttempt != nil {
+		c.OnAttempt(Attempt{Address: address, Started: started, Ended: ended, Connected: err == nil, Refused: err != nil && !timedOut})
+	}
+	return dialled, err
+}
 
 // Send sends the call and waits for the response's header. When ctx ends, the connection is closed, and reading the body
 // fails. Its errors wrap ErrNotSent or ErrFailedAfterSend.
@@ -222,26 +255,26 @@
 		}
 		_ = pooled.Close() // The connection is unusable, so an error in closing it does not matter.
 	}
-	c.Stats.Dials.Add(1)
-	dialled, err := c.dialer.DialContext(ctx, "tcp", address)
-	if ended := time.Now(); err == nil || ended.Sub(now) >= dialTimeout {
-		c.delay.record(ended, ended.Sub(now))
-	}
+	dialled, err := c.dial(ctx, address, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
 	return newConn(dialled), nil
 }
 
-// Refuses reports whether the address refuses a new connection, as it does when nothing listens there.
-func (c *Client) Refuses(ctx context.Context, address string) bool {
-	c.Stats.Dials.Add(1)
-	dialled, err := c.dialer.DialContext(ctx, "tcp", address)
+// Connect makes a connection for a later request. timeout bounds the attempt.
+func (c *Client) Connect(ctx context.Context, address string, timeout time.Duration) error {
+	dialled, err := c.dial(ctx, address, timeout)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	c.putIdle(address, newConn(dialled))
-	return false
+	return nil
+}
+
+// Refuses reports whether the address refuses a new connection, as it does when nothing listens there.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	return errors.Is(c.Connect(ctx, address, dialTimeout), syscall.ECONNREFUSED)
 }
 
 func (c *Client) popIdle(address string) *conn {
