Don't take lost links for crashes of endpoints

Cause: a refused connection after a broken request counted as a crash of the endpoint; a VM that has lost its links sees that of each endpoint.

The detector now waits for the check of the links. AwaitCheck first lets the attempts be recorded that have already ended.

--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -25,11 +25,13 @@
 )
 
 // crashDetector finds out whether an endpoint at which requests broke has crashed. Their connections break for other
-// reasons as well: a faulty endpoint resets single ones, and a link may fail. A crashed endpoint refuses connections. It is
-// safe for concurrent use.
+// reasons as well: a faulty endpoint resets single ones, and a link may fail. A crashed endpoint refuses connections, and so
+// does each one for a VM that has lost its links to all of them. It is safe for concurrent use.
 type crashDetector struct {
 	client   *upstream.Client
 	registry *poison.Registry
+	// linksLost waits until it is known whether the VM has lost its links, and reports it. Optional.
+	linksLost func(context.Context) bool
 
 	mu     sync.Mutex
 	checks map[string]*crashCheck
@@ -72,7 +74,8 @@
 	check = &crashCheck{startedAt: now, done: make(chan struct{})}
 	d.checks[run] = check
 	d.mu.Unlock()
-	check.crashed = d.client.Refuses(context.Background(), address) // The client limits the time of a connection attempt.
+	ctx := context.Background() // The client limits the time of a connection attempt.
+	check.crashed = d.client.Refuses(ctx, address) && (d.linksLost == nil || !d.linksLost(ctx))
 	close(check.done)
 	return check.crashed
 }
--- a/pkg/forward/crash_test.go
+++ b/pkg/forward/crash_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -49,6 +50,16 @@
 	must.False(t, registry.IsEmpty())
 }
 
+// Guards against stopping the content of requests that broke because the VM lost its links: then all endpoints refuse
+// connections, and none has crashed.
+func TestEndpointsBehindLostLinksHaveNotCrashed(t *testing.T) {
+	registry := testRegistry()
+	d := &crashDetector{client: upstream.NewClient(), registry: registry, checks: map[string]*crashCheck{}, linksLost: func(context.Context) bool { return true }}
+	features := (&Request{Method: "POST", Target: "/a", Body: []byte("a")}).features("o")
+	<-d.report("closed@1", loopback.Address(), features, true)
+	must.True(t, registry.IsEmpty())
+}
+
 // Guards against stopping different prompts that have the same body, and against parts that only one request has.
 func TestFeatures(t *testing.T) {
 	request := func(id string) *Request {
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -92,9 +92,13 @@
 	if o.BufferBytes <= 0 {
 		o.BufferBytes = defaultBufferBytes
 	}
+	crashes := &crashDetector{client: o.Client, registry: o.CrashRecords, checks: map[string]*crashCheck{}}
+	if o.Remote != nil {
+		crashes.linksLost = o.Remote.AwaitCheck
+	}
 	return &Server{
 		Options: o, buffers: &bufferPool{limit: o.BufferBytes},
-		crashes:       &crashDetector{client: o.Client, registry: o.CrashRecords, checks: map[string]*crashCheck{}},
+		crashes:       crashes,
 		servedLimiter: logging.NewLimiter(servedLinesPerSecond), unservedLimiter: logging.NewLimiter(unservedLinesPerSecond),
 	}
 }
--- a/pkg/reach/monitor.go
+++ b/pkg/reach/monitor.go
@@ -60,6 +60,7 @@
 
 // AwaitCheck waits until it is known whether the VM has lost its links, after an attempt has failed, and returns IsCut.
 func (m *Monitor) AwaitCheck(ctx context.Context) bool {
+	m.owner.Do(func(*Path) {}) // Attempts that have ended are recorded before.
 	end := time.Now().Add(maxDoubt)
 	for m.inDoubt.Load() && time.Now().Before(end) && sleep.For(ctx, doubtPollInterval) {
 		// The check is in progress.
