Don't take lost links to endpoints for a full link of the VM, nor the reverse

Connection attempts that time out behind a partition counted as the delay of packets in the VM's link: after four of them requests got up to 600 ms, or half of their time, less than they had, and the callers' port could be closed if the link was used. And with the check of the links, attempts that time out because callers fill the VM's link could be taken for lost links, where no other router helps.

The delay meter is paused while the links are lost, and attempts that time out on a full link don't count for the check.

--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -15,10 +15,20 @@
 // newLinks creates what watches the links to the endpoints, and sends requests through other routers while they are lost.
 func (r *Router) newLinks(peers connect.HTTPClient) {
 	r.links = reach.NewMonitor(reach.MonitorOptions{Listed: r.liveAddresses, Connect: r.client.Connect, Changed: r.linksChanged, Log: r.log})
-	r.client.OnAttempt = func(a upstream.Attempt) { r.links.Record(reach.Attempt(a)) }
+	r.client.OnAttempt = func(a upstream.Attempt) {
+		if isLinkEvidence(a, r.linkMeter) {
+			r.links.Record(reach.Attempt(a))
+		}
+	}
 	r.remote = remote.NewClient(remote.Options{Cut: r.links.IsCut, Refusing: r.links.IsRefusing, AwaitCheck: r.links.AwaitCheck, Peers: r.primaryPeers, HTTP: peers, Log: r.log})
 }
 
+// isLinkEvidence reports whether a connection attempt tells whether the VM has lost its links. An attempt that times out while
+// callers fill the VM's own link doesn't.
+func isLinkEvidence(a upstream.Attempt, link *linkMeter) bool {
+	return a.Connected || a.Refused || link == nil || !link.isFull(a.Ended, a.Ended.Sub(a.Started))
+}
+
 // liveAddresses returns the distinct addresses of the endpoints that are not leaving.
 func (r *Router) liveAddresses() []string {
 	var addresses []string
@@ -42,6 +52,7 @@
 // linksChanged is called when the VM has lost its links to all endpoints, or has them back.
 func (r *Router) linksChanged(cut bool, _ time.Time) {
 	r.remote.SetCut(cut)
+	r.client.SetLinksLost(cut)
 	if cut && !r.links.IsRefusing() {
 		r.client.CloseIdleExcept(nil) // Requests on these connections would hang.
 	}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -98,6 +98,8 @@
 	crashes   *poison.Registry
 	origins   *origin.Registry
 	client    *upstream.Client
+	// linkMeter is nil if the bandwidth of the VM's link isn't known.
+	linkMeter *linkMeter
 	links     *reach.Monitor
 	remote    *remote.Client
 	metrics   *telemetry.Metrics
@@ -122,6 +124,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.LinkBytesPerSecond > 0 {
+		r.linkMeter = newLinkMeter(s.LinkBytesPerSecond, time.Now())
+	}
 	r.client = upstream.NewClient()
 	if a.DialEndpoint != nil {
 		r.client.DialContext = a.DialEndpoint
@@ -244,8 +249,8 @@
 			return fmt.Errorf("entry: listen on %s: %w", l.address, err)
 		}
 		defer l.server.Close()
-		if l.server == callers && r.settings.LinkBytesPerSecond > 0 {
-			metered := newCallerListener(listener, newLinkMeter(r.settings.LinkBytesPerSecond, time.Now()), r.client.LinkDelay, r.log)
+		if l.server == callers && r.linkMeter != nil {
+			metered := newCallerListener(listener, r.linkMeter, r.client.LinkDelay, r.log)
 			tasks.Go(func() { metered.run(backgroundCtx) })
 			listener = metered
 		}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -132,6 +132,10 @@
 // LinkDelay estimates how long packets wait in the VM's link, in both directions together. It is 0 without an estimate.
 func (c *Client) LinkDelay() time.Duration { return c.delay.estimate(time.Now()) }
 
+// SetLinksLost tells the client that the VM has lost its links to all endpoints, or has them back. Connection attempts say
+// nothing about the delay of packets meanwhile.
+func (c *Client) SetLinksLost(lost bool) { c.delay.setPaused(lost) }
+
 // exchange is one request and its response on a connection.
 type exchange struct {
 	client *Client
--- a/pkg/upstream/delay.go
+++ b/pkg/upstream/delay.go
@@ -26,11 +26,22 @@
 	mu      sync.Mutex
 	samples [delaySamples]delaySample
 	next    int
+	paused  bool
+}
+
+// setPaused forgets the samples and ends or begins the recording of others.
+func (m *delayMeter) setPaused(paused bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.paused, m.samples = paused, [delaySamples]delaySample{}
 }
 
 func (m *delayMeter) record(now time.Time, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.paused {
+		return
+	}
 	m.samples[m.next] = delaySample{at: now, took: took}
 	m.next = (m.next + 1) % delaySamples
 }
--- a/pkg/upstream/delay_test.go
+++ b/pkg/upstream/delay_test.go
@@ -26,3 +26,26 @@
 	must.EqOp(t, 400*time.Millisecond, m.estimate(now))
 	must.Zero(t, m.estimate(now.Add(2*delayMaxAge)))
 }
+
+// Guards against taking lost links for a full one: the time of requests would be cut, and callers' connections refused, for no
+// reason.
+func TestLostLinksAreNoDelay(t *testing.T) {
+	c := NewClient()
+	now := time.Now()
+	for range delaySamples {
+		c.delay.record(now, dialTimeout)
+	}
+	must.EqOp(t, dialTimeout, c.LinkDelay())
+	c.SetLinksLost(true)
+	must.EqOp(t, 0, c.LinkDelay())
+	for range delaySamples {
+		c.delay.record(now, dialTimeout)
+	}
+	must.EqOp(t, 0, c.LinkDelay())
+	c.SetLinksLost(false)
+	must.EqOp(t, 0, c.LinkDelay())
+	for range delaySamples {
+		c.delay.record(now, dialTimeout)
+	}
+	must.EqOp(t, dialTimeout, c.LinkDelay())
+}
