Use endpoints again as soon as a VM has its links back

After a cut of 12 s routers chose endpoints as a last resort for 2 to 4 s more, because their exclusions, which double up to 4 s, had grown behind the lost links. The failures since the last connection before the cut say nothing about the endpoints and are forgiven now.

--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -50,9 +50,12 @@
 }
 
 // linksChanged is called when the VM has lost its links to all endpoints, or has them back.
-func (r *Router) linksChanged(cut bool, _ time.Time) {
+func (r *Router) linksChanged(cut bool, lostSince time.Time) {
 	r.remote.SetCut(cut)
 	r.client.SetLinksLost(cut)
+	if !cut {
+		r.placement.ForgiveFailures(lostSince)
+	}
 	if cut && !r.links.IsRefusing() {
 		r.client.CloseIdleExcept(nil) // Requests on these connections would hang.
 	}
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -104,6 +104,11 @@
 	p.owner.Post(func(t *table) { t.ForgetLimits(time.Now(), age) })
 }
 
+// ForgiveFailures ends the exclusions of endpoints that began at since or later, because this VM had lost its links.
+func (p *Placement) ForgiveFailures(since time.Time) {
+	p.owner.Post(func(t *table) { t.ForgiveFailures(time.Now(), since) })
+}
+
 // servingRun returns a name for the present run of the request's endpoint, which differs after a restart. ok is false if the
 // endpoint is leaving or no longer listed, so that its end is planned.
 func (p *Placement) servingRun(inFlight *route.InFlightRequest) (run string, ok bool) {
--- a/pkg/reach/monitor.go
+++ b/pkg/reach/monitor.go
@@ -31,8 +31,8 @@
 	Listed func() []string
 	// Connect connects to an endpoint. The result comes through Monitor.Record.
 	Connect func(ctx context.Context, address string, timeout time.Duration) error
-	// Changed is called after IsCut has changed, with the time since which the VM was cut off. Optional.
-	Changed func(cut bool, since time.Time)
+	// Changed is called after IsCut has changed, with the time of the last connection before the cut. Optional.
+	Changed func(cut bool, lostSince time.Time)
 	Log     log.Interface
 }
 
@@ -72,18 +72,16 @@
 func (m *Monitor) Record(a Attempt) {
 	listed := m.Listed()
 	m.owner.Post(func(p *Path) {
-		cutAt := p.CutAt()
 		changed := p.Record(a, listed)
 		m.refusing.Store(p.IsRefusing())
 		m.cut.Store(p.IsCut())
 		m.inDoubt.Store(p.IsInDoubt() && !p.IsCut())
 		if changed {
-			if p.IsCut() {
-				cutAt = p.CutAt()
-			}
-			m.Log.WithFields(log.Fields{"cut": p.IsCut(), "refused": a.Refused, "endpoint_address": a.Address, "endpoints": len(listed), "cut_ms": a.Ended.Sub(cutAt).Milliseconds()}).Warn("endpoint_links")
+			m.Log.WithFields(log.Fields{
+				"cut": p.IsCut(), "refused": a.Refused, "endpoint_address": a.Address, "endpoints": len(listed), "lost_for_ms": a.Ended.Sub(p.LostSince()).Milliseconds(),
+			}).Warn("endpoint_links")
 			if m.Changed != nil {
-				m.Changed(p.IsCut(), cutAt)
+				m.Changed(p.IsCut(), p.LostSince())
 			}
 		}
 		if p.IsInDoubt() {
--- a/pkg/reach/path.go
+++ b/pkg/reach/path.go
@@ -27,7 +27,8 @@
 	// refused is set if the last attempt that failed did so before its timeout.
 	refused bool
 	cut     bool
-	cutAt   time.Time
+	// lostSince is the time of the last successful attempt before the VM was cut off.
+	lostSince time.Time
 }
 
 // Attempt is a connection attempt to an endpoint that has ended.
@@ -53,7 +54,7 @@
 		}
 		p.unreachable[a.Address], p.refused = true, a.Refused
 		if !p.cut && p.witnesses(listed) >= min(maxWitnesses, max(1, len(listed))) {
-			p.cut, p.cutAt = true, a.Ended
+			p.cut, p.lostSince = true, p.connectedAt
 		}
 	}
 	return p.cut != was
@@ -76,8 +77,8 @@
 // IsRefusing reports whether attempts fail at once instead of at their timeout.
 func (p *Path) IsRefusing() bool { return p.refused }
 
-// CutAt returns the time since which the VM counts as cut off, while IsCut is true.
-func (p *Path) CutAt() time.Time { return p.cutAt }
+// LostSince returns the time of the last connection before the VM was cut off last, zero if there was none.
+func (p *Path) LostSince() time.Time { return p.lostSince }
 
 // IsInDoubt reports whether attempts have failed since the last successful one.
 func (p *Path) IsInDoubt() bool { return len(p.unreachable) > 0 }
--- a/pkg/route/health.go
+++ b/pkg/route/health.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// ForgiveFailures ends the exclusions that began at since or later. It answers a VM that had lost its links to all endpoints: their
+// failures say nothing about them, and each would be tried again only after an exclusion that has grown during the cut.
+func (t *Table) ForgiveFailures(now, since time.Time) {
+	for _, e := range t.endpoints {
+		if e.health.failures > 0 && !e.health.excludedAt.Before(since) {
+			e.health = health{}
+			t.refresh(now, e)
+		}
+	}
+}
+
 // Quarantine excludes the endpoint from choices for the given time. Afterwards it gets one request at a time
 // until one succeeds.
 func (t *Table) Quarantine(now time.Time, vm string, duration time.Duration) {
--- a/pkg/route/lastresort_test.go
+++ b/pkg/route/lastresort_test.go
@@ -63,3 +63,25 @@
 	d := table.Choose(start, newRand(), r)
 	must.False(t, d.OK())
 }
+
+// Guards against endpoints that stay excluded for seconds after the VM has its links to them back, and against forgiving
+// failures from before.
+func TestFailuresBehindLostLinksAreForgiven(t *testing.T) {
+	table := New(Location{}, Options{})
+	table.Update(start, serviceVMs(3, 6), nil)
+	fail := func(now time.Time, vm string) {
+		for range 4 {
+			now = now.Add(time.Millisecond)
+			table.ReportPollFailure(now, vm)
+		}
+	}
+	fail(start, "s0")
+	lost := start.Add(100 * time.Millisecond)
+	fail(lost, "s1")
+	fail(lost, "s2")
+	back := start.Add(200 * time.Millisecond)
+	must.EqOp(t, 3, table.CountByState(back)["unhealthy"])
+	table.ForgiveFailures(back, lost)
+	must.Eq(t, map[string]int64{"open": 2, "full": 0, "unhealthy": 1, "leaving": 0}, table.CountByState(back))
+	must.EqOp(t, 2, table.PoolState(Service("desk")).Open)
+}
