Leave routers without links to endpoints out of address answers

A router says in its record that it has lost its links; address answers leave it out while there are others, and name it again afterwards. TestAddressesLeaveOutRoutersWithoutLinks.

--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -53,6 +53,7 @@
 func (r *Router) linksChanged(cut bool, lostSince time.Time) {
 	r.remote.SetCut(cut)
 	r.client.SetLinksLost(cut)
+	r.roster.SetLinksLost(cut)
 	if !cut {
 		r.placement.ForgiveFailures(lostSince)
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -63,6 +63,8 @@
 	State   State  `json:"state"`
 	// Capacity is the number of requests a second that the VM can carry, an estimate from its size. 0 means unknown.
 	Capacity float64 `json:"capacity,omitempty"`
+	// NoLinks is set while the router's VM has lost its links to all endpoints. It serves through other routers then.
+	NoLinks bool `json:"no_links,omitempty"`
 	// Renewal increases with each write.
 	Renewal uint64 `json:"renewal"`
 	// name is the router's name, the last part of the record's key.
@@ -128,6 +130,17 @@
 	}
 }
 
+// SetLinksLost tells the other routers that this router's VM has lost its links to all endpoints, or has them back.
+func (r *Roster) SetLinksLost(lost bool) {
+	r.mu.Lock()
+	changed := r.self.NoLinks != lost
+	r.self.NoLinks = lost
+	r.mu.Unlock()
+	if changed {
+		r.requestRenewal()
+	}
+}
+
 func (r *Roster) requestRenewal() {
 	select {
 	case r.renewalRequested <- struct{}{}:
@@ -257,7 +270,7 @@
 	clear(r.preferenceLists)
 	var changed []string
 	for name, m := range r.view.members {
-		if old, ok := previous[name]; !ok || old.record.State != m.record.State || old.record.Instance != m.record.Instance {
+		if old, ok := previous[name]; !ok || old.record.State != m.record.State || old.record.NoLinks != m.record.NoLinks || old.record.Instance != m.record.Instance {
 			changed = append(changed, name+" "+string(m.record.State)+" "+m.record.Instance)
 		}
 	}
@@ -349,14 +362,18 @@
 	return list
 }
 
-// Addresses returns the caller addresses of at most limit ready primary routers, those in the given zone first. If no
-// router is ready, it returns the addresses of those that are starting.
+// Addresses returns the caller addresses of at most limit ready primary routers, those in the given zone first. Routers whose VMs
+// have lost their links to the endpoints are left out while there are others. If no router is ready, it returns the addresses of
+// those that are starting.
 func (r *Roster) Addresses(zone string, limit int) []string {
 	r.mu.Lock()
 	records := r.aliveRecords(func(Record) bool { return true })
 	r.mu.Unlock()
-	if addresses := selectAddresses(records, Ready, zone, limit); len(addresses) > 0 {
-		return addresses
+	linked := slices.DeleteFunc(slices.Clone(records), func(m Record) bool { return m.NoLinks })
+	for _, some := range [][]Record{linked, records} {
+		if addresses := selectAddresses(some, Ready, zone, limit); len(addresses) > 0 {
+			return addresses
+		}
 	}
 	return selectAddresses(records, Starting, zone, limit)
 }
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -82,6 +82,21 @@
 	must.Eq(t, []string{"starting"}, r.Addresses("a", 64))
 }
 
+// Guards against callers that are sent to a VM which has lost its links to the endpoints, and against no answer if all have.
+func TestAddressesLeaveOutRoutersWithoutLinks(t *testing.T) {
+	r := newTestRoster(3)
+	cut := r.view.members["r1"]
+	cut.record.NoLinks = true
+	r.view.members["r1"] = cut
+	r.SetLinksLost(true)
+	must.SliceContainsAll(t, []string{"r2", "r3"}, r.Addresses("a", 64))
+	for name, m := range r.view.members {
+		m.record.NoLinks = true
+		r.view.members[name] = m
+	}
+	must.Len(t, 4, r.Addresses("a", 64))
+}
+
 // Guards against routers that compute different preference lists for an organisation, and against a large fleet in which
 // more than two routers of a zone watch the store.
 func TestPreferenceListAndLeaders(t *testing.T) {
