--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -107,8 +107,7 @@
 		return route.LoadReport{}, err
 	}
 	defer response.Body.Close()
-	perSecond, named := r.adapter.Dialect.RequestLimit(response.Header)
-	r.placement.RecordLimit(forward.LimitAnswer{VM: vm.Name, SentAt: sentAt, Status: response.Status, PerSecond: perSecond, Named: named}, r.log)
+	r.placement.RecordAnswer(forward.NewAnswer(r.adapter.Dialect, vm.Name, sentAt, response), r.log)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
 	if err != nil {
 		return route.LoadReport{}, err
--- a/pkg/forward/crash_test.go
+++ b/pkg/forward/crash_test.go
@@ -101,11 +101,11 @@
 // plainDialect is a Dialect for requests without a prompt.
 type plainDialect struct{}
 
-func (plainDialect) Decode(*http.Request) (Request, error)    { return Request{}, ErrMalformed }
-func (plainDialect) Encode(*Request, Dispatch) http.Header    { return http.Header{"Id": {"1"}} }
-func (plainDialect) IDHeader() string                         { return "Id" }
-func (plainDialect) NotRun(int, http.Header) bool             { return false }
-func (plainDialect) RequestLimit(http.Header) (float64, bool) { return 0, false }
+func (plainDialect) Decode(*http.Request) (Request, error) { return Request{}, ErrMalformed }
+func (plainDialect) Encode(*Request, Dispatch) http.Header { return http.Header{"Id": {"1"}} }
+func (plainDialect) IDHeader() string                      { return "Id" }
+func (plainDialect) NotRun(int, http.Header) bool          { return false }
+func (plainDialect) Notice(int, http.Header) Notice        { return Notice{} }
 
 // Guards against replacing an endpoint's answer by a failure of the router, because the content was stopped while the
 // endpoint ran the request.
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -243,7 +243,7 @@
 		return attemptFailed, nil
 	}
 	e.answerBegun = true
-	e.recordLimit(response, decision.Chosen, inFlight.Started())
+	e.Placement.RecordAnswer(NewAnswer(e.Dialect, decision.Chosen, inFlight.Started(), response), e.Log)
 	result, errorResponse := e.handleResponse(response, inFlight, stream)
 	_ = response.Body.Close() // Returns the connection to the pool or closes it; Close reports no useful error.
 	outputTokens := (stream.count - e.eventsBefore) * max(1, e.service.TokensPerEvent)
@@ -262,12 +262,6 @@
 	return result, errorResponse
 }
 
-// recordLimit records the limit of requests that the endpoint names in its answer, or that it names none.
-func (e *exchange) recordLimit(response *upstream.Response, endpoint string, sentAt time.Time) {
-	perSecond, named := e.Dialect.RequestLimit(response.Header)
-	e.Placement.RecordLimit(LimitAnswer{VM: endpoint, SentAt: sentAt, Status: response.Status, PerSecond: perSecond, Named: named}, e.Log)
-}
-
 // finishBroken ends an attempt that the endpoint didn't complete.
 func (e *exchange) finishBroken(ctx context.Context, decision route.Decision, inFlight *route.InFlightRequest, outputTokens int) {
 	result := e.failureResult(ctx)
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -5,8 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/apex/log"
-
+	"github.com/lavendershunt/lavendershunt/pkg/logging"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/task"
@@ -19,6 +18,8 @@
 	LimitShare func(vm string, perSecond float64) float64
 
 	owner *task.Owner[table]
+	// invalidNotices limits the log lines for notices of endpoints that can't be read.
+	invalidNotices *logging.Limiter
 }
 
 type table struct {
@@ -26,9 +27,11 @@
 	rng *rand.Rand
 }
 
+const invalidNoticeLinesPerSecond = 1
+
 // NewPlacement returns a Placement for a router in the availability zone. Its methods block until Run is called.
 func NewPlacement(zone string, options route.Options) *Placement {
-	return &Placement{owner: task.New(&table{
+	return &Placement{invalidNotices: logging.NewLimiter(invalidNoticeLinesPerSecond), owner: task.New(&table{
 		Table: route.New(route.Location{Zone: zone}, options),
 		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})}
@@ -61,38 +64,6 @@
 	return decision, inFlight
 }
 
-// LimitAnswer is what an endpoint's answer says about its limit of requests.
-type LimitAnswer struct {
-	VM string
-	// SentAt is the time at which the request was sent, Status the answer's status.
-	SentAt time.Time
-	Status int
-	// PerSecond is the limit if Named is set.
-	PerSecond float64
-	Named     bool
-}
-
-// RecordLimit records whether an answer named a limit, and logs a change.
-func (p *Placement) RecordLimit(a LimitAnswer, logger log.Interface) {
-	share := 0.0
-	if a.Named && p.LimitShare != nil {
-		share = p.LimitShare(a.VM, a.PerSecond)
-	}
-	p.owner.Post(func(t *table) {
-		changed := false
-		if a.Named {
-			changed = t.NameLimit(time.Now(), a.VM, a.PerSecond, share)
-		} else {
-			changed = t.NameNoLimit(time.Now(), a.VM, a.SentAt)
-		}
-		if changed {
-			logger.WithFields(log.Fields{
-				"endpoint": a.VM, "status": a.Status, "per_second": a.PerSecond, "share": share, "named": a.Named,
-			}).Info("endpoint_limit")
-		}
-	})
-}
-
 // StaleLimits returns the VMs of endpoints whose limit no answer has named for the given time.
 func (p *Placement) StaleLimits(age time.Duration) (vms []string) {
 	p.owner.Do(func(t *table) { vms = t.StaleLimits(time.Now(), age) })
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -145,9 +145,8 @@
 	IDHeader() string
 	// NotRun reports whether an endpoint's response proves that it did not and will not run the request.
 	NotRun(status int, h http.Header) bool
-	// RequestLimit returns the number of requests a second that an endpoint takes from all routers together, if its answer
-	// names one.
-	RequestLimit(h http.Header) (perSecond float64, ok bool)
+	// Notice returns what an endpoint's answer says about the requests that it takes.
+	Notice(status int, h http.Header) Notice
 }
 
 // priority returns the organisation's priority if it has one, and the route's otherwise.
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -27,6 +27,7 @@
 	health         health
 	speed          speed
 	limit          requestLimit
+	brittle        brittleness
 
 	// State of the endpoint's prefix cache: the number of its last event, the time before which no index entry is valid,
 	// and the time of the last gap in its events. Both times are those of prefixIndex.elapsed.
