Send nothing to a brittle engine for a time after a rejection, and only into room that is known

Class: every observer acts alone on a shared bound.

While an engine calls itself brittle, a router - sends it nothing after a rejection for a time that grows with the number of routers over the rejections that it bears, so that all routers together cause at most half of these, and that doubles with each further rejection; - takes its part of the room that a load report shows, because all routers see the same report, or without a fresh report its part of the engine's slots (of more routers than slots, only as many as slots); - doesn't choose it as a last resort otherwise, and rejects what is left over at once with the time until the first engine opens.

--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -128,6 +128,18 @@
 	return slices.Collect(maps.Values(e.registered))
 }
 
+// slots returns the number of requests that the endpoint runs at once, 0 if it isn't known.
+func (e *endpointSet) slots(name string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, vm := range e.registered {
+		if vm.Name == name {
+			return vm.MaxInFlight
+		}
+	}
+	return 0
+}
+
 // put adds or updates the endpoint of an entry; restored is set if the entry may be from an older copy of the store. e.mu must be
 // held.
 func (e *endpointSet) put(now time.Time, o platform.Object, restored bool) {
--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -88,6 +88,18 @@
 	return route.LimitShare(perSecond, len(sharers))
 }
 
+// brittleShare returns how many requests this router may have in progress at a brittle endpoint whose load it doesn't know, and
+// the number of routers that send to it. If there are more routers than slots, only as many as slots may send.
+func (r *Router) brittleShare(endpoint string) (share, routers int) {
+	slots := max(1, r.endpoints.slots(endpoint))
+	sharers := r.roster.PreferenceList("brittle/"+endpoint, slots)
+	routers = r.roster.PrimaryCount()
+	if !slices.Contains(sharers, r.settings.VM) {
+		return 0, routers
+	}
+	return route.BrittleShare(slots, len(sharers)), routers
+}
+
 func (r *Router) pollEngine(ctx context.Context, vm platform.VM) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
--- a/pkg/forward/notice.go
+++ b/pkg/forward/notice.go
@@ -49,10 +49,14 @@
 	if a.Notice.Limited && p.LimitShare != nil {
 		share = p.LimitShare(a.VM, a.Notice.RequestsPerSecond)
 	}
+	brittleShare, routers := 1, 1
+	if a.Notice.Brittle && p.BrittleShare != nil {
+		brittleShare, routers = p.BrittleShare(a.VM)
+	}
 	p.owner.Post(func(t *table) {
 		now := time.Now()
 		p.recordLimit(t, now, a, share, logger)
-		p.recordBrittle(t, now, a, logger)
+		p.recordBrittle(t, now, a, brittleShare, routers, logger)
 	})
 }
 
@@ -70,9 +74,13 @@
 	}
 }
 
-func (p *Placement) recordBrittle(t *table, now time.Time, a Answer, logger log.Interface) {
-	changed := t.NameBrittle(now, route.BrittleNotice{VM: a.VM, SentAt: a.SentAt, Brittle: a.Notice.Brittle, MaxRejections: a.Notice.MaxRejections})
+func (p *Placement) recordBrittle(t *table, now time.Time, a Answer, share, routers int, logger log.Interface) {
+	changed := t.NameBrittle(now, route.BrittleNotice{
+		VM: a.VM, SentAt: a.SentAt, Brittle: a.Notice.Brittle, MaxRejections: a.Notice.MaxRejections, Share: share, Routers: routers, Rejected: a.Rejected,
+	})
 	if changed {
-		logger.WithFields(log.Fields{"endpoint": a.VM, "status": a.Status, "brittle": a.Notice.Brittle, "max_rejections": a.Notice.MaxRejections}).Info("endpoint_brittle")
+		logger.WithFields(log.Fields{
+			"endpoint": a.VM, "status": a.Status, "brittle": a.Notice.Brittle, "max_rejections": a.Notice.MaxRejections, "share": share, "routers": routers,
+		}).Info("endpoint_brittle")
 	}
 }
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -16,6 +16,9 @@
 	// LimitShare returns how many of the requests a second that the endpoint takes from all routers this one may send. Without
 	// it the router may send none.
 	LimitShare func(vm string, perSecond float64) float64
+	// BrittleShare returns how many requests this router may have in progress at a brittle endpoint whose load it doesn't know, and
+	// the number of routers that send to it. Without it the router may send one, as the only one.
+	BrittleShare func(vm string) (share, routers int)
 
 	owner *task.Owner[table]
 	// invalidNotices limits the log lines for notices of endpoints that can't be read.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -309,6 +309,13 @@
 	return addresses
 }
 
+// PrimaryCount returns the number of primary routers that are alive and not leaving, including this one.
+func (r *Roster) PrimaryCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(selectPrimaries(r.aliveRecords(func(m Record) bool { return m.State != Leaving })))
+}
+
 // PrimaryPeers returns the peer addresses of the other primary routers that are alive and not leaving, by name.
 func (r *Roster) PrimaryPeers() map[string]string {
 	r.mu.Lock()
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -40,8 +40,11 @@
 			return d
 		}
 		d.Reason, d.RetryAfter = t.refusalReason(now, p), retryAfter
-		if d.Reason == ReasonAtLimit {
+		switch d.Reason {
+		case ReasonAtLimit:
 			d.RetryAfter, _ = t.limitRetryAfter(now, p)
+		case ReasonBrittle:
+			d.RetryAfter, _ = t.brittleRetryAfter(now, p)
 		}
 		return d
 	}
@@ -73,7 +76,7 @@
 }
 
 // lastResortEndpoint returns a closed endpoint if Options.LastResort is set, but none that has named a limit of requests
-// which this router has used up, nor one with a full queue beside it. It prefers an endpoint without a free slot to an
+// which this router has used up, nor one with a full queue beside it, nor a brittle one without room. It prefers an endpoint without a free slot to an
 // unhealthy one, and then the one with the fewest requests of this router per slot. In a small pool a few failures can
 // close every endpoint although most requests would succeed; refusing them would serve none.
 func (t *Table) lastResortEndpoint(now time.Time, rng *rand.Rand, p *pool, r *Request) *endpoint {
@@ -88,7 +91,7 @@
 	for _, i := range rng.Perm(len(p.all)) {
 		e := p.all[i]
 		load := float64(e.inFlight) / float64(max(1, e.vm.MaxInFlight))
-		if e.isLeaving() || e.isAtLimit(now) || t.isQueueFull(now, e) || load >= overloadRatio || !isUsable(e, r) {
+		if e.isLeaving() || e.isAtLimit(now) || t.isBrittleClosed(now, e) || t.isQueueFull(now, e) || load >= overloadRatio || !isUsable(e, r) {
 			continue
 		}
 		if e.isUnhealthy(now) {
@@ -111,6 +114,9 @@
 	if _, ok := t.limitRetryAfter(now, p); ok {
 		return ReasonAtLimit
 	}
+	if _, ok := t.brittleRetryAfter(now, p); ok {
+		return ReasonBrittle
+	}
 	reason := ReasonNoEndpoint
 	for _, e := range p.all {
 		switch {
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -56,6 +56,8 @@
 	ReasonFull Reason = "endpoints_full"
 	// ReasonAtLimit means that the endpoints that could take the request have named limits, which this router has used up.
 	ReasonAtLimit Reason = "endpoints_at_limit"
+	// ReasonBrittle means that the endpoints that could take the request are brittle, and this router knows of no room there.
+	ReasonBrittle Reason = "endpoints_brittle"
 	// ReasonExcluded means that the request excludes all open endpoints, is a suspect and all others run one too, or needs software
 	// that none of them has.
 	ReasonExcluded Reason = "endpoints_excluded_by_request"
@@ -114,7 +116,7 @@
 		return nil
 	}
 	reason := outcome.ReasonNoEndpoint
-	if d.Reason == ReasonFull || d.Reason == ReasonAtLimit {
+	if d.Reason == ReasonFull || d.Reason == ReasonAtLimit || d.Reason == ReasonBrittle {
 		reason = outcome.ReasonOverload
 	}
 	return outcome.NotRunf(reason, d.RetryAfter, "no endpoint of %s can take the request: %s", d.Pool, d.Reason)
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -28,6 +28,8 @@
 	speed          speed
 	limit          requestLimit
 	brittle        brittleness
+	// brittleRecheckAt is the time of the last recheck that scheduleBrittleRecheck scheduled.
+	brittleRecheckAt time.Time
 
 	// State of the endpoint's prefix cache: the number of its last event, the time before which no index entry is valid,
 	// and the time of the last gap in its events. Both times are those of prefixIndex.elapsed.
@@ -59,6 +61,10 @@
 		closed = true
 		t.scheduleStaleRecheck(e)
 	}
+	if !closed && t.isBrittleClosed(now, e) {
+		closed = true
+		t.scheduleBrittleRecheck(now, e)
+	}
 	if !closed && e.isAtLimit(now) {
 		closed = true
 		t.scheduleLimitRecheck(now, e)
