Don't blame content for the fall of a brittle engine that was rejecting requests

Class: a failure that has a known cause is counted as evidence for another one. A router that was rejected by a brittle engine in the last 3 s doesn't record its fall as a crash; others still do, and an engine that only says that it is brittle is no excuse.

TestFallUnderRejectionsIsExplained.

--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -84,10 +84,10 @@
 }
 
 // servingRun returns a name for the present run of the request's endpoint, which differs after a restart. ok is false if the
-// endpoint is leaving or no longer listed, so that its end is planned.
+// endpoint is leaving or no longer listed, so that its end is planned, or if its fall is explained otherwise.
 func (p *Placement) servingRun(inFlight *route.InFlightRequest) (run string, ok bool) {
 	p.owner.Do(func(t *table) {
-		run, ok = inFlight.Run(), t.Serves(inFlight)
+		run, ok = inFlight.Run(), t.Serves(inFlight) && !t.IsFallExplained(time.Now(), inFlight)
 	})
 	return run, ok
 }
--- a/pkg/route/brittle.go
+++ b/pkg/route/brittle.go
@@ -37,6 +37,8 @@
 	brittleQueueShare = 0.125
 	// maxRoomAge is the largest age of a load report that shows room.
 	maxRoomAge = 1500 * time.Millisecond
+	// blamedRejectionAge is the time after a rejection in which a fall of a brittle endpoint is put down to rejections.
+	blamedRejectionAge = 3 * time.Second
 )
 
 // BrittleShare returns the number of requests that a router may have in progress at a brittle endpoint without a load report, if
@@ -152,3 +154,10 @@
 	}
 	return shortest, found
 }
+
+// IsFallExplained reports whether the request's endpoint is brittle and has just rejected requests, which explains its fall better
+// than the content of what it was running.
+func (t *Table) IsFallExplained(now time.Time, f *InFlightRequest) bool {
+	b := &f.endpoint.brittle
+	return b.isActive() && !b.rejectedAt.IsZero() && now.Sub(b.rejectedAt) <= blamedRejectionAge
+}
--- a/pkg/route/brittle_test.go
+++ b/pkg/route/brittle_test.go
@@ -165,3 +165,20 @@
 		})
 	}
 }
+
+// Guards against stopping the content of requests that were in progress when a brittle endpoint fell over under rejections, and
+// against overlooking content that crashes an endpoint which is only said to be brittle.
+func TestFallUnderRejectionsIsExplained(t *testing.T) {
+	table := New(Location{}, Options{})
+	table.Update(start, serviceVMs(1, 6), nil)
+	d := table.Choose(start, newRand(), Request{Pool: Service("desk")})
+	f := table.Begin(start, d)
+	must.False(t, table.IsFallExplained(start, f))
+	notice := BrittleNotice{VM: "s0", SentAt: start, Brittle: true, MaxRejections: 4, Share: 2, Routers: 7}
+	table.NameBrittle(start, notice)
+	must.False(t, table.IsFallExplained(start, f), must.Sprint("nothing was rejected"))
+	notice.Rejected = true
+	table.NameBrittle(start, notice)
+	must.True(t, table.IsFallExplained(start.Add(time.Second), f))
+	must.False(t, table.IsFallExplained(start.Add(blamedRejectionAge+time.Second), f))
+}
