Keep connections to endpoints that are silent for a second or two

Keep-alive probes begin a second after the last packet, and with TCP_USER_TIMEOUT of 2 s the kernel gives up at the next probe that is due 2 s after it, whatever their count: a silence of 1.1 s that began shortly before a probe broke off the answers of a sound endpoint. Connections to endpoints have 3.5 s now, those to routers and the store keep 2 s.

--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -24,7 +24,7 @@
 // newPeerClient returns the client for the peer APIs of other routers. Each call sets its own timeout.
 func newPeerClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		Protocols: peerhttp.UnencryptedHTTP2(), DialContext: upstream.Dialer(peerDialTimeout).DialContext, DisableCompression: true,
+		Protocols: peerhttp.UnencryptedHTTP2(), DialContext: upstream.Dialer(peerDialTimeout, upstream.UnackedTimeout).DialContext, DisableCompression: true,
 		MaxResponseHeaderBytes: peerhttp.MaxHeaderBytes,
 	}}
 }
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -80,7 +80,7 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{DialContext: Dialer(0).DialContext, idle: map[string][]*conn{}}
+	return &Client{DialContext: Dialer(0, EndpointUnackedTimeout).DialContext, idle: map[string][]*conn{}}
 }
 
 // Attempt is a connection attempt to an endpoint that has ended. Refused is set if it failed before its timeout.
--- a/pkg/upstream/dial.go
+++ b/pkg/upstream/dial.go
@@ -13,18 +13,23 @@
 const (
 	// tcpUserTimeoutOption is the Linux socket option TCP_USER_TIMEOUT, for which package syscall has no constant.
 	tcpUserTimeoutOption = 0x12
-	// unackedTimeout is the time without an acknowledgement of sent data after which a connection is closed, such as during
-	// a network partition.
-	unackedTimeout = 2 * time.Second
-	// The keep-alive probes detect an unreachable peer within about 3 s.
+	// UnackedTimeout is the time without an acknowledgement after which a connection to a router or to the store is closed, such
+	// as during a network partition.
+	UnackedTimeout = 2 * time.Second
+	// EndpointUnackedTimeout is that time for connections to endpoints. A sound endpoint may fall silent for up to
+	// toleratedSilence; the kernel counts from the last packet before, which may be keepAliveIdle old.
+	EndpointUnackedTimeout = keepAliveIdle + toleratedSilence + keepAliveInterval/2
+	toleratedSilence       = 2 * time.Second
+	// The keep-alive probes detect an unreachable peer. With TCP_USER_TIMEOUT their number doesn't matter: the connection fails at
+	// the first probe that is due after the timeout.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
 )
 
-// Dialer returns a dialer whose connections fail within about 3 s after the peer has become unreachable. timeout bounds a
-// connection attempt.
-func Dialer(timeout time.Duration) *net.Dialer {
+// Dialer returns a dialer whose connections fail after the peer has acknowledged nothing for the time given, or at the next
+// keep-alive probe. timeout bounds a connection attempt.
+func Dialer(timeout, unacked time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -33,7 +38,7 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var optionErr error
 			err := raw.Control(func(fd uintptr) {
-				optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(unackedTimeout.Milliseconds()))
+				optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(unacked.Milliseconds()))
 			})
 			if err != nil {
 				return err
