--- a/pkg/forward/notice.go
+++ b/pkg/forward/notice.go
@@ -18,6 +18,10 @@
 	// Brittle is set. It fails if it has to reject more.
 	MaxRejections float64
 	Brittle       bool
+	// Leaving is set if the endpoint leaves: it takes no new requests soon.
+	Leaving bool
+	// Pause is how long the endpoint wants no requests of this router after one that it has rejected, 0 if it asks for no pause.
+	Pause time.Duration
 	// Invalid are the parts of the notice that can't be read and are ignored.
 	Invalid []string
 }
@@ -57,6 +61,8 @@
 		now := time.Now()
 		p.recordLimit(t, now, a, share, logger)
 		p.recordBrittle(t, now, a, brittleShare, routers, logger)
+		p.recordLeaving(t, now, a, logger)
+		p.recordPause(t, now, a, logger)
 	})
 }
 
@@ -84,3 +90,15 @@
 		}).Info("endpoint_brittle")
 	}
 }
+
+func (p *Placement) recordLeaving(t *table, now time.Time, a Answer, logger log.Interface) {
+	if a.Notice.Leaving && t.AnnounceLeaving(now, a.VM) {
+		logger.WithFields(log.Fields{"endpoint": a.VM, "status": a.Status}).Info("endpoint_leaving")
+	}
+}
+
+func (p *Placement) recordPause(t *table, now time.Time, a Answer, logger log.Interface) {
+	if a.Notice.Pause > 0 && t.Pause(now, a.VM, a.Notice.Pause) {
+		logger.WithFields(log.Fields{"endpoint": a.VM, "status": a.Status, "pause_ms": a.Notice.Pause.Milliseconds()}).Info("endpoint_pause")
+	}
+}
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -13,8 +13,12 @@
 	distanceMS float64
 	// markedLeaving is set by an operator's leaving mark.
 	markedLeaving bool
-	removed       bool
-	memberships   []membership
+	// announcedLeaving is set once an answer of the endpoint said that it leaves.
+	announcedLeaving bool
+	// pausedUntil is the end of the time without requests of this router for which the endpoint has asked.
+	pausedUntil time.Time
+	removed     bool
+	memberships []membership
 
 	// This router's requests in progress, the suspects among them, and their prompt tokens that are still to be computed.
 	inFlight      int
