Send nothing more to an endpoint that announced in an answer that it leaves

Requests reached an engine for seconds after it had told this router that it leaves (DRAIN): the store was silent, and only its entries ended the use of an endpoint. Class: a statement of the one that knows best is overlooked in favour of a copy that may be old.

Server-Leaving in an answer or a load report, also one that came through another router, ends the use of that run of the endpoint for all requests of this router, retries and the last resort included, and outlives its entry. Another run begins anew.

TestAnnouncedLeavingHoldsForTheRun and TestEngineThatAnnouncesItsLeavingGetsNothingMore fail without.

--- a/pkg/forward/remote.go
+++ b/pkg/forward/remote.go
@@ -92,6 +92,7 @@
 		request.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
 	e.eventsBefore, e.answerBegun, e.attemptAnswered, e.attemptErr = stream.count, false, false, nil
+	sentAt := time.Now()
 	response, err := e.Remote.Send(ctx, request)
 	e.attemptErr = err
 	switch {
@@ -114,6 +115,7 @@
 		return attemptRejected, nil, f
 	}
 	e.answerBegun = true
+	e.Placement.RecordAnswer(NewAnswer(e.Dialect, progress.Endpoint, sentAt, response.Response), e.Log)
 	result, errorResponse := e.handleResponse(response.Response, nil, stream)
 	_ = response.Response.Body.Close() // Ends the call; it reports no useful error.
 	if result == attemptDelivered && !e.incomplete {
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -42,7 +42,9 @@
 	lastGapAt    time.Duration
 }
 
-func (e *endpoint) isLeaving() bool { return e.markedLeaving || e.vm.State == platform.VMLeaving }
+func (e *endpoint) isLeaving() bool {
+	return e.markedLeaving || e.announcedLeaving || e.vm.State == platform.VMLeaving
+}
 
 func (e *endpoint) isUnhealthy(now time.Time) bool { return now.Before(e.health.excludedUntil) }
 
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -21,6 +21,8 @@
 	pools     map[Pool]*pool
 	prefix    prefixIndex
 	rechecks  recheckHeap
+	// leavingRuns holds the runs of endpoints that announced that they leave, with the time of the announcement.
+	leavingRuns map[runID]time.Time
 	// meanPrefillTokens is the average number of uncached prompt tokens of a request.
 	meanPrefillTokens average
 	// scratch is the slice of candidates that Choose reuses.
@@ -32,7 +34,7 @@
 	options = options.withDefaults()
 	return &Table{
 		location: location, options: options, prefix: newPrefixIndex(options),
-		endpoints: map[string]*endpoint{}, pools: map[Pool]*pool{},
+		leavingRuns: map[runID]time.Time{}, endpoints: map[string]*endpoint{}, pools: map[Pool]*pool{},
 	}
 }
 
@@ -146,6 +148,7 @@
 
 func (t *Table) addEndpoint(vm platform.VM) *endpoint {
 	e := &endpoint{vm: vm, distanceMS: t.distanceMS(vm)}
+	_, e.announcedLeaving = t.leavingRuns[runOf(vm)]
 	t.endpoints[vm.Name] = e
 	if vm.Role == platform.RoleService {
 		t.getOrCreatePool(Service(vm.Service)).add(e)
