Keep the pauses that endpoints ask for

The Retry-After of a rejection (503 or 429) closes the endpoint for this router until then, for retries and the last resort as well; it outlives the endpoint's entry, and ends with its run. If no endpoint of a pool takes a request, the caller is rejected at once with the shortest time that one of them has stated, whatever combination of pause, limit and brittleness keeps it closed (statedWait replaces two separate computations).

--- a/pkg/route/brittle.go
+++ b/pkg/route/brittle.go
@@ -139,22 +139,6 @@
 	heap.Push(&t.rechecks, recheck{at: at, endpoint: e})
 }
 
-// brittleRetryAfter returns the shortest time until a brittle endpoint of the pool may take a request, and false if the pool has
-// no brittle endpoint that is closed.
-func (t *Table) brittleRetryAfter(now time.Time, p *pool) (time.Duration, bool) {
-	shortest, found := time.Duration(0), false
-	for _, e := range p.all {
-		if e.isLeaving() || e.isUnhealthy(now) || !t.isBrittleClosed(now, e) {
-			continue
-		}
-		wait := max(brittleRecheckInterval, e.brittle.pausedUntil.Sub(now))
-		if !found || wait < shortest {
-			shortest, found = wait, true
-		}
-	}
-	return shortest, found
-}
-
 // IsFallExplained reports whether the request's endpoint is brittle and has just rejected requests, which explains its fall better
 // than the content of what it was running.
 func (t *Table) IsFallExplained(now time.Time, f *InFlightRequest) bool {
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -39,13 +39,7 @@
 			d.setChosen(e, ReasonLastResort)
 			return d
 		}
-		d.Reason, d.RetryAfter = t.refusalReason(now, p), retryAfter
-		switch d.Reason {
-		case ReasonAtLimit:
-			d.RetryAfter, _ = t.limitRetryAfter(now, p)
-		case ReasonBrittle:
-			d.RetryAfter, _ = t.brittleRetryAfter(now, p)
-		}
+		d.Reason, d.RetryAfter = t.refusalReason(now, p)
 		return d
 	}
 	d.Considered = make([]Candidate, len(candidates))
@@ -75,8 +69,8 @@
 	}
 }
 
-// lastResortEndpoint returns a closed endpoint if Options.LastResort is set, but none that has named a limit of requests
-// which this router has used up, nor one with a full queue beside it, nor a brittle one without room. It prefers an endpoint without a free slot to an
+// lastResortEndpoint returns a closed endpoint if Options.LastResort is set, but none that takes no request by what it has stated,
+// nor one with a full queue beside one that has named a limit. It prefers an endpoint without a free slot to an
 // unhealthy one, and then the one with the fewest requests of this router per slot. In a small pool a few failures can
 // close every endpoint although most requests would succeed; refusing them would serve none.
 func (t *Table) lastResortEndpoint(now time.Time, rng *rand.Rand, p *pool, r *Request) *endpoint {
@@ -91,7 +85,7 @@
 	for _, i := range rng.Perm(len(p.all)) {
 		e := p.all[i]
 		load := float64(e.inFlight) / float64(max(1, e.vm.MaxInFlight))
-		if e.isLeaving() || e.isAtLimit(now) || t.isBrittleClosed(now, e) || t.isQueueFull(now, e) || load >= overloadRatio || !isUsable(e, r) {
+		if _, _, stated := t.statedWait(now, e); stated || e.isLeaving() || t.isQueueFull(now, e) || load >= overloadRatio || !isUsable(e, r) {
 			continue
 		}
 		if e.isUnhealthy(now) {
@@ -104,30 +98,29 @@
 	return best
 }
 
-func (t *Table) refusalReason(now time.Time, p *pool) Reason {
+// refusalReason returns why no endpoint was chosen, and the retry delay for the caller: never less than what the endpoint that opens
+// first has stated.
+func (t *Table) refusalReason(now time.Time, p *pool) (Reason, time.Duration) {
 	if p == nil {
-		return ReasonNoEndpoint
+		return ReasonNoEndpoint, retryAfter
 	}
 	if len(p.open) > 0 {
-		return ReasonExcluded
-	}
-	if _, ok := t.limitRetryAfter(now, p); ok {
-		return ReasonAtLimit
+		return ReasonExcluded, retryAfter
 	}
-	if _, ok := t.brittleRetryAfter(now, p); ok {
-		return ReasonBrittle
+	if wait, reason, ok := t.shortestStatedWait(now, p); ok {
+		return reason, wait
 	}
 	reason := ReasonNoEndpoint
 	for _, e := range p.all {
 		switch {
 		case e.isLeaving():
 		case !e.isUnhealthy(now):
-			return ReasonFull
+			return ReasonFull, retryAfter
 		default:
 			reason = ReasonUnhealthy
 		}
 	}
-	return reason
+	return reason, retryAfter
 }
 
 // appendPrefixCandidates appends the open, usable endpoints that hold most of the prompt. It looks up at most
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -58,6 +58,8 @@
 	ReasonAtLimit Reason = "endpoints_at_limit"
 	// ReasonBrittle means that the endpoints that could take the request are brittle, and this router knows of no room there.
 	ReasonBrittle Reason = "endpoints_brittle"
+	// ReasonPaused means that the endpoints that could take the request have asked for a time without any.
+	ReasonPaused Reason = "endpoints_paused"
 	// ReasonExcluded means that the request excludes all open endpoints, is a suspect and all others run one too, or needs software
 	// that none of them has.
 	ReasonExcluded Reason = "endpoints_excluded_by_request"
@@ -116,7 +118,8 @@
 		return nil
 	}
 	reason := outcome.ReasonNoEndpoint
-	if d.Reason == ReasonFull || d.Reason == ReasonAtLimit || d.Reason == ReasonBrittle {
+	switch d.Reason {
+	case ReasonFull, ReasonAtLimit, ReasonBrittle, ReasonPaused:
 		reason = outcome.ReasonOverload
 	}
 	return outcome.NotRunf(reason, d.RetryAfter, "no endpoint of %s can take the request: %s", d.Pool, d.Reason)
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -13,10 +13,8 @@
 	distanceMS float64
 	// markedLeaving is set by an operator's leaving mark.
 	markedLeaving bool
-	// announcedLeaving is set once an answer of the endpoint said that it leaves.
-	announcedLeaving bool
-	// pausedUntil is the end of the time without requests of this router for which the endpoint has asked.
-	pausedUntil time.Time
+	// announced is what the endpoint's answers said of this run, nil if they said nothing.
+	announced   *announcement
 	removed     bool
 	memberships []membership
 
@@ -43,7 +41,7 @@
 }
 
 func (e *endpoint) isLeaving() bool {
-	return e.markedLeaving || e.announcedLeaving || e.vm.State == platform.VMLeaving
+	return e.markedLeaving || e.announced.isLeaving() || e.vm.State == platform.VMLeaving
 }
 
 func (e *endpoint) isUnhealthy(now time.Time) bool { return now.Before(e.health.excludedUntil) }
@@ -62,7 +60,7 @@
 	if e.removed {
 		return
 	}
-	closed := e.isLeaving() || e.isUnhealthy(now)
+	closed := e.isLeaving() || e.isUnhealthy(now) || e.announced.isPaused(now)
 	if !closed && t.isQueueFull(now, e) {
 		closed = true
 		t.scheduleStaleRecheck(e)
--- a/pkg/route/limit.go
+++ b/pkg/route/limit.go
@@ -173,19 +173,3 @@
 		t.refresh(now, e)
 	}
 }
-
-// limitRetryAfter returns the shortest time until an endpoint of the pool that is only at its limit takes a request, and
-// false if there is none.
-func (t *Table) limitRetryAfter(now time.Time, p *pool) (time.Duration, bool) {
-	shortest, found := retryAfter, false
-	for _, e := range p.all {
-		if e.isLeaving() || e.isUnhealthy(now) || !e.isAtLimit(now) {
-			continue
-		}
-		found = true
-		if wait, ok := e.limit.wait(now); ok {
-			shortest = min(shortest, wait)
-		}
-	}
-	return shortest, found
-}
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"container/heap"
 	"slices"
 	"time"
 
@@ -21,8 +22,8 @@
 	pools     map[Pool]*pool
 	prefix    prefixIndex
 	rechecks  recheckHeap
-	// leavingRuns holds the runs of endpoints that announced that they leave, with the time of the announcement.
-	leavingRuns map[runID]time.Time
+	// announcements holds what endpoints said of their runs, also of those that are not listed at present.
+	announcements map[runID]*announcement
 	// meanPrefillTokens is the average number of uncached prompt tokens of a request.
 	meanPrefillTokens average
 	// scratch is the slice of candidates that Choose reuses.
@@ -34,7 +35,7 @@
 	options = options.withDefaults()
 	return &Table{
 		location: location, options: options, prefix: newPrefixIndex(options),
-		leavingRuns: map[runID]time.Time{}, endpoints: map[string]*endpoint{}, pools: map[Pool]*pool{},
+		announcements: map[runID]*announcement{}, endpoints: map[string]*endpoint{}, pools: map[Pool]*pool{},
 	}
 }
 
@@ -148,7 +149,10 @@
 
 func (t *Table) addEndpoint(vm platform.VM) *endpoint {
 	e := &endpoint{vm: vm, distanceMS: t.distanceMS(vm)}
-	_, e.announcedLeaving = t.leavingRuns[runOf(vm)]
+	e.announced = t.announcements[runOf(vm)]
+	if e.announced != nil {
+		heap.Push(&t.rechecks, recheck{at: e.announced.pausedUntil, endpoint: e})
+	}
 	t.endpoints[vm.Name] = e
 	if vm.Role == platform.RoleService {
 		t.getOrCreatePool(Service(vm.Service)).add(e)
