Don't take a connection attempt that timed out for one that was refused

The dialer's timer may fire before that of the context that was asked. TestTimeoutIsNoRefusal failed before.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -97,7 +97,9 @@
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	dialled, err := c.DialContext(dialCtx, "tcp", address)
-	ended, timedOut := time.Now(), dialCtx.Err() != nil
+	// The dialer's timer may fire before that of the context.
+	netErr := net.Error(nil)
+	ended, timedOut := time.Now(), dialCtx.Err() != nil || errors.As(err, &netErr) && netErr.Timeout()
 	if err != nil && ctx.Err() != nil {
 		return nil, err
 	}
--- a/pkg/upstream/delay_test.go
+++ b/pkg/upstream/delay_test.go
@@ -1,6 +1,10 @@
 package upstream
 
 import (
+	"context"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -49,3 +53,23 @@
 	}
 	must.EqOp(t, dialTimeout, c.LinkDelay())
 }
+
+// Guards against taking a connection attempt that timed out for one that was refused: what is refused at once may be tried again and
+// again at no cost.
+func TestTimeoutIsNoRefusal(t *testing.T) {
+	for _, test := range []struct {
+		err     error
+		refused bool
+	}{
+		{&net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, false},
+		{context.DeadlineExceeded, false},
+		{&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, true},
+	} {
+		c := NewClient()
+		var got Attempt
+		c.OnAttempt = func(a Attempt) { got = a }
+		c.DialContext = func(context.Context, string, string) (net.Conn, error) { return nil, test.err }
+		must.ErrorIs(t, c.Connect(t.Context(), "10.0.0.1:80", time.Second), test.err)
+		must.EqOp(t, test.refused, got.Refused, must.Sprint(test.err))
+	}
+}
