Keep using routers that forward while questions to them time out

A router that could forward, or has just served a request, counts as able for 2 s; it leaves the list at once only if it says no or a request to it fails. The time to accept a request is 1 s instead of 0.4 s: acceptances were late on the same VM, and then a request counts as one that may have run. TestUnansweredQuestionsDontEndForwardingAtOnce.

--- a/pkg/remote/client.go
+++ b/pkg/remote/client.go
@@ -32,8 +32,12 @@
 	maxChecked = 8
 	// maxTries is the number of routers that may decline a request before it counts as not sent.
 	maxTries = 3
-	// acceptTimeout bounds the time until another router accepts or declines a request. Afterwards it may run there.
-	acceptTimeout = 400 * time.Millisecond
+	// ableRetention is how long a router that could forward counts as able without another answer: on a busy VM questions time out
+	// while requests are served.
+	ableRetention = 2 * time.Second
+	// acceptTimeout bounds the time until another router accepts or declines a request. Afterwards it may run there. A busy VM takes
+	// hundreds of ms.
+	acceptTimeout = time.Second
 )
 
 // errNoAcceptance means that another router neither accepted nor declined a request in time.
@@ -60,9 +64,12 @@
 	Options
 
 	mu sync.Mutex
-	// able are the routers that can forward by their last answers. round is closed at the end of the first round of questions.
-	able  []Peer
+	// able are the routers that can forward by their last answers, with the time of the answer. round is closed at the end of the
+	// first round of questions.
+	able  map[Peer]time.Time
 	round chan struct{}
+	// logged is the number of able routers that the last log line told.
+	logged int
 	// wake has an element after the VM has lost its links.
 	wake chan struct{}
 }
@@ -71,7 +78,7 @@
 
 // NewClient returns a Client.
 func NewClient(o Options) *Client {
-	return &Client{Options: o, wake: make(chan struct{}, 1), round: make(chan struct{})}
+	return &Client{Options: o, able: map[Peer]time.Time{}, wake: make(chan struct{}, 1), round: make(chan struct{})}
 }
 
 // IsNeeded implements forward.Remote.
@@ -86,7 +93,8 @@
 // SetCut is called when the VM has lost its links or has them back.
 func (c *Client) SetCut(cut bool) {
 	c.mu.Lock()
-	c.able, c.round = nil, make(chan struct{})
+	clear(c.able)
+	c.round = make(chan struct{})
 	c.mu.Unlock()
 	if !cut {
 		return
@@ -119,9 +127,8 @@
 	peers := c.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	peers = peers[:min(maxChecked, len(peers))]
-	answers := make([]bool, len(peers))
 	var asking conc.WaitGroup
-	for i, p := range peers {
+	for _, p := range peers {
 		asking.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 			defer cancel()
@@ -130,22 +137,22 @@
 				c.Log.WithField("peer", p.Name).WithError(err).Info("peer_not_asked_to_forward")
 				return
 			}
-			answers[i] = answer.Msg.GetCanForward()
+			c.setAble(p, answer.Msg.GetCanForward())
 		})
 	}
 	asking.Wait()
-	var able []Peer
-	for i, p := range peers {
-		if answers[i] {
-			able = append(able, p)
-		}
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(able) != len(c.able) {
-		c.Log.WithFields(log.Fields{"asked": len(peers), "able": len(able)}).Info("peers_can_forward")
+	before := len(c.able)
+	for p, at := range c.able {
+		if time.Since(at) > ableRetention {
+			delete(c.able, p)
+		}
+	}
+	if len(c.able) != c.logged {
+		c.logged = len(c.able)
+		c.Log.WithFields(log.Fields{"asked": len(peers), "able": len(c.able), "expired": before - len(c.able)}).Info("peers_can_forward")
 	}
-	c.able = able
 	select {
 	case <-c.round:
 	default:
@@ -153,6 +160,17 @@
 	}
 }
 
+// setAble records whether the router can forward.
+func (c *Client) setAble(p Peer, able bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if able {
+		c.able[p] = time.Now()
+		return
+	}
+	delete(c.able, p)
+}
+
 // choose returns a router that can forward, after the first round of questions.
 func (c *Client) choose(ctx context.Context, declined map[string]bool) (Peer, bool) {
 	c.mu.Lock()
@@ -167,7 +185,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var candidates []Peer
-	for _, p := range c.able {
+	for p := range c.able {
 		if !declined[p.Name] {
 			candidates = append(candidates, p)
 		}
@@ -188,6 +206,9 @@
 			break
 		}
 		response, err := c.sendTo(ctx, peer, r)
+		if err == nil || ctx.Err() == nil {
+			c.setAble(peer, err == nil)
+		}
 		if err == nil || !errors.Is(err, upstream.ErrNotSent) {
 			return response, err
 		}
--- a/pkg/remote/client_test.go
+++ b/pkg/remote/client_test.go
@@ -65,7 +65,7 @@
 		Cut: func() bool { return true }, HTTP: &http.Client{Transport: &http.Transport{Protocols: peerhttp.UnencryptedHTTP2()}},
 		Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
 	})
-	c.able = []Peer{{Name: "other", Address: address}}
+	c.setAble(Peer{Name: "other", Address: address}, true)
 	close(c.round)
 	return c
 }
@@ -144,3 +144,19 @@
 		must.NoError(t, got.Response.Body.Close())
 	}
 }
+
+// Guards against rejecting requests on a busy VM because questions to the other routers time out while these serve requests well;
+// and against sending to a router for ever that answers nothing.
+func TestUnansweredQuestionsDontEndForwardingAtOnce(t *testing.T) {
+	c := newClientOf(loopback.Address())
+	c.Peers = func() []Peer { return []Peer{{Name: "other", Address: loopback.Address()}} } // Nobody answers there.
+	c.ask(t.Context())
+	_, ok := c.choose(t.Context(), nil)
+	must.True(t, ok)
+	for p := range c.able {
+		c.able[p] = time.Now().Add(-2 * ableRetention)
+	}
+	c.ask(t.Context())
+	_, ok = c.choose(t.Context(), nil)
+	must.False(t, ok)
+}
