Check lost links until they are back, whatever the attempts say

A check followed only from an attempt that had been recorded; attempts that time out on a full link of the VM aren't, so a check with two such attempts was the last one. While the VM counts as cut off, checks go on at their interval. TestCutIsCheckedUntilItEnds failed before (4 attempts in 10 s).

--- a/pkg/reach/monitor.go
+++ b/pkg/reach/monitor.go
@@ -112,10 +112,13 @@
 	defer tasks.Wait()
 	tasks.Go(func() { m.owner.Run(ctx) })
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-m.wake:
+		// A VM that is cut off is checked again in any case: its attempts may not count as evidence.
+		if !m.IsCut() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-m.wake:
+			}
 		}
 		started := time.Now()
 		m.check(ctx)
