Don't hold a request that no endpoint takes for a check of the links

A request for which nothing had been tried, because all endpoints had stated that they take none or all were excluded, waited for a check of the links that was in progress, up to 0.7 s, before it was rejected. Found on reading the change. It waits only after an attempt of its own now.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -68,7 +68,7 @@
 		remotely := e.needsRemote()
 		result, errorResponse, failure := e.nextAttempt(ctx, remotely, excluded, stream)
 		if failure != nil {
-			if !remotely && e.mayBeSentRemotely(ctx) {
+			if !remotely && len(excluded) > 0 && e.mayBeSentRemotely(ctx) {
 				continue
 			}
 			e.finishFailed(lastErrorResponse, failure)
