--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -9,15 +9,14 @@
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/reach"
 	"github.com/lavendershunt/lavendershunt/pkg/remote"
-	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
 
 // newLinks creates what watches the links to the endpoints, and sends requests through other routers while they are lost.
 func (r *Router) newLinks(peers connect.HTTPClient) {
 	r.links = reach.NewMonitor(reach.MonitorOptions{Listed: r.listedAddresses, Connect: r.client.Connect, Changed: r.linksChanged, Log: r.log})
-	r.client.OnAttempt = func(a upstream.Attempt) {
+	r.client.OnAttempt = func(a reach.Attempt) {
 		if isLinkEvidence(a, r.linkMeter) {
-			r.links.Record(reach.Attempt(a))
+			r.links.Record(a)
 		}
 	}
 	r.remote = remote.NewClient(remote.Options{Cut: r.links.IsCut, Refusing: r.links.IsRefusing, AwaitCheck: r.links.AwaitCheck, Peers: r.primaryPeers, HTTP: peers, Log: r.log})
@@ -33,7 +32,7 @@
 
 // isLinkEvidence reports whether a connection attempt tells whether the VM has lost its links. An attempt that times out while
 // callers fill the VM's own link doesn't.
-func isLinkEvidence(a upstream.Attempt, link *linkMeter) bool {
+func isLinkEvidence(a reach.Attempt, link *linkMeter) bool {
 	return a.Connected || a.Refused || link == nil || !link.isFull(a.Ended, a.Ended.Sub(a.Started))
 }
 
--- a/pkg/entry/links_test.go
+++ b/pkg/entry/links_test.go
@@ -6,13 +6,13 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/lavendershunt/lavendershunt/pkg/upstream"
+	"github.com/lavendershunt/lavendershunt/pkg/reach"
 )
 
 // Guards against taking a VM's link that callers fill for lost links to the endpoints: no other router helps then.
 func TestTimeoutsOnAFullLinkAreNoEvidenceOfLostLinks(t *testing.T) {
 	now := time.Date(2026, 12, 5, 12, 0, 0, 0, time.UTC)
-	timedOut := upstream.Attempt{Started: now.Add(-300 * time.Millisecond), Ended: now}
+	timedOut := reach.Attempt{Started: now.Add(-300 * time.Millisecond), Ended: now}
 	const bytesPerSecond = 1 << 20
 	meter := newLinkMeter(bytesPerSecond, now.Add(-time.Second))
 	must.True(t, isLinkEvidence(timedOut, nil))
--- a/pkg/remote/client.go
+++ b/pkg/remote/client.go
@@ -68,7 +68,7 @@
 	// first round of questions.
 	able  map[Peer]time.Time
 	round chan struct{}
-	// logged is the number of able routers that the last log line told.
+	// logged is the number of able routers in the last log line.
 	logged int
 	// wake has an element after the VM has lost its links.
 	wake chan struct{}
@@ -134,7 +134,7 @@
 			defer cancel()
 			answer, err := c.client(p).Check(ctx, connect.NewRequest(&forwardv1.CheckRequest{}))
 			if err != nil {
-				c.Log.WithField("peer", p.Name).WithError(err).Info("peer_not_asked_to_forward")
+				c.Log.WithField("peer", p.Name).WithError(err).Info("peer_check_failed")
 				return
 			}
 			c.setAble(p, answer.Msg.GetCanForward())
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/lavendershunt/lavendershunt/pkg/reach"
 )
 
 // Errors of Send.
@@ -71,7 +73,7 @@
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnAttempt is called at the end of each connection attempt, unless the request that needed the connection ended first.
 	// Optional.
-	OnAttempt func(Attempt)
+	OnAttempt func(reach.Attempt)
 	delay     delayMeter
 	mu        sync.Mutex
 	// idle holds the idle connections by address.
@@ -83,13 +85,6 @@
 	return &Client{DialContext: Dialer(0, EndpointUnackedTimeout).DialContext, idle: map[string][]*conn{}}
 }
 
-// Attempt is a connection attempt to an endpoint that has ended. Refused is set if it failed before its timeout.
-type Attempt struct {
-	Address            string
-	Started, Ended     time.Time
-	Connected, Refused bool
-}
-
 // dial connects to the address. timeout bounds the attempt.
 func (c *Client) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	c.Stats.Dials.Add(1)
@@ -107,7 +102,7 @@
 		c.delay.record(ended, ended.Sub(started))
 	}
 	if c.OnAttempt != nil {
-		c.OnAttempt(Attempt{Address: address, Started: started, Ended: ended, Connected: err == nil, Refused: err != nil && !timedOut})
+		c.OnAttempt(reach.Attempt{Address: address, Started: started, Ended: ended, Connected: err == nil, Refused: err != nil && !timedOut})
 	}
 	return dialled, err
 }
--- a/pkg/upstream/delay_test.go
+++ b/pkg/upstream/delay_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/pkg/reach"
 )
 
 // Guards against taking dark endpoints or one slow attempt for a full link, and against an estimate from old attempts.
@@ -66,8 +68,8 @@
 		{&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, true},
 	} {
 		c := NewClient()
-		var got Attempt
-		c.OnAttempt = func(a Attempt) { got = a }
+		var got reach.Attempt
+		c.OnAttempt = func(a reach.Attempt) { got = a }
 		c.DialContext = func(context.Context, string, string) (net.Conn, error) { return nil, test.err }
 		must.ErrorIs(t, c.Connect(t.Context(), "10.0.0.1:80", time.Second), test.err)
 		must.EqOp(t, test.refused, got.Refused, must.Sprint(test.err))
