--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,4 +7,4 @@
 fi
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec review/bin/play -case idle -trouble=$trouble -seconds 85 -dir review/2
+exec review/bin/play -case order -trouble=$trouble -dir review/2
--- a/review/play/engine.go
+++ b/review/play/engine.go
@@ -242,6 +242,14 @@
 	case "garbage":
 		send("\x00\x01garbage that is no answer\r\n\r\n")
 		return rand.IntN(2) == 0
+	case "unsigned":
+		// The line of the signature is spoiled, and so is the body.
+		return send(head(200, id, "Response-Sig: spoiled", length) + "\r\n" + string(bytes.ToUpper(whole)))
+	case "encoded":
+		return send(head(200, id, signature, length, "Content-Encoding: gzip") + "\r\n" + string(bytes.ToUpper(whole)))
+	case "busy":
+		// The engine has run the request and fails. It doesn't say Not-Executed.
+		return send(head(503, id, "Content-Length: 6") + "\r\nfailed")
 	case "status":
 		// Bytes that are no response: the digits of the status are spoiled.
 		send(strings.Replace(head(200, id, signature, length), " 200 ", " 020 ", 1) + "\r\n" + string(whole))
@@ -341,6 +349,12 @@
 	if fault == "500" {
 		return send(head(500, id, "Response-Signature: sig500."+id, "Content-Length: 6") + "\r\nfailed")
 	}
+	switch fault {
+	case "unsigned":
+		signature = "Response-Sig: spoiled"
+	case "encoded":
+		framing += "\r\nContent-Encoding: gzip"
+	}
 	if fault == "reset" || fault == "close" {
 		if fault == "reset" {
 			reset(c)
@@ -366,6 +380,10 @@
 				return false
 			case "cutbetween":
 				return false
+			case "half":
+				// The engine stops in the middle of an event and ends its answer in order.
+				send(chunk(text[:len(text)/2], unframed) + "0\r\n\r\n")
+				return true
 			case "garbage":
 				send("\x00\xffnot a chunk\r\n")
 				return false
