--- a/review/play/chaos.go
+++ b/review/play/chaos.go
@@ -27,11 +27,21 @@
 			_ = r.command.Process.Kill()
 		}
 	}
-	if tempDir != "" && os.Getenv("KEEP") == "" {
+	if tempDir != "" {
 		_ = os.RemoveAll(tempDir)
 	}
 }
 
+// chaosOptions are the disturbances of runChaos.
+type chaosOptions struct {
+	// rate is the number of answers of which engines disturb one.
+	rate int
+	// cut cuts the links of one router after the other to all engines. signals is "all", "term" or empty.
+	cut     bool
+	signals string
+}
+
+// sent is a request that a client has sent.
 type sent struct {
 	id, work, path, method string
 	body                   uint64
@@ -42,6 +52,8 @@
 	lost                   string
 }
 
+// chaos sends requests of all kinds while engines answer in every way that the pages allow, and checks the rules that hold then. It is
+// no case of the review: nothing was found with it.
 type chaos struct {
 	mu     sync.Mutex
 	sent   map[string]*sent
@@ -77,7 +89,7 @@
 	}
 }
 
-func runChaos(seed uint64, seconds int) {
+func runChaos(seed uint64, seconds int, o chaosOptions) {
 	var err error
 	tempDir, err = os.MkdirTemp("", "play")
 	if err != nil {
@@ -89,18 +101,8 @@
 	}
 	s.set("config", "main", config(1, "key"))
 	var engines []*engine
-	plain := strings.Fields(os.Getenv("PLAIN"))
-	if len(plain) == 0 {
-		plain = strings.Fields("chunked unframed unframedreset cut cutchunk garbage reset close 500 404 extra extralate tail interim connclose silentclose early slow dribble shed shedclose shedlate")
-	}
-	streams := strings.Fields(os.Getenv("STREAMS"))
-	if len(streams) == 0 {
-		streams = strings.Fields("unframed unframedreset cut cutreset cutbetween garbage garbageevent dribble extra 500 reset close shed shedclose shedlate")
-	}
-	rate := 4
-	if v := os.Getenv("RATE"); v != "" {
-		rate, _ = strconv.Atoi(v)
-	}
+	plain := strings.Fields("chunked unframed unframedreset cut cutchunk garbage reset close 500 404 extra extralate tail interim connclose silentclose early slow dribble shed shedclose shedlate")
+	streams := strings.Fields("unframed unframedreset cut cutreset cutbetween garbage garbageevent dribble extra 500 reset close shed shedclose shedlate")
 	for i := range 3 {
 		for _, stream := range []bool{true, false} {
 			service, list := "rides", plain
@@ -113,7 +115,7 @@
 			}
 			e.idle = time.Duration(100+rand.IntN(3000)) * time.Millisecond
 			e.choose = func(*http.Request) string {
-				if rand.IntN(rate) != 0 {
+				if rand.IntN(o.rate) != 0 {
 					return ""
 				}
 				return list[rand.IntN(len(list))]
@@ -138,7 +140,7 @@
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
 		clients.Go(func() { x.client(rng, end) })
 	}
-	if os.Getenv("CUT") != "" {
+	if o.cut {
 		go func() {
 			rng := rand.New(rand.NewPCG(seed, 777))
 			for time.Now().Before(end) {
@@ -150,12 +152,12 @@
 			}
 		}()
 	}
-	if os.Getenv("SIGNALS") != "" {
+	if o.signals != "" {
 		rng := rand.New(rand.NewPCG(seed, 999))
 		for time.Now().Before(end) {
 			r := allRouters[rng.IntN(len(allRouters))]
 			kind := rng.IntN(4)
-			if os.Getenv("SIGNALS") == "term" {
+			if o.signals == "term" {
 				kind = 2
 			}
 			switch kind {
@@ -186,7 +188,7 @@
 	}
 	clients.Wait()
 	time.Sleep(2 * time.Second)
-	x.check(engines)
+	x.check(engines, o.signals == "term")
 	for _, r := range allRouters {
 		select {
 		case <-r.done:
@@ -202,7 +204,7 @@
 	}
 }
 
-func (x *chaos) check(engines []*engine) {
+func (x *chaos) check(engines []*engine, onlyPlanned bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	runs := map[string][]run{}
@@ -228,7 +230,7 @@
 				bad("GONE: closed %v run %v %+v", q.closed, r.at, r)
 			}
 		}
-		if os.Getenv("SIGNALS") == "term" && q.lost != "" {
+		if onlyPlanned && q.lost != "" {
 			bad("LOST: %+v %+v", q, list)
 		}
 		unsafe := strings.HasPrefix(q.path, "/assign/") || strings.HasPrefix(q.path, "/once/")
--- a/review/play/main.go
+++ b/review/play/main.go
@@ -21,10 +21,13 @@
 	seconds := flag.Int("seconds", 20, "length")
 	dir := flag.String("dir", ".", "folder of the record")
 	trouble := flag.Bool("trouble", true, "with the disruption")
+	rate := flag.Int("rate", 4, "chaos: one in so many answers of engines is disturbed")
+	cut := flag.Bool("cut", false, "chaos: cut the links of routers to the engines")
+	signals := flag.String("signals", "", "chaos: all or term sends signals to the routers")
 	flag.Parse()
 	switch *name {
 	case "chaos":
-		runChaos(*seed, *seconds)
+		runChaos(*seed, *seconds, chaosOptions{rate: *rate, cut: *cut, signals: *signals})
 	case "idle":
 		runIdle(*trouble, *dir, *seconds)
 	case "refused":
