--- a/review/play/chaos.go
+++ b/review/play/chaos.go
@@ -39,6 +39,8 @@
 	// cut cuts the links of one router after the other to all engines. signals is "all", "term" or empty.
 	cut     bool
 	signals string
+	// silent makes the store silent for four seconds out of eight.
+	silent bool
 }
 
 // sent is a request that a client has sent.
@@ -140,6 +142,15 @@
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
 		clients.Go(func() { x.client(rng, end) })
 	}
+	if o.silent {
+		go func() {
+			for n := 0; time.Now().Before(end); n++ {
+				s.setSilent(n%2 == 1)
+				time.Sleep(4 * time.Second)
+			}
+			s.setSilent(false)
+		}()
+	}
 	if o.cut {
 		go func() {
 			rng := rand.New(rand.NewPCG(seed, 777))
--- a/review/play/main.go
+++ b/review/play/main.go
@@ -24,10 +24,11 @@
 	rate := flag.Int("rate", 4, "chaos: one in so many answers of engines is disturbed")
 	cut := flag.Bool("cut", false, "chaos: cut the links of routers to the engines")
 	signals := flag.String("signals", "", "chaos: all or term sends signals to the routers")
+	silent := flag.Bool("silent", false, "chaos: make the store silent now and then")
 	flag.Parse()
 	switch *name {
 	case "chaos":
-		runChaos(*seed, *seconds, chaosOptions{rate: *rate, cut: *cut, signals: *signals})
+		runChaos(*seed, *seconds, chaosOptions{rate: *rate, cut: *cut, signals: *signals, silent: *silent})
 	case "idle":
 		runIdle(*trouble, *dir, *seconds)
 	case "refused":
