--- a/review/play/engine.go
+++ b/review/play/engine.go
@@ -42,7 +42,6 @@
 	body                                                                 uint64
 	at                                                                   time.Time
 	fault                                                                string
-	status                                                               int
 }
 
 func startEngine(s *store, id, service string, stream bool) (*engine, error) {
--- a/review/play/idle.go
+++ b/review/play/idle.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -53,6 +54,10 @@
 }
 
 func runIdle(trouble bool, dir string, seconds int) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < devices+1000 {
+		fail("this command needs %d descriptors for its own ends of the channels and has %d: %v", devices+1000, limit.Cur, err)
+	}
 	var err error
 	if tempDir, err = os.MkdirTemp("", "play"); err != nil {
 		fail("%v", err)
--- a/review/play/store.go
+++ b/review/play/store.go
@@ -101,16 +101,6 @@
 	return *o
 }
 
-func (s *store) delete(kind, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if o := s.objects[kind][name]; o != nil {
-		s.revision++
-		delete(s.objects[kind], name)
-		s.commit(kind, *o, true)
-	}
-}
-
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
