--- a/review/play/chaos.go
+++ b/review/play/chaos.go
@@ -21,10 +21,17 @@
 	tempDir    string
 )
 
+// stopAll ends the processes that were started and waits for their ends.
 func stopAll() {
 	for _, r := range allRouters {
-		if r.command != nil {
-			_ = r.command.Process.Kill()
+		if r.command == nil {
+			continue
+		}
+		r.signal(syscall.SIGKILL)
+		select {
+		case <-r.done:
+		case <-time.After(5 * time.Second):
+			fmt.Fprintf(os.Stderr, "%s doesn't end\n", r.name)
 		}
 	}
 	if tempDir != "" {
