Don't pass a stream that stops inside an event on as complete

Cause: at the end of a response relayStream wrote what was left of an event and reported the answer as delivered. Only a response that ends with its connection was checked for its last event; one in chunks or with a length was not, nor one that comes through another router, which the same code relays.

The check no longer depends on the framing: a stream that ends inside an event has been broken off. It goes on at another endpoint if it may be resumed, and is broken off for the caller otherwise. Same cause beside it: after a cut inside an event, a next endpoint that closed its connection before any event completed the stream; eventStream now remembers that an event is due. The line stream_ended_early tells the framing and the bytes that were left.

--- a/pkg/forward/eventstream.go
+++ b/pkg/forward/eventstream.go
@@ -28,6 +28,8 @@
 	// resuming is set until the first new event after a resume: events up to lastID are skipped, and the next one must
 	// have the id lastID+1.
 	resuming bool
+	// unfinished is set after a part of an event was dropped, until the next new event: the stream has at least one more.
+	unfinished bool
 }
 
 func newEventStream() *eventStream { return &eventStream{lastID: -1} }
@@ -72,6 +74,7 @@
 		if ok {
 			s.lastID = id
 			s.count++
+			s.unfinished = false
 		}
 		unseen = append(unseen, event...)
 	}
@@ -80,10 +83,21 @@
 
 // resume drops a partial event before the stream continues at another endpoint.
 func (s *eventStream) resume() {
+	s.unfinished = s.unfinished || len(s.partial) > 0
 	s.partial = nil
 	s.resuming = s.lastID >= 0
 }
 
+// endsWhole reports whether the stream may be complete where it has ended: not inside an event, and not before one of which a part
+// had arrived. hasEvents is set if the caller had events before the request, and framed if the response states its end by a length or
+// chunks: without either, an end before any event is no proof.
+func (s *eventStream) endsWhole(hasEvents, framed bool) bool {
+	if len(s.partial) > 0 || s.unfinished {
+		return false
+	}
+	return framed || hasEvents || s.lastID >= 0
+}
+
 // isComment reports whether an event has only comment lines, which endpoints may send to keep a connection open.
 func isComment(event []byte) bool {
 	for line := range bytes.SplitSeq(bytes.TrimRight(event, "\n"), []byte("\n")) {
--- a/pkg/forward/eventstream_test.go
+++ b/pkg/forward/eventstream_test.go
@@ -95,3 +95,26 @@
 	must.EqOp(t, text, string(got))
 	must.EqOp(t, 3, stream.count)
 }
+
+// Guards against a stream that is taken for complete although it ended inside an event, at whichever byte, or although the next
+// endpoint ended its response before the event that had been cut.
+func TestEventStreamEndsWholeOnlyBetweenEvents(t *testing.T) {
+	whole := eventText(1, 3)
+	for cut := range len(whole) + 1 {
+		for _, framed := range []bool{false, true} {
+			for _, hasEvents := range []bool{false, true} {
+				label := must.Sprintf("cut at %d, framed %v, has events %v", cut, framed, hasEvents)
+				stream := newEventStream()
+				_, err := stream.add([]byte(whole[:cut]))
+				must.NoError(t, err, label)
+				between := cut == 0 || strings.HasSuffix(whole[:cut], "\n\n")
+				must.EqOp(t, between && (cut > 0 || framed || hasEvents), stream.endsWhole(hasEvents, framed), label)
+				stream.resume()
+				must.EqOp(t, between && (cut > 0 || framed || hasEvents), stream.endsWhole(hasEvents, framed), label)
+				_, err = stream.add([]byte(eventText(max(1, int(stream.lastID)+1), 3)))
+				must.NoError(t, err, label)
+				must.True(t, stream.endsWhole(hasEvents, framed), label)
+			}
+		}
+	}
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -361,11 +361,13 @@
 			return attemptFailed
 		}
 		switch {
-		case err == io.EOF && response.EndsWithConnection && !e.endsWhole(stream):
+		case err == io.EOF && !stream.endsWhole(e.request.LastEvent != "", !response.EndsWithConnection):
+			e.Log.WithFields(log.Fields{
+				"request": e.request.ID, "events": stream.count, "partial_bytes": len(stream.partial), "ends_with_connection": response.EndsWithConnection,
+			}).Info("stream_ended_early")
 			return attemptFailed
 		case err == io.EOF:
 			e.writeStreamHeader(response)
-			e.writeStreamData(stream.partial)
 			return attemptDelivered
 		case err != nil:
 			return attemptFailed
@@ -373,12 +375,6 @@
 	}
 }
 
-// endsWhole reports whether a stream that ended with its connection may be complete: it must not end inside an event, and
-// only a caller that has events already may get none.
-func (e *exchange) endsWhole(stream *eventStream) bool {
-	return len(stream.partial) == 0 && (stream.lastID >= 0 || e.request.LastEvent != "")
-}
-
 // writeStreamHeader sends the header of a stream. Later calls do nothing.
 func (e *exchange) writeStreamHeader(response *upstream.Response) {
 	if e.headerSent {
