Don't promise that a request has not run because of an endpoint's status alone

Cause: an endpoint's answer was passed on with its status, whatever the status promises. 503, 429, 408 and 421 tell callers that the request has not run; of an endpoint only Not-Executed or 421 proves that. The other three without the header stand for an endpoint that failed: such an answer now ends the attempt like another error of the endpoint. What may be repeated goes to another endpoint (also after 429 and 408, which were passed on at once), and the caller gets 502 without the endpoint's signature otherwise. The same decision holds for an answer that comes through another router, of an older build too.

Same cause beside it: Failure.Status gave 503 for an unknown outcome of a claim ("result is not durable yet"), against docs/callers.md. No unknown outcome has such a status any more.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -30,6 +31,9 @@
 	relayBufferBytes = 4 << 10
 )
 
+// errFalsePromise means that an endpoint may have run a request and answered with a status by which callers may send it again.
+var errFalsePromise = errors.New("forward: the endpoint does not say that the request did not run")
+
 // bufferedResponse is a complete non-streaming response of an endpoint.
 type bufferedResponse struct {
 	status int
@@ -49,8 +53,8 @@
 	attemptRejected
 	// attemptFailed means that the endpoint may have run the request and returned no complete response.
 	attemptFailed
-	// attemptErrorResponse means that the endpoint returned a complete 5xx response, or any complete non-streaming
-	// response after part of a stream had been relayed.
+	// attemptErrorResponse means that the endpoint returned a complete 5xx response, a status that promises falsely that the request
+	// did not run, or any complete non-streaming response after part of a stream had been relayed.
 	attemptErrorResponse
 )
 
@@ -214,7 +218,7 @@
 	}
 }
 
-// attempt sends the request to one endpoint. The response is nil unless the result is attemptErrorResponse.
+// attempt sends the request to one endpoint. The response is nil unless the result is attemptErrorResponse and it may be passed on.
 func (e *exchange) attempt(ctx context.Context, decision route.Decision, inFlight *route.InFlightRequest, stream *eventStream) (attemptResult, *bufferedResponse) {
 	timeout := e.attemptTimeout()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -293,13 +297,19 @@
 }
 
 // handleResponse relays or buffers an endpoint's response. The returned response is nil unless the result is
-// attemptErrorResponse.
+// attemptErrorResponse and it may be passed on.
 func (e *exchange) handleResponse(response *upstream.Response, inFlight *route.InFlightRequest, stream *eventStream) (attemptResult, *bufferedResponse) {
 	if e.Dialect.NotRun(response.Status, response.Header) {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, relayBufferBytes)) // Reads the body so that the connection can be reused.
+		discardBody(response.Body)
 		return attemptRejected, nil
 	}
 	e.mayHaveRun = true
+	if outcome.PromisesNotRun(response.Status) {
+		// The endpoint doesn't say that it hasn't run the request, so its status would be a false promise to the caller.
+		e.attemptErr = fmt.Errorf("%w: status %d", errFalsePromise, response.Status)
+		discardBody(response.Body)
+		return attemptErrorResponse, nil
+	}
 	if e.route.Streaming && response.Status == http.StatusOK {
 		return e.relayStream(response, inFlight, stream), nil
 	}
@@ -317,6 +327,11 @@
 	return attemptDelivered, nil
 }
 
+// discardBody reads a short body that isn't used, so that the connection can be reused.
+func discardBody(body io.Reader) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, relayBufferBytes)) // After an error the connection is closed.
+}
+
 // writeResponse writes an endpoint's response to the caller, without its hop-by-hop headers.
 func (e *exchange) writeResponse(r *bufferedResponse) {
 	e.status, e.delivered = r.status, true
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -86,12 +86,26 @@
 	Message    string
 }
 
+// PromisesNotRun reports whether callers take the HTTP status as a promise that the request has not run and won't run later, so that
+// they may send it again.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Status returns the HTTP status of the failure. For a request that did not run, 503 replaces 502 and 504 whatever the
-// reason, because these stand for an unknown outcome.
+// reason, because these stand for an unknown outcome. For one that may have run, 502 replaces a status that promises that it
+// did not.
 func (f *Failure) Status() int {
 	status := f.Reason.Status()
-	if f.Outcome == NotRun && (status == http.StatusBadGateway || status == http.StatusGatewayTimeout) {
+	switch {
+	case f.Outcome == NotRun && (status == http.StatusBadGateway || status == http.StatusGatewayTimeout):
 		return http.StatusServiceUnavailable
+	case f.Outcome != NotRun && PromisesNotRun(status):
+		return http.StatusBadGateway
 	}
 	return status
 }
