Count the grace time of lapsed entries from the store's return, not from a late list

Cause, from the logs of one of them: the store is back at 7.47 s. The watch of the endpoints, sent into the silence, is waited for until 11.57 s, though other calls of the same router are answered from 7.79 s on. At 11.26 s two entries of engines that leave without saying so are removed. The list at 11.62 s lacks them; since the feed had no contact for 11 s, they are taken for entries that lapsed in the outage and keep getting requests for 2.1 s more. Live endpoints have registered again within two seconds of the store's return, whenever this router lists them.

pkg/contact knows from all calls of a router when the store was silent and when it answered again; the grace time begins there. Removed entries that come with a late list end at once. A single lost answer, or a slow store, is no silence.

TestGraceTimeBeginsWhenTheStoreIsBack fails with the grace time counted from the list: the endpoint that is gone is still published.

--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/lavendershunt/lavendershunt/pkg/contact"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
@@ -47,6 +48,8 @@
 type endpointSet struct {
 	decode endpointDecoder
 	log    log.Interface
+	// lastSilence returns the last silence of the store that this router has noticed. Optional.
+	lastSilence func() contact.Silence
 	// publish is called with the current set. publishMu makes sure that a later call never gets an older set.
 	publish   func([]platform.VM)
 	publishMu sync.Mutex
@@ -85,7 +88,7 @@
 	}
 	restored := e.loaded && era > e.era
 	if sinceContact > graceOutageThreshold || restored {
-		e.graceUntil = now.Add(reregistrationTime)
+		e.graceUntil = e.storeReturn(now, sinceContact).Add(reregistrationTime)
 	}
 	e.era = era
 	listed := make(map[string]bool, len(objects))
@@ -106,6 +109,17 @@
 	e.mu.Unlock()
 }
 
+// storeReturn returns the time at which the store answered this router again, for a list that is the feed's first contact for
+// sinceContact. Live endpoints have registered again within reregistrationTime of it, however long the feed waited for a lost call.
+func (e *endpointSet) storeReturn(now time.Time, sinceContact time.Duration) time.Time {
+	if e.lastSilence != nil {
+		if ended := e.lastSilence().Ended; ended.After(now.Add(-sinceContact)) && ended.Before(now) {
+			return ended
+		}
+	}
+	return now
+}
+
 // ApplyChanges implements feed.Consumer.
 func (e *endpointSet) ApplyChanges(objects []platform.Object) {
 	e.mu.Lock()
--- a/pkg/entry/endpoints_test.go
+++ b/pkg/entry/endpoints_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lavendershunt/lavendershunt/pkg/catalog"
+	"github.com/lavendershunt/lavendershunt/pkg/contact"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
@@ -76,6 +77,29 @@
 	})
 }
 
+// Guards against sending requests to an endpoint whose entry was removed seconds after the store had come back: a router whose
+// watch of the endpoints was lost lists them late, and must not give the entry the grace time of an outage.
+func TestGraceTimeBeginsWhenTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const outage, watchLost = 4400 * time.Millisecond, 4100 * time.Millisecond
+		monitor := contact.NewMonitor(discardLog())
+		p := &publishedNames{}
+		e := newEndpointSet(decodeTestEndpoint, discardLog(), p.set)
+		e.lastSilence = monitor.LastSilence
+		e.ReplaceAll(endpointObjects("live", "a", "b", "c"), 0)
+		monitor.Record(t.Context(), time.Now(), nil)
+		time.Sleep(outage)
+		monitor.Record(t.Context(), time.Now().Add(-time.Second), platform.ErrUnavailable)
+		monitor.Record(t.Context(), time.Now(), nil)
+		time.Sleep(reregistrationTime / 2)
+		e.ReplaceAll(endpointObjects("live", "a", "b"), outage+reregistrationTime/2)
+		must.Eq(t, []string{"a", "b", "c"}, p.names(), must.Sprint("the entry may still come back"))
+		time.Sleep(watchLost - reregistrationTime/2)
+		e.ReplaceAll(endpointObjects("live", "b"), outage+watchLost)
+		must.Eq(t, []string{"b"}, p.names())
+	})
+}
+
 // Guards against a router that says it is ready, and then rejects requests because the placement has no endpoints yet.
 func TestNotReadyBeforeEndpointsArePublished(t *testing.T) {
 	var e *endpointSet
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -16,6 +16,7 @@
 
 	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
+	"github.com/lavendershunt/lavendershunt/pkg/contact"
 	"github.com/lavendershunt/lavendershunt/pkg/feed"
 	"github.com/lavendershunt/lavendershunt/pkg/forward"
 	"github.com/lavendershunt/lavendershunt/pkg/origin"
@@ -116,6 +117,8 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 	}
 	debug.SetGCPercent(gcPercent)
+	monitor := contact.NewMonitor(logger)
+	a.Store = monitoredStore{Store: a.Store, monitor: monitor}
 	r := &Router{settings: s, adapter: a, breaker: &circuitBreaker{Store: a.Store}, log: logger}
 	instance := s.VM + "-" + rand.Text()[:8]
 	var err error
@@ -139,6 +142,7 @@
 	r.config = newConfiguration(a.ConfigKey, a.DecodeConfig, r.breaker, s.ConfigApply, logger)
 	r.config.age = func() (time.Duration, bool) { return r.configFeed.Age() }
 	r.endpoints = newEndpointSet(a.DecodeEndpoint, logger, r.updateEndpoints)
+	r.endpoints.lastSilence = monitor.LastSilence
 	r.roster = roster.New(r.breaker, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting, Capacity: s.capacity()}, logger)
 	peers := newPeerClient()
 	r.accounts = allowance.NewAccounts(allowance.Options{
