Give up calls that were lost in a silence of the store as soon as it answers another one

The monitor of pkg/contact interrupts the feeds' calls that began before the silence was noticed, or before the call that ended it. A feed goes on from the same revision, without a new list. Routers that watch the store probe it every 250 ms while it is silent, so that its return is known within that time; routers that follow others don't. Sleeps between tries end with the silence, and so does the circuit breaker's opening. Removals that come as changes get the grace time of a lapse as those of a list do. Single lost answers and a slow store interrupt nothing.

TestLostWatchIsGivenUpWhenTheStoreIsBack, TestWatchesOfAWorkingStoreAreLeftAlone, TestOnlyWatchingRoutersProbe, TestSleepEndsWithTheSilence, TestInterruptedWatchGoesOn, TestEntriesThatLapsedHaveGraceTimeInAWatch. They were not run against the old code, which lacks the monitor.

--- /dev/null
+++ b/pkg/contact/monitor_test.go
@@ -0,0 +1,170 @@
+package contact
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+)
+
+// fakeStore answers calls after latency. While it is silent, and to calls that it got then, it never answers.
+type fakeStore struct {
+	silent         atomic.Bool
+	latency        time.Duration
+	probes         atomic.Int64
+	answeredProbes atomic.Int64
+}
+
+func (s *fakeStore) call(ctx context.Context, wait time.Duration) error {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return platform.ErrUnavailable
+	}
+	select {
+	case <-ctx.Done():
+		return platform.ErrUnavailable
+	case <-time.After(s.latency + wait):
+	}
+	if s.silent.Load() {
+		<-ctx.Done()
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// newTestMonitor returns a running monitor that probes the store if mayProbe is set.
+func newTestMonitor(t *testing.T, s *fakeStore, mayProbe bool) *Monitor {
+	var m *Monitor
+	m = NewMonitor(Options{
+		Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, MayProbe: func() bool { return mayProbe },
+		Probe: func(ctx context.Context) error {
+			s.probes.Add(1)
+			startedAt := time.Now()
+			err := s.call(ctx, 0)
+			m.Record(ctx, startedAt, err)
+			if err == nil {
+				s.answeredProbes.Add(1)
+			}
+			return err
+		},
+	})
+	go m.Run(t.Context())
+	return m
+}
+
+// watch makes a call that the store holds for 3 s and that is waited for 1.5 s longer.
+func watch(ctx context.Context, m *Monitor, s *fakeStore) error {
+	return m.Call(ctx, func(ctx context.Context) error {
+		const wait = 3 * time.Second
+		ctx, cancel := context.WithTimeout(ctx, wait+1500*time.Millisecond)
+		defer cancel()
+		return s.call(ctx, wait)
+	})
+}
+
+// shortCall makes a call that is waited for 1.5 s.
+func shortCall(ctx context.Context, m *Monitor, s *fakeStore) error {
+	startedAt := time.Now()
+	limited, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+	defer cancel()
+	err := s.call(limited, 0)
+	m.Record(ctx, startedAt, err)
+	return err
+}
+
+// Guards against a router that goes on waiting for a watch which a silent store has taken, for seconds after the store is back: it
+// uses an old configuration and endpoints that have left.
+func TestLostWatchIsGivenUpWhenTheStoreIsBack(t *testing.T) {
+	for _, silence := range []time.Duration{1710 * time.Millisecond, 3010 * time.Millisecond, 4410 * time.Millisecond, 8960 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeStore{latency: 4 * time.Millisecond}
+			m := newTestMonitor(t, s, true)
+			must.NoError(t, shortCall(t.Context(), m, s))
+			s.silent.Store(true)
+			go func() { _ = shortCall(t.Context(), m, s) }()
+			back := time.Now().Add(silence)
+			time.AfterFunc(silence, func() { s.silent.Store(false) })
+			for time.Now().Before(back) {
+				_ = watch(t.Context(), m, s) // The last one was sent into the silence.
+			}
+			must.LessEq(t, probeInterval+10*time.Millisecond, time.Since(back), must.Sprint(silence))
+			time.Sleep(probeInterval)
+			last := m.LastSilence()
+			must.LessEq(t, probeInterval+10*time.Millisecond, last.Ended.Sub(back))
+			must.False(t, m.IsSilent(), must.Sprint(silence))
+			probes := s.probes.Load()
+			must.LessEq(t, int64(silence/probeInterval)+2, probes)
+			time.Sleep(10 * time.Second)
+			must.EqOp(t, probes, s.probes.Load(), must.Sprint("a store that answers is not probed"))
+		})
+	}
+}
+
+// Guards against giving up watches of a store that is only slow or loses single answers, again and again.
+func TestWatchesOfAWorkingStoreAreLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{latency: 400 * time.Millisecond}
+		m := newTestMonitor(t, s, true)
+		ended := time.Now().Add(30 * time.Second)
+		go func() {
+			for time.Now().Before(ended) {
+				must.NoError(t, shortCall(t.Context(), m, s))
+			}
+		}()
+		go func() {
+			for time.Now().Before(ended) {
+				time.Sleep(700 * time.Millisecond)
+				startedAt := time.Now()
+				time.Sleep(500 * time.Millisecond)
+				m.Record(t.Context(), startedAt, platform.ErrUncertain)
+			}
+		}()
+		for time.Now().Before(ended) {
+			must.NoError(t, watch(t.Context(), m, s))
+		}
+		must.EqOp(t, 0, s.probes.Load())
+	})
+}
+
+// Guards against a wave of probes: a router that follows others doesn't probe, and neither does one whose caller gave up its call.
+func TestOnlyWatchingRoutersProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{latency: 4 * time.Millisecond}
+		m := newTestMonitor(t, s, false)
+		s.silent.Store(true)
+		must.Error(t, shortCall(t.Context(), m, s))
+		must.True(t, m.IsSilent())
+		time.Sleep(5 * time.Second)
+		must.EqOp(t, 0, s.probes.Load())
+
+		m = newTestMonitor(t, s, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		must.Error(t, shortCall(ctx, m, s))
+		must.False(t, m.IsSilent())
+	})
+}
+
+// Guards against a retry that waits although the store is back.
+func TestSleepEndsWithTheSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{}
+		m := newTestMonitor(t, s, false)
+		s.silent.Store(true)
+		must.Error(t, shortCall(t.Context(), m, s))
+		started := time.Now()
+		time.AfterFunc(300*time.Millisecond, func() { m.Record(t.Context(), time.Now(), nil) })
+		must.True(t, m.Sleep(t.Context(), time.Minute))
+		must.EqOp(t, 300*time.Millisecond, time.Since(started))
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		must.False(t, m.Sleep(ctx, time.Minute))
+	})
+}
--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -120,6 +120,18 @@
 	return now
 }
 
+// graceEnd returns the end of the grace time in which an entry that disappears may still come back. e.mu must be held.
+func (e *endpointSet) graceEnd() time.Time {
+	end := e.graceUntil
+	if e.lastSilence == nil {
+		return end
+	}
+	if s := e.lastSilence(); s.Length() > graceOutageThreshold && s.Ended.Add(reregistrationTime).After(end) {
+		end = s.Ended.Add(reregistrationTime)
+	}
+	return end
+}
+
 // ApplyChanges implements feed.Consumer.
 func (e *endpointSet) ApplyChanges(objects []platform.Object) {
 	e.mu.Lock()
@@ -200,9 +212,9 @@
 	if !ok {
 		return
 	}
-	if now.Before(e.graceUntil) && vm.State != platform.VMLeaving {
+	if end := e.graceEnd(); now.Before(end) && vm.State != platform.VMLeaving {
 		if _, inGrace := e.removeAt[key]; !inGrace {
-			e.removeAt[key] = e.graceUntil
+			e.removeAt[key] = end
 			e.log.WithField("endpoint", vm.Name).Info("endpoint_lapsed")
 		}
 		return
--- a/pkg/entry/endpoints_test.go
+++ b/pkg/entry/endpoints_test.go
@@ -82,7 +82,7 @@
 func TestGraceTimeBeginsWhenTheStoreIsBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const outage, watchLost = 4400 * time.Millisecond, 4100 * time.Millisecond
-		monitor := contact.NewMonitor(discardLog())
+		monitor := contact.NewMonitor(contact.Options{Log: discardLog()})
 		p := &publishedNames{}
 		e := newEndpointSet(decodeTestEndpoint, discardLog(), p.set)
 		e.lastSilence = monitor.LastSilence
@@ -100,6 +100,37 @@
 	})
 }
 
+// Guards against dropping live endpoints whose entries lapsed during an outage and whose removals come as changes, because the watch
+// went on, and against giving a removal after a short silence that time.
+func TestEntriesThatLapsedHaveGraceTimeInAWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		monitor := contact.NewMonitor(contact.Options{Log: discardLog()})
+		p := &publishedNames{}
+		e := newEndpointSet(decodeTestEndpoint, discardLog(), p.set)
+		e.lastSilence = monitor.LastSilence
+		e.ReplaceAll(endpointObjects("live", "a", "b", "c"), 0)
+		silence := func(length time.Duration) {
+			monitor.Record(t.Context(), time.Now(), nil)
+			time.Sleep(length)
+			monitor.Record(t.Context(), time.Now(), platform.ErrUnavailable)
+			monitor.Record(t.Context(), time.Now(), nil)
+		}
+		silence(graceOutageThreshold / 2)
+		e.ApplyChanges([]platform.Object{{Key: "c", Deleted: true}})
+		must.Eq(t, []string{"a", "b"}, p.names())
+		silence(2 * graceOutageThreshold)
+		e.ApplyChanges([]platform.Object{{Key: "a", Deleted: true}, {Key: "b", Deleted: true}})
+		must.Eq(t, []string{"a", "b"}, p.names())
+		time.Sleep(reregistrationTime / 2)
+		e.ApplyChanges(endpointObjects("live", "a"))
+		time.Sleep(reregistrationTime)
+		synctest.Wait()
+		must.Eq(t, []string{"a"}, p.names())
+		e.ApplyChanges([]platform.Object{{Key: "a", Deleted: true}})
+		must.SliceEmpty(t, p.names())
+	})
+}
+
 // Guards against a router that says it is ready, and then rejects requests because the placement has no endpoints yet.
 func TestNotReadyBeforeEndpointsArePublished(t *testing.T) {
 	var e *endpointSet
--- a/pkg/entry/monitoredstore.go
+++ b/pkg/entry/monitoredstore.go
@@ -6,14 +6,31 @@
 
 	"github.com/lavendershunt/lavendershunt/pkg/contact"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/poison"
 )
 
-// monitoredStore tells the monitor the result of each call to the store.
+// monitoredStore tells the monitor the result of each call to the store. The calls of feeds are given up if the monitor finds that
+// they were lost.
 type monitoredStore struct {
 	Store
 	monitor *contact.Monitor
 }
 
+// monitorStore makes all calls of the router to the store go through the monitor.
+func (r *Router) monitorStore() {
+	r.contact = contact.NewMonitor(contact.Options{
+		Log: r.log,
+		// The routers that watch the store probe it; the others follow them.
+		MayProbe: func() bool { return len(r.roster.Leaders(maxSmallFleet, leadersPerZone)) == 0 },
+		Probe: func(ctx context.Context) error {
+			_, err := r.adapter.Store.ListStale(ctx, poison.RegistryKind+"/") // A short list.
+			return err
+		},
+	})
+	r.adapter.Store = monitoredStore{Store: r.adapter.Store, monitor: r.contact}
+	r.breaker = &circuitBreaker{Store: r.adapter.Store, isSilent: r.contact.IsSilent}
+}
+
 // Get implements Store.
 func (s monitoredStore) Get(ctx context.Context, key string) (platform.Object, error) {
 	startedAt := time.Now()
@@ -39,25 +56,28 @@
 }
 
 // List implements Store.
-func (s monitoredStore) List(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
-	startedAt := time.Now()
-	objects, revision, err := s.Store.List(ctx, prefix)
-	s.monitor.Record(ctx, startedAt, err)
+func (s monitoredStore) List(ctx context.Context, prefix string) (objects []platform.Object, revision uint64, err error) {
+	err = s.monitor.Call(ctx, func(ctx context.Context) (err error) {
+		objects, revision, err = s.Store.List(ctx, prefix)
+		return err
+	})
 	return objects, revision, err
 }
 
 // ListStale implements Store.
-func (s monitoredStore) ListStale(ctx context.Context, prefix string) ([]platform.Object, error) {
-	startedAt := time.Now()
-	objects, err := s.Store.ListStale(ctx, prefix)
-	s.monitor.Record(ctx, startedAt, err)
+func (s monitoredStore) ListStale(ctx context.Context, prefix string) (objects []platform.Object, err error) {
+	err = s.monitor.Call(ctx, func(ctx context.Context) (err error) {
+		objects, err = s.Store.ListStale(ctx, prefix)
+		return err
+	})
 	return objects, err
 }
 
 // Poll implements Store.
-func (s monitoredStore) Poll(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Object, uint64, error) {
-	startedAt := time.Now()
-	changes, revision, err := s.Store.Poll(ctx, prefix, after, wait)
-	s.monitor.Record(ctx, startedAt, err)
+func (s monitoredStore) Poll(ctx context.Context, prefix string, after uint64, wait time.Duration) (changes []platform.Object, revision uint64, err error) {
+	err = s.monitor.Call(ctx, func(ctx context.Context) (err error) {
+		changes, revision, err = s.Store.Poll(ctx, prefix, after, wait)
+		return err
+	})
 	return changes, revision, err
 }
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -63,7 +63,7 @@
 // a large fleet the leaders of an availability zone read the store and pass the changes on to the others in it.
 func (r *Router) newFeeds(peers feed.PeerClient) {
 	options := feed.Options{
-		Log: r.log, Client: peers,
+		Log: r.log, Client: peers, AwaitRetry: r.contact.Sleep,
 		WatchWait:  r.byFleetSize(watchWaitSmallFleet, feed.LeaderWait),
 		WatchPause: r.byFleetSize(watchPauseSmallFleet, watchPauseLargeFleet),
 		Leaders:    func() []string { return r.roster.Leaders(maxSmallFleet, leadersPerZone) },
@@ -73,7 +73,7 @@
 	}
 	config, endpoints, records, crashes := options, options, options, options
 	config.Kind, config.Store, config.Consumer = r.adapter.ConfigKind, r.adapter.Store, configFeed{r.config}
-	config.SetStoreLost = r.breaker.open.Store
+	config.SetStoreLost = r.breaker.lost.Store
 	config.StoreReached = func(revision uint64) {
 		r.accounts.StoreReached(revision)
 		r.origins.StoreReached(revision)
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -89,6 +89,7 @@
 	settings  Settings
 	adapter   Adapter
 	breaker   *circuitBreaker
+	contact   *contact.Monitor
 	log       log.Interface
 	config    *configuration
 	endpoints *endpointSet
@@ -117,9 +118,8 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 	}
 	debug.SetGCPercent(gcPercent)
-	monitor := contact.NewMonitor(logger)
-	a.Store = monitoredStore{Store: a.Store, monitor: monitor}
-	r := &Router{settings: s, adapter: a, breaker: &circuitBreaker{Store: a.Store}, log: logger}
+	r := &Router{settings: s, adapter: a, log: logger}
+	r.monitorStore()
 	instance := s.VM + "-" + rand.Text()[:8]
 	var err error
 	if r.metrics, err = telemetry.New("lsentry"); err != nil {
@@ -142,7 +142,7 @@
 	r.config = newConfiguration(a.ConfigKey, a.DecodeConfig, r.breaker, s.ConfigApply, logger)
 	r.config.age = func() (time.Duration, bool) { return r.configFeed.Age() }
 	r.endpoints = newEndpointSet(a.DecodeEndpoint, logger, r.updateEndpoints)
-	r.endpoints.lastSilence = monitor.LastSilence
+	r.endpoints.lastSilence = r.contact.LastSilence
 	r.roster = roster.New(r.breaker, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting, Capacity: s.capacity()}, logger)
 	peers := newPeerClient()
 	r.accounts = allowance.NewAccounts(allowance.Options{
@@ -224,6 +224,7 @@
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	defer stop()
+	tasks.Go(func() { r.contact.Run(backgroundCtx) })
 	tasks.Go(func() { r.placement.Run(backgroundCtx) })
 	tasks.Go(func() { r.accounts.Run(backgroundCtx) })
 	tasks.Go(func() { r.roster.Run(backgroundCtx, r.rosterFeed.Age) })
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/lavendershunt/lavendershunt/internal/sleep"
+	"github.com/lavendershunt/lavendershunt/pkg/contact"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
@@ -19,6 +20,9 @@
 	// half of it.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
+	// catchUpWait is how long the store holds the watch that replaces one that was given up: it shows soon that the objects are
+	// up to date.
+	catchUpWait = 10 * time.Millisecond
 	// directWatchTime is how long a router watches the store itself after it could follow no other router.
 	directWatchTime = 10 * time.Second
 	// leaderRetryPause is the time after which a router that could follow no other router tries again.
@@ -68,6 +72,9 @@
 	// StoreReached is called with the first revision of the store and with the first one after each restore from an older copy.
 	// Optional.
 	StoreReached func(revision uint64)
+	// AwaitRetry waits for the delay before a failed call is made again, or for less if the store is known to be back. It returns false
+	// as soon as the context has ended. Optional.
+	AwaitRetry func(ctx context.Context, delay time.Duration) bool
 	// SetStoreLost is called with true when calls to the store start to fail and with false when the store answers again.
 	// Optional.
 	SetStoreLost func(lost bool)
@@ -88,7 +95,13 @@
 	fallback  fallback
 }
 
-func New(o Options) *Feed { return &Feed{Options: o, hub: newHub(), retryDelay: minRetryDelay} }
+// New returns a Feed. It doesn't call the store before Run.
+func New(o Options) *Feed {
+	if o.AwaitRetry == nil {
+		o.AwaitRetry = sleep.For
+	}
+	return &Feed{Options: o, hub: newHub(), retryDelay: minRetryDelay}
+}
 
 // Run feeds the consumer until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
@@ -144,6 +157,8 @@
 	switch {
 	case ctx.Err() != nil || err == nil:
 		return true
+	case errors.Is(err, contact.ErrInterrupted):
+		return true
 	case errors.Is(err, platform.ErrGap):
 		f.Log.WithField("kind", f.Kind).Info("store_history_gap")
 		return true
@@ -152,7 +167,7 @@
 		f.Log.WithField("kind", f.Kind).WithError(err).Warn("store_lost")
 	}
 	f.fallback.failures++
-	sleep.For(ctx, f.retryDelay/2+rand.N(f.retryDelay/2))
+	f.AwaitRetry(ctx, f.retryDelay/2+rand.N(f.retryDelay/2))
 	f.retryDelay = min(2*f.retryDelay, maxRetryDelay)
 	return false
 }
@@ -180,13 +195,18 @@
 		return err
 	}
 	f.replaceAll(objects, revision, f.sinceContact(), 0)
-	failures := 0
+	failures, wait := 0, f.WatchWait()
 	for {
 		if leaders := f.leaders(directUntil); len(leaders) > 0 {
 			return nil
 		}
 		start := time.Now()
-		changes, next, err := f.Store.Poll(ctx, f.Kind+"/", revision, f.WatchWait())
+		changes, next, err := f.Store.Poll(ctx, f.Kind+"/", revision, wait)
+		if errors.Is(err, contact.ErrInterrupted) {
+			wait = catchUpWait
+			continue
+		}
+		wait = f.WatchWait()
 		if err != nil {
 			// A watch may be cut off while the store works, so one failed call is repeated from the same revision.
 			failures++
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -17,6 +17,7 @@
 	"github.com/shoenig/test/wait"
 
 	feedv1 "github.com/lavendershunt/lavendershunt/api/ls/feed/v1"
+	"github.com/lavendershunt/lavendershunt/pkg/contact"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/platform/memstore"
 )
@@ -107,6 +108,59 @@
 	eventually(t, "the consumer has all changes", func() bool { return m.hasObjects(want) })
 }
 
+// interruptedStore gives up the second and the third watch, and records the waits of all.
+type interruptedStore struct {
+	testStore
+	mu    sync.Mutex
+	waits []time.Duration
+	lists int
+}
+
+func (s *interruptedStore) List(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
+	s.mu.Lock()
+	s.lists++
+	s.mu.Unlock()
+	return s.testStore.List(ctx, prefix)
+}
+
+func (s *interruptedStore) Poll(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Object, uint64, error) {
+	s.mu.Lock()
+	s.waits = append(s.waits, wait)
+	n := len(s.waits)
+	s.mu.Unlock()
+	if n == 2 || n == 3 {
+		return nil, after, contact.ErrInterrupted
+	}
+	return s.testStore.Poll(ctx, prefix, after, wait)
+}
+
+// Guards against a new list of all objects, or another long wait before the feed is up to date, after watches that were given up.
+func TestInterruptedWatchGoesOn(t *testing.T) {
+	memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+	store := &interruptedStore{testStore: testStore{memory.Client("a")}}
+	m := &memoryConsumer{}
+	f := testFeed(memory.Client("a"), m, nil)
+	f.Store = store
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go f.Run(ctx)
+	polls := func() int {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return len(store.waits)
+	}
+	eventually(t, "the watch is made again", func() bool { return polls() >= 5 })
+	_, err := memory.Client("operator").Put(ctx, "servers/1", []byte(`"a"`), 0)
+	must.NoError(t, err)
+	eventually(t, "the consumer has the change", func() bool { return m.hasObjects(map[string]string{"servers/1": `"a"`}) })
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	wait := f.WatchWait()
+	must.Eq(t, []time.Duration{wait, wait, catchUpWait, catchUpWait, wait}, store.waits[:5])
+	must.EqOp(t, 1, store.lists)
+	must.False(t, f.storeLost)
+}
+
 // Guards against a follower that can't reach the store and gets no changes through its leader either, and against one
 // that stays with a leader that can't reach the store.
 func TestFollowsLeaderAndFallsBack(t *testing.T) {
