Pass a success on only if it is the endpoint's own

Cause: the router took every answer with the right id for the endpoint's. What an answer means is now one decision, judge in pkg/forward/verdict.go: proof of not run, a false promise, not its own, a stream, or passed on when whole. The dialect says what makes a success its own: signature, no encoding. Such an answer ends the attempt like one that broke off: another endpoint serves what may be repeated, and the caller gets 502 otherwise. Each 2xx on a stream's route is relayed as a stream, where only 200 was.

--- a/pkg/forward/crash_test.go
+++ b/pkg/forward/crash_test.go
@@ -105,6 +105,7 @@
 func (plainDialect) Encode(*Request, Dispatch) http.Header { return http.Header{"Id": {"1"}} }
 func (plainDialect) IDHeader() string                      { return "Id" }
 func (plainDialect) NotRun(int, http.Header) bool          { return false }
+func (plainDialect) CheckSuccess(http.Header) error        { return nil }
 func (plainDialect) Notice(int, http.Header) Notice        { return Notice{} }
 
 // Guards against replacing an endpoint's answer by a failure of the router, because the content was stopped while the
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -31,9 +30,6 @@
 	relayBufferBytes = 4 << 10
 )
 
-// errFalsePromise means that an endpoint may have run a request and answered with a status by which callers may send it again.
-var errFalsePromise = errors.New("forward: the endpoint does not say that the request did not run")
-
 // bufferedResponse is a complete non-streaming response of an endpoint.
 type bufferedResponse struct {
 	status int
@@ -299,18 +295,19 @@
 // handleResponse relays or buffers an endpoint's response. The returned response is nil unless the result is
 // attemptErrorResponse and it may be passed on.
 func (e *exchange) handleResponse(response *upstream.Response, inFlight *route.InFlightRequest, stream *eventStream) (attemptResult, *bufferedResponse) {
-	if e.Dialect.NotRun(response.Status, response.Header) {
+	verdict, err := judge(e.Dialect, e.route.Streaming, response.Status, response.Header)
+	e.attemptErr = err
+	e.mayHaveRun = e.mayHaveRun || verdict != verdictNotRun
+	switch verdict {
+	case verdictNotRun:
 		discardBody(response.Body)
 		return attemptRejected, nil
-	}
-	e.mayHaveRun = true
-	if outcome.PromisesNotRun(response.Status) {
-		// The endpoint doesn't say that it hasn't run the request, so its status would be a false promise to the caller.
-		e.attemptErr = fmt.Errorf("%w: status %d", errFalsePromise, response.Status)
+	case verdictWithheld:
 		discardBody(response.Body)
 		return attemptErrorResponse, nil
-	}
-	if e.route.Streaming && response.Status == http.StatusOK {
+	case verdictInvalid:
+		return attemptFailed, nil
+	case verdictStream:
 		return e.relayStream(response, inFlight, stream), nil
 	}
 	body, reserved, err := e.buffers.readAll(response.Body)
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -145,6 +145,9 @@
 	IDHeader() string
 	// NotRun reports whether an endpoint's response proves that it did not and will not run the request.
 	NotRun(status int, h http.Header) bool
+	// CheckSuccess returns an error if the headers of a successful response show that it is not the endpoint's own. The error wraps
+	// ErrNotOwn.
+	CheckSuccess(h http.Header) error
 	// Notice returns what an endpoint's answer says about the requests that it takes.
 	Notice(status int, h http.Header) Notice
 }
