Return what a request holds however it ends, and refuse a status that no response has

Cause: http.ReadResponse takes any three digits for a status, net/http panics when it is written, and the place at the endpoint, the tokens and the buffers were given back after the handler's last line. The client now refuses statuses outside 200 to 599 as bytes that are no response, and all three are given back by a deferred call.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -216,6 +216,8 @@
 
 // attempt sends the request to one endpoint. The response is nil unless the result is attemptErrorResponse and it may be passed on.
 func (e *exchange) attempt(ctx context.Context, decision route.Decision, inFlight *route.InFlightRequest, stream *eventStream) (attemptResult, *bufferedResponse) {
+	end := attemptEnd{result: route.Cancelled}
+	defer func() { e.Placement.finish(inFlight, end.result, end.outputTokens) }() // Also if writing the answer panics.
 	timeout := e.attemptTimeout()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -233,13 +235,13 @@
 	})
 	e.attemptErr = err
 	if errors.Is(err, upstream.ErrNotSent) {
-		e.Placement.finish(inFlight, e.failureResult(ctx), 0)
+		end.result = e.failureResult(ctx)
 		return attemptNotSent, nil
 	}
 	e.attempts++
 	if err != nil {
 		e.mayHaveRun = true
-		e.finishBroken(ctx, decision, inFlight, 0)
+		end.result = e.reportFailure(ctx, decision, inFlight)
 		return attemptFailed, nil
 	}
 	e.answerBegun = true
@@ -253,17 +255,21 @@
 			e.recordAnswered()
 			e.recordEnd()
 		}
-		e.Placement.finish(inFlight, route.Succeeded, outputTokens)
+		end = attemptEnd{route.Succeeded, outputTokens}
 	case attemptFailed:
-		e.finishBroken(ctx, decision, inFlight, outputTokens)
-	default:
-		e.Placement.finish(inFlight, route.Cancelled, 0)
+		end = attemptEnd{e.reportFailure(ctx, decision, inFlight), outputTokens}
 	}
 	return result, errorResponse
 }
 
-// finishBroken ends an attempt that the endpoint didn't complete.
-func (e *exchange) finishBroken(ctx context.Context, decision route.Decision, inFlight *route.InFlightRequest, outputTokens int) {
+// attemptEnd is what the placement learns of an attempt.
+type attemptEnd struct {
+	result       route.Result
+	outputTokens int
+}
+
+// reportFailure reports an attempt that the endpoint didn't complete, and returns whether it counts against the endpoint.
+func (e *exchange) reportFailure(ctx context.Context, decision route.Decision, inFlight *route.InFlightRequest) route.Result {
 	result := e.failureResult(ctx)
 	if result == route.Failed {
 		if e.OnBroken != nil {
@@ -271,7 +277,7 @@
 		}
 		e.reportBroken(decision.Address, inFlight)
 	}
-	e.Placement.finish(inFlight, result, outputTokens)
+	return result
 }
 
 // failureResult returns whether a failed attempt counts against the endpoint: it doesn't if ctx has ended.
--- a/pkg/forward/remote.go
+++ b/pkg/forward/remote.go
@@ -187,8 +187,8 @@
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	e.Retries.RecordRequest(e.service.Name, time.Now())
+	defer func() { e.buffers.release(e.bufferedBytes) }()
 	e.forward(ctx)
-	e.buffers.release(e.bufferedBytes)
 	if e.failure == nil && e.incomplete {
 		e.failure = outcome.Unknownf(outcome.ReasonEndpointFailed, 0, "the answer broke off")
 	}
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -177,8 +177,8 @@
 		// its body may then be meant as part of it.
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { e.buffers.release(e.bufferedBytes) }()
 	e.serve(r)
-	e.buffers.release(e.bufferedBytes)
 	e.recordResult(r.Context())
 	if e.incomplete {
 		// Closes the connection without ending the response, so that it doesn't look complete.
@@ -209,16 +209,23 @@
 	if !e.needsRemote() {
 		e.Retries.RecordRequest(e.service.Name, time.Now()) // Otherwise the router that sends it counts it.
 	}
-	e.forward(ctx)
-	if reserved > 0 {
-		e.chargedTokens = e.usedTokens(reserved)
-		e.Allowances.Release(e.org.Name, reserved-e.chargedTokens)
-	}
+	e.forwardReserved(ctx, reserved)
 	if e.failure != nil && !e.incomplete {
 		e.refuse(e.failure)
 	}
 }
 
+// forwardReserved forwards the request and charges what it has used of the reserved tokens, also if forwarding panics.
+func (e *exchange) forwardReserved(ctx context.Context, reserved int64) {
+	if reserved > 0 {
+		defer func() {
+			e.chargedTokens = e.usedTokens(reserved)
+			e.Allowances.Release(e.org.Name, reserved-e.chargedTokens)
+		}()
+	}
+	e.forward(ctx)
+}
+
 // admit reads the request, finds its route, organisation and service, and sets its deadline.
 func (e *exchange) admit(r *http.Request) *outcome.Failure {
 	e.incoming = r.Header
--- a/pkg/forward/verdict_test.go
+++ b/pkg/forward/verdict_test.go
@@ -2,9 +2,17 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/shoenig/test/must"
+
+	"github.com/lavendershunt/lavendershunt/pkg/catalog"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/route"
+	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
 
 // signingDialect is a Dialect whose endpoints sign their successes and say what they haven't run.
@@ -58,3 +66,28 @@
 		must.EqOp(t, c.want == verdictInvalid || c.want == verdictWithheld, err != nil, must.Sprint(c.name))
 	}
 }
+
+// refusingWriter panics like net/http for a status that it refuses to write.
+type refusingWriter struct{ *httptest.ResponseRecorder }
+
+func (refusingWriter) WriteHeader(int) { panic("invalid status") }
+
+// Guards against an endpoint that is full for ever because an answer could not be written: the request's place there must be given
+// back however the attempt ends.
+func TestPanicGivesThePlaceAtTheEndpointBack(t *testing.T) {
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Id", "1") }))
+	defer endpoint.Close()
+	placement := NewPlacement("a", route.Options{})
+	go placement.Run(t.Context())
+	placement.Update([]platform.VM{{Name: "e0", Role: platform.RoleService, Service: "s", State: platform.VMLive, MaxInFlight: 1, Address: endpoint.Listener.Addr().String()}})
+	for range 3 {
+		e := testExchange(catalog.Route{MaxAttempts: 1})
+		e.Log = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+		e.Dialect, e.Placement, e.Client = plainDialect{}, placement, upstream.NewClient()
+		e.request, e.service, e.attempts = Request{ID: "1", Method: "POST", Target: "/a", Host: "h"}, catalog.Service{Name: "s"}, 0
+		e.buffers.limit = 1 << 20
+		e.writer = refusingWriter{httptest.NewRecorder()}
+		must.Panic(t, func() { e.forward(t.Context()) })
+		must.EqOp(t, 1, e.attempts, must.Sprint("the endpoint has room for the request"))
+	}
+}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -214,14 +214,25 @@
 	}
 }
 
+// Statuses of a final response by the protocol. http.ReadResponse accepts any number of three digits.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
 // readFinalHead reads a response's head, after any interim responses. The limit on its size covers these too.
 func (e *exchange) readFinalHead(request *http.Request) (*http.Response, error) {
 	e.conn.head.start()
 	defer e.conn.head.stop()
 	for {
 		r, err := http.ReadResponse(e.conn.reader, request)
-		if err != nil || r.StatusCode < 100 || r.StatusCode >= 200 {
-			return r, err
+		switch {
+		case err != nil:
+			return nil, err
+		case r.StatusCode < 100 || r.StatusCode > maxFinalStatus:
+			return nil, fmt.Errorf("unexpected response status %03d", r.StatusCode)
+		case r.StatusCode >= minFinalStatus:
+			return r, nil
 		}
 	}
 }
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -153,6 +153,23 @@
 	}
 }
 
+// Guards against passing on bytes with a status that no response has, which net/http refuses to write.
+func TestRefusesStatusOutsideTheProtocol(t *testing.T) {
+	for status, ok := range map[string]bool{"000": false, "020": false, "099": false, "200": true, "599": true, "600": false, "999": false} {
+		address, _ := startServer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+			readBody(r)
+			fmt.Fprintf(conn, "HTTP/1.1 %s X\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", status, idHeader)
+			return true
+		})
+		_, err := fetch(NewClient(), newTestCall(address, "1"))
+		if ok {
+			must.NoError(t, err, must.Sprint(status))
+			continue
+		}
+		must.ErrorIs(t, err, ErrFailedAfterSend, must.Sprint(status))
+	}
+}
+
 // Guards against sending the next request on a connection whose last request body is still being written, because the
 // endpoint responded early.
 func TestEarlyResponseClosesConnection(t *testing.T) {
