End idle connections of callers by the configuration, and keep descriptors free

After the loss of seven of eight routers the last one used up its descriptors with idle connections of callers within a minute.

Cause: idle_timeout_ms of the configuration was decoded and used nowhere: callers' connections were kept for two minutes. Nothing bounded their number by the descriptors, which were not read from the settings.

callerConns ends a connection that has been idle for longer than the newest configuration allows, or that sends no head of a request in time, never one with a request in progress. Callers may use three quarters of the descriptors that are not for files; beyond that those idle for longest are ended, and a router that has no idle one left refuses a new one and is not ready. A connection is ended by its read deadline, so that a request which arrives at that moment is served.

--- /dev/null
+++ b/pkg/entry/callerconns.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
+	"github.com/lavendershunt/lavendershunt/pkg/catalog"
+)
+
+const (
+	// connCheckInterval is the time between two checks of the callers' connections.
+	connCheckInterval = 250 * time.Millisecond
+	// fileDescriptors is the number of descriptors that the platform reserves for files.
+	fileDescriptors = 200
+	// callerDescriptorShare is the share of the other descriptors that connections of callers may use. The rest is for endpoints, the
+	// store, other routers and readiness checks.
+	callerDescriptorShare = 0.75
+	// roomShare is the share of the largest number of connections that is made free at a time, so that a router at that number doesn't
+	// sort its connections for each new one.
+	roomShare = 1.0 / 32
+)
+
+// maxCallerConns returns the number of callers' connections that a process with the number of descriptors may hold, 0 if it has no
+// limit.
+func maxCallerConns(descriptors int) int {
+	if descriptors <= 0 {
+		return 0
+	}
+	return max(1, int(callerDescriptorShare*float64(descriptors-fileDescriptors)))
+}
+
+// connPhase is what a connection of a caller is waiting for.
+type connPhase int
+
+const (
+	// connNew means that the head of the first request has not arrived.
+	connNew connPhase = iota
+	// connIdle means that no request is in progress.
+	connIdle
+	// connActive means that a request is in progress.
+	connActive
+)
+
+// connState is the phase of a connection and the time at which it began.
+type connState struct {
+	phase connPhase
+	since time.Time
+	// ended is set once the router has ended the connection.
+	ended bool
+}
+
+// isOverdue reports whether a connection has waited for longer than the limits allow. A limit of 0 doesn't apply.
+func (s connState) isOverdue(now time.Time, l catalog.Limits) bool {
+	switch s.phase {
+	case connNew:
+		return l.HeaderTimeout > 0 && now.Sub(s.since) > l.HeaderTimeout
+	case connIdle:
+		return l.IdleTimeout > 0 && now.Sub(s.since) > l.IdleTimeout
+	}
+	return false
+}
+
+// longestIdle returns up to n idle connections, those first that have been idle for longest.
+func longestIdle(conns map[net.Conn]*connState, n int) []net.Conn {
+	var idle []net.Conn
+	for c, s := range conns {
+		if s.phase == connIdle && !s.ended {
+			idle = append(idle, c)
+		}
+	}
+	slices.SortFunc(idle, func(a, b net.Conn) int { return cmp.Compare(conns[a].since.UnixNano(), conns[b].since.UnixNano()) })
+	return idle[:min(n, len(idle))]
+}
+
+// callerConns ends callers' connections that have been idle, or without a request's head, for longer than the configuration allows, and
+// those idle for longest while there are too many. It is safe for concurrent use.
+//
+// It answers the loss of most routers: the callers of all come to the last one, each keeps its connection, and the descriptors run
+// out while the router has little to do. A connection with a request in progress is never ended.
+type callerConns struct {
+	// limits returns the limits of the newest configuration.
+	limits func() catalog.Limits
+	// max is the largest number of connections, 0 for no limit.
+	max int
+	log log.Interface
+
+	mu    sync.Mutex
+	conns map[net.Conn]*connState
+}
+
+func newCallerConns(limits func() catalog.Limits, most int, logger log.Interface) *callerConns {
+	return &callerConns{limits: limits, max: most, log: logger, conns: map[net.Conn]*connState{}}
+}
+
+// Observe is the ConnState hook of the callers' server.
+func (c *callerConns) Observe(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	switch state {
+	case http.StateNew:
+		c.conns[conn] = &connState{phase: connNew, since: now}
+		c.makeRoom(conn)
+	case http.StateIdle:
+		if s := c.conns[conn]; s != nil {
+			s.phase, s.since = connIdle, now
+		}
+	case http.StateActive:
+		if s := c.conns[conn]; s != nil {
+			s.phase, s.since = connActive, now
+			if s.ended { // The request came as the connection was ended: it is served.
+				s.ended = false
+				_ = conn.SetReadDeadline(time.Time{}) // A closed connection fails the request anyway.
+			}
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(c.conns, conn)
+	}
+}
+
+// makeRoom ends some of the connections that have been idle for longest if the new one is one too many, or the new one if no other is
+// idle. c.mu must be held.
+func (c *callerConns) makeRoom(added net.Conn) {
+	if c.max == 0 || c.open() <= c.max {
+		return
+	}
+	idle := longestIdle(c.conns, max(1, int(roomShare*float64(c.max))))
+	for _, conn := range idle {
+		c.end(conn)
+	}
+	if len(idle) == 0 {
+		c.conns[added].ended = true
+		_ = added.Close() // Nothing was read from it. The server sets its deadline anew, so that end has no effect yet.
+	}
+	c.log.WithFields(log.Fields{"ended": len(idle), "max": c.max, "refused": len(idle) == 0}).Info("caller_connections_full")
+}
+
+// open returns the number of connections that have not been ended. c.mu must be held.
+func (c *callerConns) open() int {
+	n := 0
+	for _, s := range c.conns {
+		if !s.ended {
+			n++
+		}
+	}
+	return n
+}
+
+// end makes the server close the connection unless a request arrives first. c.mu must be held.
+func (c *callerConns) end(conn net.Conn) {
+	c.conns[conn].ended = true
+	_ = conn.SetReadDeadline(time.Now()) // On an error the connection is closed already.
+}
+
+// isFull reports whether another connection would be ended at once.
+func (c *callerConns) isFull() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.max > 0 && c.open() >= c.max && len(longestIdle(c.conns, 1)) == 0
+}
+
+// run checks the connections until ctx ends.
+func (c *callerConns) run(ctx context.Context) {
+	for sleep.For(ctx, connCheckInterval) {
+		if ended, open := c.check(time.Now()); ended > 0 {
+			c.log.WithFields(log.Fields{"ended": ended, "open": open, "max": c.max}).Info("caller_connections_ended")
+		}
+	}
+}
+
+// check ends the connections that are overdue, and returns their number and that of all others.
+func (c *callerConns) check(now time.Time) (ended, open int) {
+	limits := c.limits()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, s := range c.conns {
+		if !s.ended && s.isOverdue(now, limits) {
+			c.end(conn)
+			ended++
+		}
+	}
+	return ended, c.open()
+}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -16,6 +16,7 @@
 
 	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
+	"github.com/lavendershunt/lavendershunt/pkg/catalog"
 	"github.com/lavendershunt/lavendershunt/pkg/contact"
 	"github.com/lavendershunt/lavendershunt/pkg/feed"
 	"github.com/lavendershunt/lavendershunt/pkg/forward"
@@ -40,7 +41,7 @@
 	exitMargin = 400 * time.Millisecond
 	// readHeaderTimeout limits the time in which a caller sends a request's header.
 	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is longer than any idle time that the configuration allows callers.
+	// idleTimeout is for connections of other routers and of the platform. Those of callers end earlier if the configuration says so.
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is larger than the limit that the configuration states to callers.
 	maxHeaderBytes = 64 << 10
@@ -105,6 +106,7 @@
 	// liveEndpoints holds the liveAddresses of the endpoints that were published last.
 	liveEndpoints atomic.Pointer[[]string]
 	links         *reach.Monitor
+	callerConns   *callerConns
 	remote        *remote.Client
 	metrics       *telemetry.Metrics
 	draining      atomic.Bool
@@ -161,6 +163,7 @@
 		IsFirst: func(key string) bool { return r.roster.PreferenceList(key, 1)[0] == s.VM },
 		Peers:   &origin.RemotePeers{Addresses: r.roster.Peers, Client: peers, Log: logger},
 	})
+	r.callerConns = newCallerConns(r.limits, maxCallerConns(s.Descriptors), logger)
 	r.newFeeds(peers)
 	r.newLinks(peers)
 	r.server = forward.NewServer(forward.Options{
@@ -199,6 +202,14 @@
 	return 0
 }
 
+// limits returns the limits of the newest configuration, none before the first one.
+func (r *Router) limits() catalog.Limits {
+	if c := r.config.Current(); c != nil {
+		return c.Limits
+	}
+	return catalog.Limits{}
+}
+
 // updateEndpoints passes the endpoints to the placement and closes the idle connections to all others.
 func (r *Router) updateEndpoints(vms []platform.VM) {
 	addresses := liveAddresses(vms)
@@ -236,7 +247,10 @@
 	tasks.Go(func() { r.links.Run(backgroundCtx) })
 	tasks.Go(func() { r.remote.Run(backgroundCtx) })
 
+	tasks.Go(func() { r.callerConns.run(backgroundCtx) })
+
 	callers := r.newHTTPServer(r.server)
+	callers.ConnState = r.callerConns.Observe
 	peers := r.newHTTPServer(r.peerHandler())
 	peers.Protocols = peerhttp.UnencryptedHTTP2()
 	serveErrors := make(chan error, 5)
@@ -305,6 +319,8 @@
 		return errors.New("the endpoints have not been read yet")
 	case !r.crashes.IsLoaded():
 		return errors.New("the crash records have not been read yet")
+	case r.callerConns.isFull():
+		return errors.New("no connection of a caller can be accepted")
 	}
 	return nil
 }
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -38,6 +38,8 @@
 	ReadyPath, LookupPath string
 	// MemoryBytes is the platform's memory limit for the process; 0 means no limit.
 	MemoryBytes int64
+	// Descriptors is the largest number of file descriptors of the process; 0 means no limit.
+	Descriptors int
 	// CPUCores is the processor time that the process may use, in cores; 0 means not known.
 	CPUCores float64
 	// LinkBytesPerSecond is the bandwidth of the VM's link in each direction; 0 means not known.
