Keep the circuit breaker open while the store rejects all calls

Since the breaker closed whenever the monitor knew of no silence, and a rejection is none, it stayed closed there: all parts of a router went on calling a store that rejected them.

Only the end of a silence closes the breaker now, beside the configuration's feed itself, as before.

--- a/pkg/entry/breaker.go
+++ b/pkg/entry/breaker.go
@@ -6,24 +6,38 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lavendershunt/lavendershunt/pkg/contact"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
 // errBreakerOpen is returned for calls that are not made while the store doesn't respond.
 var errBreakerOpen = fmt.Errorf("%w: the store is lost", platform.ErrUnavailable)
 
-// circuitBreaker rejects calls to the store while the configuration's feed can't reach it and no other call is answered. Only that
-// feed, which calls the store directly, and the probes of the monitor check whether the store is back. So the router makes few
-// calls during a partition, and its callers don't wait for timeouts.
+// circuitBreaker rejects calls to the store from when the configuration's feed can't reach it until that feed reaches it again, or until
+// a silence of the store has ended. Only that feed, which calls the store directly, and the probes of the monitor check whether the
+// store is back. So the router makes few calls during a partition or while the store rejects them, and its callers don't wait for
+// timeouts.
 type circuitBreaker struct {
 	Store
-	// lost is set by the configuration's feed while it can't reach the store.
-	lost atomic.Bool
-	// isSilent reports whether no call has been answered since one was lost.
-	isSilent func() bool
+	// lostAt is the time at which the configuration's feed lost the store, nil while it reaches it.
+	lostAt  atomic.Pointer[time.Time]
+	contact *contact.Monitor
 }
 
-func (b *circuitBreaker) isOpen() bool { return b.lost.Load() && b.isSilent() }
+// setLost is called by the configuration's feed when it loses the store and when it reaches it again.
+func (b *circuitBreaker) setLost(lost bool) {
+	if !lost {
+		b.lostAt.Store(nil)
+		return
+	}
+	now := time.Now()
+	b.lostAt.Store(&now)
+}
+
+func (b *circuitBreaker) isOpen() bool {
+	lostAt := b.lostAt.Load()
+	return lostAt != nil && (b.contact.IsSilent() || !b.contact.LastSilence().Ended.After(*lostAt))
+}
 
 // Get implements platform.Store.
 func (b *circuitBreaker) Get(ctx context.Context, key string) (platform.Object, error) {
--- a/pkg/entry/monitoredstore.go
+++ b/pkg/entry/monitoredstore.go
@@ -28,7 +28,7 @@
 		},
 	})
 	r.adapter.Store = monitoredStore{Store: r.adapter.Store, monitor: r.contact}
-	r.breaker = &circuitBreaker{Store: r.adapter.Store, isSilent: r.contact.IsSilent}
+	r.breaker = &circuitBreaker{Store: r.adapter.Store, contact: r.contact}
 }
 
 // Get implements Store.
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -73,7 +73,7 @@
 	}
 	config, endpoints, records, crashes := options, options, options, options
 	config.Kind, config.Store, config.Consumer = r.adapter.ConfigKind, r.adapter.Store, configFeed{r.config}
-	config.SetStoreLost = r.breaker.lost.Store
+	config.SetStoreLost = r.breaker.setLost
 	config.StoreReached = func(revision uint64) {
 		r.accounts.StoreReached(revision)
 		r.origins.StoreReached(revision)
