Don't let a heartbeat of a feed overtake the changes that it counts as known

Cause: a leader that has a change queued for a follower, and whose heartbeat is due, sent either first. The heartbeat's revision includes the change, so that the follower takes the change for known when it comes, and drops it. It then has an old configuration, or uses an endpoint that drains, with a fresh age, until another change of the same object.

A leader sends no heartbeat while changes are queued for the follower, decided under the lock under which they are queued. A follower no longer takes its revision from a heartbeat, so that leaders of an older build do no harm either. No message changes its form.

TestHeartbeatDoesNotOvertakeChanges fails without either half: the heartbeat comes first, or the change is dropped.

--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -278,3 +278,43 @@
 	f.StaleListInterval = 2 * time.Second
 	must.Greater(t, 2*f.StaleListInterval, f.maxAge())
 }
+
+// Guards against a change that a follower takes for known and never applies: a heartbeat that is due while the change is queued must not
+// come before it with a revision that includes it. A leader of an older build may send it so; a follower of an older build takes it so.
+func TestHeartbeatDoesNotOvertakeChanges(t *testing.T) {
+	change := platform.Object{Key: "servers/1", Revision: 6, Value: []byte(`"draining"`)}
+	newFollower := func() (*Feed, *memoryConsumer) {
+		m := &memoryConsumer{}
+		f := testFeed(memstore.New(memstore.Options{}).Client("a"), m, nil)
+		must.NoError(t, f.applyMessage(&feedv1.FollowResponse{Full: true, Revision: 5, Objects: []*feedv1.Object{{Key: "servers/1", Revision: 4, Value: []byte(`"ready"`)}}}, 0))
+		return f, m
+	}
+	want := map[string]string{"servers/1": `"draining"`}
+
+	for range 100 { // Both cases of the select are ready; either may be taken.
+		leader := newHub()
+		leader.replaceAll([]platform.Object{{Key: "servers/1", Revision: 4, Value: []byte(`"ready"`)}}, 5, 0, time.Now())
+		_, queue, ok := leader.subscribe()
+		must.True(t, ok)
+		leader.applyChanges([]platform.Object{change}, 7, time.Now())
+		ticks := make(chan time.Time, 1)
+		ticks <- time.Now()
+		var sent []message
+		for len(sent) == 0 || len(queue) > 0 {
+			if m, ok, open := leader.next(t.Context(), queue, ticks); ok && open {
+				sent = append(sent, m)
+			}
+		}
+		must.Len(t, 1, sent[0].objects, must.Sprint("the change comes first"))
+		f, m := newFollower()
+		for _, m := range sent {
+			must.NoError(t, f.applyMessage(encode(m, leader), 0))
+		}
+		must.True(t, m.hasObjects(want))
+	}
+
+	f, m := newFollower()
+	must.NoError(t, f.applyMessage(&feedv1.FollowResponse{Revision: 7}, 0))
+	must.NoError(t, f.applyMessage(&feedv1.FollowResponse{Revision: 7, Objects: []*feedv1.Object{encodeObject(change)}}, 0))
+	must.True(t, m.hasObjects(want), must.Sprint("a heartbeat of an older build came first"))
+}
--- a/pkg/feed/hub.go
+++ b/pkg/feed/hub.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -115,6 +116,28 @@
 	return all, follower, true
 }
 
+// heartbeat returns a message without objects for the follower. It returns false while changes are queued for the follower: a heartbeat
+// ahead of them would have a revision that includes them, and the follower would take them for known.
+func (h *hub) heartbeat(follower chan message) (message, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return message{revision: h.revision}, len(follower) == 0
+}
+
+// next waits for the next message to the follower: changes, or a heartbeat at a tick, unless ok is false. open is false once the
+// follower was too slow.
+func (h *hub) next(ctx context.Context, follower chan message, ticks <-chan time.Time) (m message, ok, open bool) {
+	select {
+	case <-ctx.Done():
+		return message{}, false, true
+	case m, open = <-follower:
+		return m, open, open
+	case <-ticks:
+		m, ok = h.heartbeat(follower)
+		return m, ok, true
+	}
+}
+
 func (h *hub) unsubscribe(follower chan message) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/pkg/feed/peer.go
+++ b/pkg/feed/peer.go
@@ -77,17 +77,14 @@
 		return err
 	}
 	for {
-		var m message
-		open := true
-		select {
-		case <-ctx.Done():
+		m, ok, open := f.hub.next(ctx, follower, ticker.C)
+		switch {
+		case ctx.Err() != nil:
 			return nil
-		case m, open = <-follower:
-		case <-ticker.C:
-			m.revision, _ = f.hub.revisionAndAge()
-		}
-		if !open {
+		case !open:
 			return connect.NewError(connect.CodeResourceExhausted, errors.New("feed: the follower is too slow"))
+		case !ok:
+			continue
 		}
 		if err := stream.Send(encode(m, f.hub)); err != nil {
 			return err
@@ -193,6 +190,9 @@
 		objects = append(objects, decoded)
 	}
 	switch {
+	case !m.GetFull() && len(objects) == 0:
+		// A heartbeat of an older build may have a revision that includes changes which come after it.
+		f.applyChanges(nil, f.revision, age)
 	case !m.GetFull():
 		f.applyChanges(f.hub.newerThanHeld(f.unseen(objects)), max(f.revision, m.GetRevision()), age)
 	case m.GetRevision() < f.revision:
