End callers' connections again that are still open after they were ended, and bound the lines of a full router

A connection that had just become idle could be ended to make room, after which the server set its deadline anew: it stayed open for up to two minutes, no longer counted. The check ends such a connection again. TestEndedConnectionIsEndedAgainIfTheServerKeepsIt failed with 2 min in place of 1 s.

A router at its largest number of connections wrote a line for each new one. TestFullRouterLogsAtABoundedRate failed with 49 lines in a second.

--- a/pkg/entry/callerconns.go
+++ b/pkg/entry/callerconns.go
@@ -13,6 +13,7 @@
 
 	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/catalog"
+	"github.com/lavendershunt/lavendershunt/pkg/logging"
 )
 
 const (
@@ -26,6 +27,8 @@
 	// roomShare is the share of the largest number of connections that is made free at a time, so that a router at that number doesn't
 	// sort its connections for each new one.
 	roomShare = 1.0 / 32
+	// fullLinesPerSecond limits the log lines of a router at the largest number of connections.
+	fullLinesPerSecond = 1
 )
 
 // maxCallerConns returns the number of callers' connections that a process with the number of descriptors may hold, 0 if it has no
@@ -91,13 +94,15 @@
 	// max is the largest number of connections, 0 for no limit.
 	max int
 	log log.Interface
+	// full limits the log lines of makeRoom.
+	full *logging.Limiter
 
 	mu    sync.Mutex
 	conns map[net.Conn]*connState
 }
 
 func newCallerConns(limits func() catalog.Limits, most int, logger log.Interface) *callerConns {
-	return &callerConns{limits: limits, max: most, log: logger, conns: map[net.Conn]*connState{}}
+	return &callerConns{limits: limits, max: most, log: logger, full: logging.NewLimiter(fullLinesPerSecond), conns: map[net.Conn]*connState{}}
 }
 
 // Observe is the ConnState hook of the callers' server.
@@ -140,7 +145,9 @@
 		c.conns[added].ended = true
 		_ = added.Close() // Nothing was read from it. The server sets its deadline anew, so that end has no effect yet.
 	}
-	c.log.WithFields(log.Fields{"ended": len(idle), "max": c.max, "refused": len(idle) == 0}).Info("caller_connections_full")
+	if skipped, ok := c.full.Allow(time.Now()); ok {
+		c.log.WithFields(log.Fields{"ended": len(idle), "max": c.max, "refused": len(idle) == 0, "lines_left_out": skipped}).Info("caller_connections_full")
+	}
 }
 
 // open returns the number of connections that have not been ended. c.mu must be held.
@@ -176,16 +183,20 @@
 	}
 }
 
-// check ends the connections that are overdue, and returns their number and that of all others.
+// check ends the connections that are overdue, and returns their number and that of all others. It ends those again that are still open
+// after they were ended: the server sets the deadline of a connection that becomes idle after the hook.
 func (c *callerConns) check(now time.Time) (ended, open int) {
 	limits := c.limits()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.conns {
-		if !s.ended && s.isOverdue(now, limits) {
-			c.end(conn)
+		if !s.ended && !s.isOverdue(now, limits) {
+			continue
+		}
+		if !s.ended {
 			ended++
 		}
+		c.end(conn)
 	}
 	return ended, c.open()
 }
--- a/pkg/entry/callerconns_test.go
+++ b/pkg/entry/callerconns_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/shoenig/test/must"
 
 	"github.com/lavendershunt/lavendershunt/pkg/catalog"
@@ -167,3 +170,39 @@
 	_, err := far.Read(make([]byte, 1))
 	must.NoError(t, err)
 }
+
+// Guards against a connection that stays open and is no longer counted: the server sets the deadline of one that has just become idle
+// after the hook, over that by which it was ended.
+func TestEndedConnectionIsEndedAgainIfTheServerKeepsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer near.Close()
+		defer far.Close()
+		c := newCallerConns(func() catalog.Limits { return catalog.Limits{IdleTimeout: time.Hour} }, 1, discardLog())
+		c.Observe(far, http.StateNew)
+		c.Observe(far, http.StateIdle)
+		other, _ := net.Pipe()
+		defer other.Close()
+		c.Observe(other, http.StateNew)
+		must.NoError(t, far.SetReadDeadline(time.Now().Add(idleTimeout)))
+		ended, _ := c.check(time.Now())
+		must.EqOp(t, 0, ended, must.Sprint("it was counted before"))
+		_, err := far.Read(make([]byte, 1))
+		must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		must.Less(t, time.Second, time.Since(c.conns[far].since))
+	})
+}
+
+// Guards against a log line for each connection that a flood of callers opens at a full router.
+func TestFullRouterLogsAtABoundedRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lines := memory.New()
+		c := newCallerConns(func() catalog.Limits { return catalog.Limits{} }, 1, &log.Logger{Handler: lines, Level: log.InfoLevel})
+		for range 50 {
+			near, far := net.Pipe()
+			defer near.Close()
+			c.Observe(far, http.StateNew)
+		}
+		must.Len(t, fullLinesPerSecond, lines.Entries)
+	})
+}
