--- a/pkg/forward/eventstream.go
+++ b/pkg/forward/eventstream.go
@@ -21,7 +21,7 @@
 // broken stream can be resumed at another endpoint after the last event that the caller has.
 type eventStream struct {
 	partial []byte
-	// lastID is the id of the last complete event, -1 if there is none.
+	// lastID is the id of the last complete event, or noEvent.
 	lastID int64
 	// count is the number of complete events that add has returned.
 	count int
@@ -30,9 +30,15 @@
 	resuming bool
 	// unfinished is set after a part of an event was dropped, until the next new event: the stream has at least one more.
 	unfinished bool
+	// sequence checks the ids of the present answer, and irregular is its first finding.
+	sequence  sequence
+	irregular irregularity
 }
 
-func newEventStream() *eventStream { return &eventStream{lastID: -1} }
+// newEventStream returns a stream that begins after the event with the id after, or at its first event with noEvent.
+func newEventStream(after int64) *eventStream {
+	return &eventStream{lastID: noEvent, sequence: sequence{after: after, previous: noEvent}}
+}
 
 // add appends bytes of the stream and returns the complete events to be relayed. The result is valid until the next
 // call. Its errors wrap errOutOfSequence or errNotAnEvent; events returned with it are still to be relayed.
@@ -62,6 +68,9 @@
 		if !ok && !isComment(event) {
 			return unseen, fmt.Errorf("%w: it has no id", errNotAnEvent)
 		}
+		if ok && s.irregular == "" {
+			s.irregular = s.sequence.next(event, id)
+		}
 		if ok && s.resuming {
 			if id <= s.lastID {
 				continue
@@ -86,6 +95,7 @@
 	s.unfinished = s.unfinished || len(s.partial) > 0
 	s.partial = nil
 	s.resuming = s.lastID >= 0
+	s.sequence, s.irregular = sequence{after: s.lastID, previous: noEvent}, ""
 }
 
 // endsWhole reports whether the stream may be complete where it has ended: not inside an event, and not before one of which a part
@@ -111,10 +121,14 @@
 // eventID returns the number in the id field of an event.
 func eventID(event []byte) (int64, bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			return id, err == nil
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			return parseEventID(string(bytes.TrimSpace(value)))
 		}
 	}
 	return 0, false
 }
+
+func parseEventID(text string) (int64, bool) {
+	id, err := strconv.ParseInt(text, 10, 64)
+	return id, err == nil
+}
--- a/pkg/forward/eventstream_test.go
+++ b/pkg/forward/eventstream_test.go
@@ -22,7 +22,7 @@
 func TestEventStreamResumesAfterBreaks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 20).Draw(t, "events")
-		stream := newEventStream()
+		stream := newEventStream(noEvent)
 		var got strings.Builder
 		for range rapid.IntRange(0, 4).Draw(t, "breaks") {
 			addPieces(t, stream, &got, eventText(max(1, int(stream.lastID)+1-rapid.IntRange(0, 2).Draw(t, "overlap")), n), true)
@@ -50,7 +50,7 @@
 
 // Guards against relaying a resumed stream that has a gap after the last event that the caller has.
 func TestEventStreamRejectsGap(t *testing.T) {
-	stream := newEventStream()
+	stream := newEventStream(noEvent)
 	_, err := stream.add([]byte(eventText(1, 3)))
 	must.NoError(t, err)
 	stream.resume()
@@ -61,7 +61,7 @@
 
 // Guards against unbounded memory use by an event that never ends.
 func TestEventStreamLimitsEventSize(t *testing.T) {
-	stream := newEventStream()
+	stream := newEventStream(noEvent)
 	_, err := stream.add([]byte(strings.Repeat("x", maxEventBytes+1)))
 	must.ErrorIs(t, err, errNotAnEvent)
 }
@@ -71,7 +71,7 @@
 	for name, chunk := range map[string]string{
 		"no id": "data: x\n\n", "empty": "\n\n", "binary": strings.Repeat("\x00", 1000) + "\n\n", "no end": strings.Repeat("a", 1000), "id without end": "id: 4",
 	} {
-		stream := newEventStream()
+		stream := newEventStream(noEvent)
 		got, err := stream.add([]byte(eventText(1, 3)))
 		must.NoError(t, err)
 		must.EqOp(t, eventText(1, 3), string(got))
@@ -88,7 +88,7 @@
 
 // Guards against breaking off a stream in which an endpoint sends comments, and against counting them as output.
 func TestEventStreamPassesComments(t *testing.T) {
-	stream := newEventStream()
+	stream := newEventStream(noEvent)
 	text := ": ping\n\n" + eventText(1, 2) + ": ping\n: pong\n\n" + eventText(3, 3)
 	got, err := stream.add([]byte(text))
 	must.NoError(t, err)
@@ -104,7 +104,7 @@
 		for _, framed := range []bool{false, true} {
 			for _, hasEvents := range []bool{false, true} {
 				label := must.Sprintf("cut at %d, framed %v, has events %v", cut, framed, hasEvents)
-				stream := newEventStream()
+				stream := newEventStream(noEvent)
 				_, err := stream.add([]byte(whole[:cut]))
 				must.NoError(t, err, label)
 				between := cut == 0 || strings.HasSuffix(whole[:cut], "\n\n")
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -58,7 +58,8 @@
 func (e *exchange) forward(ctx context.Context) {
 	var lastErrorResponse *bufferedResponse
 	var excluded []string
-	stream := newEventStream()
+	stream := newEventStream(e.request.lastEventID())
+	defer func() { e.lastEvent = stream.lastID }()
 	unsentAttempts := 0
 	for {
 		if ctx.Err() != nil {
@@ -134,6 +135,9 @@
 	fields := log.Fields{
 		"request": e.request.ID, "attempt": e.attempts, "outcome": result.String(), "events": stream.count, "answer_begun": e.answerBegun,
 	}
+	if e.route.Streaming {
+		fields["last_event"], fields["ends_with_connection"] = stream.lastID, e.endsWithConnection
+	}
 	if d := e.decision; d != nil {
 		fields["endpoint"], fields["kv_use"], fields["software"] = d.Chosen, d.KVUse, d.Software
 	}
@@ -214,6 +218,11 @@
 	}
 }
 
+// beginAttempt resets what is known of the latest attempt.
+func (e *exchange) beginAttempt(stream *eventStream) {
+	e.eventsBefore, e.answerBegun, e.attemptAnswered, e.endsWithConnection, e.attemptErr = stream.count, false, false, false, nil
+}
+
 // attempt sends the request to one endpoint. The response is nil unless the result is attemptErrorResponse and it may be passed on.
 func (e *exchange) attempt(ctx context.Context, decision route.Decision, inFlight *route.InFlightRequest, stream *eventStream) (attemptResult, *bufferedResponse) {
 	end := attemptEnd{result: route.Cancelled}
@@ -228,7 +237,7 @@
 	if stream.lastID >= 0 {
 		dispatch.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
-	e.eventsBefore, e.answerBegun, e.attemptAnswered, e.attemptErr = stream.count, false, false, nil
+	e.beginAttempt(stream)
 	response, err := e.Client.Send(ctx, upstream.Call{
 		Address: decision.Address, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Header: e.Dialect.Encode(&e.request, dispatch), Body: e.request.Body, ID: e.request.ID, IDHeader: e.Dialect.IDHeader(),
@@ -301,6 +310,7 @@
 // handleResponse relays or buffers an endpoint's response. The returned response is nil unless the result is
 // attemptErrorResponse and it may be passed on.
 func (e *exchange) handleResponse(response *upstream.Response, inFlight *route.InFlightRequest, stream *eventStream) (attemptResult, *bufferedResponse) {
+	e.endsWithConnection = response.EndsWithConnection
 	verdict, err := judge(e.Dialect, e.route.Streaming, response.Status, response.Header)
 	e.attemptErr = err
 	e.mayHaveRun = e.mayHaveRun || verdict != verdictNotRun
@@ -355,7 +365,11 @@
 	buffer := make([]byte, relayBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
+		wasRegular := stream.irregular == ""
 		events, sequenceErr := stream.add(buffer[:n])
+		if wasRegular && stream.irregular != "" {
+			e.reportIrregular(stream)
+		}
 		if len(events) > 0 {
 			if e.firstByteAt.IsZero() {
 				e.firstByteAt = time.Now()
@@ -393,6 +407,18 @@
 	}
 }
 
+// reportIrregular logs and counts an answer with events that are not numbered one after the other.
+func (e *exchange) reportIrregular(stream *eventStream) {
+	e.Metrics.recordIrregular(stream.irregular)
+	fields := log.Fields{
+		"request": e.request.ID, "attempt": e.attempts, "kind": string(stream.irregular), "after": stream.sequence.after, "event": stream.sequence.previous,
+	}
+	if e.decision != nil {
+		fields["endpoint"], fields["software"] = e.decision.Chosen, e.decision.Software
+	}
+	e.Log.WithFields(fields).Warn("stream_irregular")
+}
+
 // writeStreamHeader sends the header of a stream. Later calls do nothing.
 func (e *exchange) writeStreamHeader(response *upstream.Response) {
 	if e.headerSent {
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -17,6 +17,7 @@
 	stopped       metric.Int64Counter
 	takenUp       metric.Int64Counter
 	remote        metric.Int64Counter
+	irregular     metric.Int64Counter
 }
 
 // latencyBucketsSeconds are the histograms' bucket boundaries. They cover the latency objectives and timeouts of
@@ -42,6 +43,9 @@
 	if m.remote, err = meter.Int64Counter("forward_through_routers", metric.WithDescription("Requests that were sent through another router, by result.")); err != nil {
 		return nil, err
 	}
+	if m.irregular, err = meter.Int64Counter("forward_streams_irregular", metric.WithDescription("Answers with events that are not numbered one after the other, by kind.")); err != nil {
+		return nil, err
+	}
 	if m.duration, err = meter.Float64Histogram("forward_duration", metric.WithUnit("s"), latencyBucketsSeconds, metric.WithDescription("Time to the end of the answer.")); err != nil {
 		return nil, err
 	}
@@ -85,3 +89,9 @@
 		m.remote.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("result", result))))
 	}
 }
+
+func (m *Metrics) recordIrregular(kind irregularity) {
+	if m != nil && m.irregular != nil {
+		m.irregular.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", string(kind)))))
+	}
+}
--- a/pkg/forward/remote.go
+++ b/pkg/forward/remote.go
@@ -91,7 +91,7 @@
 	if stream.lastID >= 0 {
 		request.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
-	e.eventsBefore, e.answerBegun, e.attemptAnswered, e.attemptErr = stream.count, false, false, nil
+	e.beginAttempt(stream)
 	sentAt := time.Now()
 	response, err := e.Remote.Send(ctx, request)
 	e.attemptErr = err
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -122,6 +122,14 @@
 	BeganAs string
 }
 
+// lastEventID returns the number in LastEvent, or noEvent if it has none.
+func (r *Request) lastEventID() int64 {
+	if id, ok := parseEventID(r.LastEvent); ok {
+		return id
+	}
+	return noEvent
+}
+
 // Dispatch is what the router adds to a request for one endpoint.
 type Dispatch struct {
 	Endpoint string
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -136,6 +136,8 @@
 	// answerBegun is set once the latest attempt got the header of an answer, and attemptAnswered once it showed that the
 	// endpoint can answer the request.
 	answerBegun, attemptAnswered bool
+	// endsWithConnection is set if the answer of the latest attempt has neither a length nor chunks.
+	endsWithConnection bool
 	// attemptErr is the error of the latest attempt that got no answer.
 	attemptErr error
 	// eventsBefore is the number of events that were relayed before the latest attempt.
@@ -157,8 +159,10 @@
 	// firstByteAt is the time at which a buffered response or a stream's first event was relayed.
 	firstByteAt   time.Time
 	relayedEvents int
-	status        int
-	failure       *outcome.Failure
+	// lastEvent is the id of the last event that was relayed, or noEvent.
+	lastEvent int64
+	status    int
+	failure   *outcome.Failure
 	// chargedTokens is the number of tokens charged to the budget.
 	chargedTokens int64
 	// bufferedBytes is the number of bytes reserved for buffered responses.
@@ -391,6 +395,12 @@
 	if e.onBehalf {
 		fields["for_router"] = true
 	}
+	if e.relayedEvents > 0 {
+		fields["last_event"] = e.lastEvent
+	}
+	if e.endsWithConnection {
+		fields["ends_with_connection"] = true
+	}
 	if e.request.LastEvent != "" {
 		fields["began_as"], fields["after"] = e.request.BeganAs, e.request.LastEvent
 	}
