Don't pass on events that an endpoint sends out of order

Cause: the ids were checked only between the attempts of one exchange, for the first event after a resume. Within an answer, and for the first event of a stream that a caller takes up, whatever an endpoint sent was passed on. Fix: a sequence for each answer says which id is due. It may begin again with events that the caller has, which are left out, but not after the one that is due, and then every id is the one before plus 1. Anything else, several ids in one event, and an id that is no number end the attempt before the wrong event: the stream goes on at another endpoint after the last event that was in order, or is broken off if it can't be resumed. Callers' take-ups, the router's own resumes and answers through another router use the same check. The id of a caller's last event that is no number is answered 400. One line and one counter tell what was irregular in a stream.

--- a/pkg/forward/eventstream.go
+++ b/pkg/forward/eventstream.go
@@ -11,33 +11,29 @@
 const maxEventBytes = 64 << 10
 
 var (
-	// errOutOfSequence means that a stream can't be continued without a gap.
-	errOutOfSequence = errors.New("forward: events are not in sequence")
-	// errNotAnEvent means that an endpoint sent bytes that are not part of an event.
+	// errNotAnEvent means that an endpoint sent bytes that are not an event of a stream that can be resumed.
 	errNotAnEvent = errors.New("forward: not an event")
+	// errEndedEarly means that a stream ended in order inside an event, or before one that is due.
+	errEndedEarly = errors.New("forward: the stream ended early")
 )
 
 // eventStream splits a stream of server-sent events into complete events and keeps the id of the last one, so that a
 // broken stream can be resumed at another endpoint after the last event that the caller has.
 type eventStream struct {
 	partial []byte
-	// lastID is the id of the last complete event, or noEvent.
+	// lastID is the id of the last event that the caller has, or noEvent.
 	lastID int64
 	// count is the number of complete events that add has returned.
 	count int
-	// resuming is set until the first new event after a resume: events up to lastID are skipped, and the next one must
-	// have the id lastID+1.
-	resuming bool
 	// unfinished is set after a part of an event was dropped, until the next new event: the stream has at least one more.
 	unfinished bool
-	// sequence checks the ids of the present answer, and irregular is its first finding.
-	sequence  sequence
-	irregular irregularity
+	// sequence checks the ids of the present answer.
+	sequence sequence
 }
 
-// newEventStream returns a stream that begins after the event with the id after, or at its first event with noEvent.
+// newEventStream returns a stream that goes on after the event with the id after, or begins at its first event with noEvent.
 func newEventStream(after int64) *eventStream {
-	return &eventStream{lastID: noEvent, sequence: sequence{after: after, previous: noEvent}}
+	return &eventStream{lastID: after, sequence: newSequence(after)}
 }
 
 // add appends bytes of the stream and returns the complete events to be relayed. The result is valid until the next
@@ -64,27 +60,23 @@
 		n := bytes.Index(complete, []byte("\n\n")) + 2
 		event := complete[:n]
 		complete = complete[n:]
-		id, ok := eventID(event)
-		if !ok && !isComment(event) {
-			return unseen, fmt.Errorf("%w: it has no id", errNotAnEvent)
+		if isComment(event) {
+			unseen = append(unseen, event...)
+			continue
 		}
-		if ok && s.irregular == "" {
-			s.irregular = s.sequence.next(event, id)
+		id, ok := eventID(event)
+		if !ok {
+			return unseen, fmt.Errorf("%w: it has not one id", errNotAnEvent)
 		}
-		if ok && s.resuming {
-			if id <= s.lastID {
-				continue
-			}
-			if s.lastID >= 0 && id != s.lastID+1 {
-				return unseen, fmt.Errorf("%w: event id %d after %d", errOutOfSequence, id, s.lastID)
-			}
-			s.resuming = false
+		if err := s.sequence.next(id); err != nil {
+			return unseen, err
 		}
-		if ok {
-			s.lastID = id
-			s.count++
-			s.unfinished = false
+		if id <= s.lastID {
+			continue
 		}
+		s.lastID = id
+		s.count++
+		s.unfinished = false
 		unseen = append(unseen, event...)
 	}
 	return unseen, nil
@@ -94,18 +86,17 @@
 func (s *eventStream) resume() {
 	s.unfinished = s.unfinished || len(s.partial) > 0
 	s.partial = nil
-	s.resuming = s.lastID >= 0
-	s.sequence, s.irregular = sequence{after: s.lastID, previous: noEvent}, ""
+	s.sequence = newSequence(s.lastID)
 }
 
 // endsWhole reports whether the stream may be complete where it has ended: not inside an event, and not before one of which a part
-// had arrived. hasEvents is set if the caller had events before the request, and framed if the response states its end by a length or
-// chunks: without either, an end before any event is no proof.
-func (s *eventStream) endsWhole(hasEvents, framed bool) bool {
+// had arrived. framed is set if the response states its end by a length or chunks: without either, an end before any event is no
+// proof.
+func (s *eventStream) endsWhole(framed bool) bool {
 	if len(s.partial) > 0 || s.unfinished {
 		return false
 	}
-	return framed || hasEvents || s.lastID >= 0
+	return framed || s.lastID != noEvent
 }
 
 // isComment reports whether an event has only comment lines, which endpoints may send to keep a connection open.
@@ -118,17 +109,27 @@
 	return true
 }
 
-// eventID returns the number in the id field of an event.
-func eventID(event []byte) (int64, bool) {
+// eventID returns the number in the id field of an event. It fails if the event has no id or several, of which a caller may take another
+// one.
+func eventID(event []byte) (id int64, ok bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, idField); ok {
-			return parseEventID(string(bytes.TrimSpace(value)))
+		value, isID := bytes.CutPrefix(line, []byte("id:"))
+		if !isID {
+			continue
+		}
+		if ok {
+			return 0, false
+		}
+		if id, ok = parseEventID(string(bytes.TrimSpace(value))); !ok {
+			return 0, false
 		}
 	}
-	return 0, false
+	return id, ok
 }
 
+// parseEventID returns the number of an event.
 func parseEventID(text string) (int64, bool) {
-	id, err := strconv.ParseInt(text, 10, 64)
-	return id, err == nil
+	const base, bits = 10, 63 // It fits into an int64 and isn't negative.
+	id, err := strconv.ParseUint(text, base, bits)
+	return int64(id), err == nil
 }
--- a/pkg/forward/eventstream_test.go
+++ b/pkg/forward/eventstream_test.go
@@ -104,16 +104,20 @@
 		for _, framed := range []bool{false, true} {
 			for _, hasEvents := range []bool{false, true} {
 				label := must.Sprintf("cut at %d, framed %v, has events %v", cut, framed, hasEvents)
-				stream := newEventStream(noEvent)
+				after := int64(noEvent)
+				if hasEvents {
+					after = 0
+				}
+				stream := newEventStream(after)
 				_, err := stream.add([]byte(whole[:cut]))
 				must.NoError(t, err, label)
 				between := cut == 0 || strings.HasSuffix(whole[:cut], "\n\n")
-				must.EqOp(t, between && (cut > 0 || framed || hasEvents), stream.endsWhole(hasEvents, framed), label)
+				must.EqOp(t, between && (cut > 0 || framed || hasEvents), stream.endsWhole(framed), label)
 				stream.resume()
-				must.EqOp(t, between && (cut > 0 || framed || hasEvents), stream.endsWhole(hasEvents, framed), label)
+				must.EqOp(t, between && (cut > 0 || framed || hasEvents), stream.endsWhole(framed), label)
 				_, err = stream.add([]byte(eventText(max(1, int(stream.lastID)+1), 3)))
 				must.NoError(t, err, label)
-				must.True(t, stream.endsWhole(hasEvents, framed), label)
+				must.True(t, stream.endsWhole(framed), label)
 			}
 		}
 	}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -234,7 +234,7 @@
 	if e.org != nil {
 		dispatch.Organisation = e.org.Name
 	}
-	if stream.lastID >= 0 {
+	if stream.lastID != noEvent {
 		dispatch.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
 	e.beginAttempt(stream)
@@ -365,11 +365,7 @@
 	buffer := make([]byte, relayBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
-		wasRegular := stream.irregular == ""
-		events, sequenceErr := stream.add(buffer[:n])
-		if wasRegular && stream.irregular != "" {
-			e.reportIrregular(stream)
-		}
+		events, invalid := stream.add(buffer[:n])
 		if len(events) > 0 {
 			if e.firstByteAt.IsZero() {
 				e.firstByteAt = time.Now()
@@ -388,15 +384,12 @@
 				return attemptDelivered
 			}
 		}
-		if sequenceErr != nil {
-			e.Log.WithField("request", e.request.ID).WithError(sequenceErr).Warn("stream_out_of_sequence")
-			return attemptFailed
-		}
 		switch {
-		case err == io.EOF && !stream.endsWhole(e.request.LastEvent != "", !response.EndsWithConnection):
-			e.Log.WithFields(log.Fields{
-				"request": e.request.ID, "events": stream.count, "partial_bytes": len(stream.partial), "ends_with_connection": response.EndsWithConnection,
-			}).Info("stream_ended_early")
+		case invalid != nil:
+			e.reportIrregular(stream, invalid)
+			return attemptFailed
+		case err == io.EOF && !stream.endsWhole(!response.EndsWithConnection):
+			e.reportIrregular(stream, errEndedEarly)
 			return attemptFailed
 		case err == io.EOF:
 			e.writeStreamHeader(response)
@@ -407,16 +400,17 @@
 	}
 }
 
-// reportIrregular logs and counts an answer with events that are not numbered one after the other.
-func (e *exchange) reportIrregular(stream *eventStream) {
-	e.Metrics.recordIrregular(stream.irregular)
+// reportIrregular logs and counts a stream that an endpoint sent out of order, not as events, or not to its end.
+func (e *exchange) reportIrregular(stream *eventStream, cause error) {
+	e.Metrics.recordIrregular(cause)
 	fields := log.Fields{
-		"request": e.request.ID, "attempt": e.attempts, "kind": string(stream.irregular), "after": stream.sequence.after, "event": stream.sequence.previous,
+		"request": e.request.ID, "attempt": e.attempts, "last_event": stream.lastID, "events": stream.count, "partial_bytes": len(stream.partial),
+		"ends_with_connection": e.endsWithConnection,
 	}
 	if e.decision != nil {
 		fields["endpoint"], fields["software"] = e.decision.Chosen, e.decision.Software
 	}
-	e.Log.WithFields(fields).Warn("stream_irregular")
+	e.Log.WithFields(fields).WithError(cause).Warn("stream_irregular")
 }
 
 // writeStreamHeader sends the header of a stream. Later calls do nothing.
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -43,7 +44,7 @@
 	if m.remote, err = meter.Int64Counter("forward_through_routers", metric.WithDescription("Requests that were sent through another router, by result.")); err != nil {
 		return nil, err
 	}
-	if m.irregular, err = meter.Int64Counter("forward_streams_irregular", metric.WithDescription("Answers with events that are not numbered one after the other, by kind.")); err != nil {
+	if m.irregular, err = meter.Int64Counter("forward_streams_irregular", metric.WithDescription("Streams that an endpoint sent out of order, not as events, or not to their end, by kind.")); err != nil {
 		return nil, err
 	}
 	if m.duration, err = meter.Float64Histogram("forward_duration", metric.WithUnit("s"), latencyBucketsSeconds, metric.WithDescription("Time to the end of the answer.")); err != nil {
@@ -90,8 +91,16 @@
 	}
 }
 
-func (m *Metrics) recordIrregular(kind irregularity) {
-	if m != nil && m.irregular != nil {
-		m.irregular.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", string(kind)))))
+func (m *Metrics) recordIrregular(cause error) {
+	if m == nil || m.irregular == nil {
+		return
+	}
+	kind := "not_an_event"
+	switch {
+	case errors.Is(cause, errOutOfSequence):
+		kind = "out_of_sequence"
+	case errors.Is(cause, errEndedEarly):
+		kind = "ended_early"
 	}
+	m.irregular.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", kind))))
 }
--- a/pkg/forward/remote.go
+++ b/pkg/forward/remote.go
@@ -88,7 +88,7 @@
 		TimeLeft: time.Until(e.deadline), ConfigVersion: e.config.Version, Attempts: e.attempts, LastEvent: e.request.LastEvent,
 		Begun: e.begun, Software: e.software,
 	}
-	if stream.lastID >= 0 {
+	if stream.lastID != noEvent {
 		request.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
 	e.beginAttempt(stream)
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -256,6 +256,9 @@
 			return failure
 		}
 	}
+	if e.route.Streaming && e.request.LastEvent != "" && e.request.lastEventID() == noEvent {
+		return outcome.NotRunf(outcome.ReasonBadRequest, 0, "the id of the last event is not a number")
+	}
 	name := e.route.Pick(rand.Float64())
 	service, ok := e.config.Service(name)
 	if !ok {
