Don't take an answer for whole whose endpoint has died

Cause: an answer may come without a length or chunks and end with its connection. The kernel closes the connections of a killed process in order if it had read all that was sent to it, so the end alone doesn't show that the answer is whole; it was taken as that between two events of a stream, and anywhere in a plain body. Fix: the body of such an answer ends with io.EOF only after the endpoint has accepted a new connection; otherwise it is an unexpected end, for streams, plain answers and both on behalf of other routers, because the check is made where the connection is read. The connection is kept for the next request, so a living endpoint costs at most one more, and only after such an answer. It waits 5 ms first, in which the kernel of a dying process closes its listening socket. Such an answer's end comes as much later; its events are passed on at once as before.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -316,10 +316,10 @@
 	e.mayHaveRun = e.mayHaveRun || verdict != verdictNotRun
 	switch verdict {
 	case verdictNotRun:
-		discardBody(response.Body)
+		discardBody(response)
 		return attemptRejected, nil
 	case verdictWithheld:
-		discardBody(response.Body)
+		discardBody(response)
 		return attemptErrorResponse, nil
 	case verdictInvalid:
 		return attemptFailed, nil
@@ -341,8 +341,10 @@
 }
 
 // discardBody reads a short body that isn't used, so that the connection can be reused.
-func discardBody(body io.Reader) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(body, relayBufferBytes)) // After an error the connection is closed.
+func discardBody(response *upstream.Response) {
+	if !response.EndsWithConnection {
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, relayBufferBytes)) // After an error the connection is closed.
+	}
 }
 
 // writeResponse writes an endpoint's response to the caller, without its hop-by-hop headers.
@@ -395,6 +397,7 @@
 			e.writeStreamHeader(response)
 			return attemptDelivered
 		case err != nil:
+			e.attemptErr = err
 			return attemptFailed
 		}
 	}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/reach"
 )
 
@@ -30,6 +31,8 @@
 	dialTimeout = 600 * time.Millisecond
 	// maxIdlePerEndpoint bounds the idle connections to one endpoint.
 	maxIdlePerEndpoint = 16
+	// endSettleTime is the time after the end of an answer in which the kernel of a process that has died closes its other sockets.
+	endSettleTime = 5 * time.Millisecond
 	// maxStrayBodyBytes bounds the body that is skipped of a response to an earlier request.
 	maxStrayBodyBytes = 1 << 20
 	// maxStrayResponses is the number of responses to earlier requests that are skipped for one request.
@@ -55,15 +58,15 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
-	// EndsWithConnection is set if the body has neither a length nor chunks, so that its end can't be told from an endpoint
-	// that breaks off in order.
+	// EndsWithConnection is set if the body has neither a length nor chunks. Reading it fails at its end if the endpoint accepts no
+	// connection then: an endpoint that stops by itself in the middle can't be told from one that has finished.
 	EndsWithConnection bool
 }
 
-// Stats counts connection attempts, reuses of a connection, skipped or refused responses to other requests, and requests
-// that failed after they were sent.
+// Stats counts connection attempts, reuses of a connection, skipped or refused responses to other requests, requests
+// that failed after they were sent, and answers whose end had to be confirmed.
 type Stats struct {
-	Dials, Reuses, StrayResponses, FailedAfterSend atomic.Int64
+	Dials, Reuses, StrayResponses, FailedAfterSend, ConfirmedEnds atomic.Int64
 }
 
 // Client sends requests to endpoints. It never repeats a request. It is safe for concurrent use.
@@ -114,7 +117,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	e := &exchange{client: c, conn: connection, call: call}
+	e := &exchange{ctx: ctx, client: c, conn: connection, call: call}
 	e.detach = context.AfterFunc(ctx, func() { _ = connection.Close() }) // The read or write in progress reports the failure.
 	connection.exchanges++
 	response, err := e.run()
@@ -135,6 +138,7 @@
 
 // exchange is one request and its response on a connection.
 type exchange struct {
+	ctx    context.Context
 	client *Client
 	conn   *conn
 	call   Call
@@ -207,11 +211,23 @@
 		}
 		e.reusable = !r.Close
 		e.conn.applyKeepAlive(r.Header)
-		return &Response{
-			Status: r.StatusCode, Header: r.Header, Body: &responseBody{ReadCloser: r.Body, release: e.release},
-			EndsWithConnection: r.ContentLength < 0 && len(r.TransferEncoding) == 0,
-		}, nil
+		body := &responseBody{ReadCloser: r.Body, release: e.release}
+		endsWithConnection := r.ContentLength < 0 && len(r.TransferEncoding) == 0
+		if endsWithConnection {
+			body.confirmEnd = e.confirmEnd
+		}
+		return &Response{Status: r.StatusCode, Header: r.Header, Body: body, EndsWithConnection: endsWithConnection}, nil
+	}
+}
+
+// confirmEnd returns an error unless the endpoint still accepts connections after an answer that ended with its connection. The kernel
+// closes the connections of a process that was killed in order, so the end alone doesn't show that the answer is whole.
+func (e *exchange) confirmEnd() error {
+	if !sleep.For(e.ctx, endSettleTime) {
+		return e.ctx.Err()
 	}
+	e.client.Stats.ConfirmedEnds.Add(1)
+	return e.client.Connect(e.ctx, e.call.Address, dialTimeout)
 }
 
 // Statuses of a final response by the protocol. http.ReadResponse accepts any number of three digits.
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -71,6 +71,46 @@
 	return string(b), err
 }
 
+// Guards against an answer without a length or chunks that counts as whole although its endpoint has died, and against a connection for
+// each such answer of a living endpoint.
+func TestEndOfAnswerWithoutLengthIsConfirmed(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted := make(chan net.Conn)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	answer := func(dies bool) {
+		conn := <-accepted
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		r, err := http.ReadRequest(reader)
+		must.NoError(t, err)
+		readBody(r)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nbody", idHeader, r.Header.Get(idHeader))
+		if dies {
+			_ = listener.Close() // After a failure the test fails.
+		}
+	}
+	c := NewClient()
+	go answer(false)
+	got, err := fetch(c, newTestCall(listener.Addr().String(), "1"))
+	must.NoError(t, err)
+	must.EqOp(t, "body", got)
+	go answer(true)
+	_, err = fetch(c, newTestCall(listener.Addr().String(), "2"))
+	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	must.EqOp(t, 2, c.Stats.ConfirmedEnds.Load())
+	must.EqOp(t, 1, c.Stats.Reuses.Load(), must.Sprint("the second request uses the connection of the first confirmation"))
+}
+
 // Guards against returning a second copy of an earlier request's response as the response to the current request.
 func TestSkipsStrayResponse(t *testing.T) {
 	address, _ := startServer(t, func(conn net.Conn, r *http.Request, number int) bool {
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -113,17 +114,24 @@
 type responseBody struct {
 	io.ReadCloser
 	release func(complete bool)
-	eof     bool
+	// confirmEnd is set if the end of the body alone doesn't show that it is whole. It returns an error if it is not.
+	confirmEnd func() error
+	eof        bool
 }
 
+// Read implements io.Reader. It returns io.EOF only after a whole body.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.eof = true
+	if err == io.EOF && !b.eof && b.confirmEnd != nil {
+		if notConfirmed := b.confirmEnd(); notConfirmed != nil {
+			return n, fmt.Errorf("the endpoint is gone after an answer without a length or chunks: %w", errors.Join(io.ErrUnexpectedEOF, notConfirmed))
+		}
 	}
+	b.eof = b.eof || err == io.EOF
 	return n, err
 }
 
+// Close implements io.Closer.
 func (b *responseBody) Close() error {
 	if b.release != nil {
 		b.release(b.eof)
