Confirm no end of an answer that has no body

A HEAD answer without a length has no body, and its connection stays open: its end needs no proof. TestHeadAnswerNeedsNoConfirmation failed before (3 confirmations for 3 answers). TestAnswerOfKilledProcessIsNotComplete shows the check with a real process that is killed, 20 times.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -212,7 +212,7 @@
 		e.reusable = !r.Close
 		e.conn.applyKeepAlive(r.Header)
 		body := &responseBody{ReadCloser: r.Body, release: e.release}
-		endsWithConnection := r.ContentLength < 0 && len(r.TransferEncoding) == 0
+		endsWithConnection := r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
 		if endsWithConnection {
 			body.confirmEnd = e.confirmEnd
 		}
