Pass whole answers of a server that stops by plan on

A server that stops closes its listener first and then completes the answers in progress. One without a length or chunks was refused since, because the endpoint took no new connection: a reservation that was made would be answered 502. An endpoint that the router knows to be leaving, or that is no longer listed, need not accept a connection any more. An endpoint that closes its listener without a word before is still taken for dead.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -241,6 +241,7 @@
 	response, err := e.Client.Send(ctx, upstream.Call{
 		Address: decision.Address, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Header: e.Dialect.Encode(&e.request, dispatch), Body: e.request.Body, ID: e.request.ID, IDHeader: e.Dialect.IDHeader(),
+		IsLeaving: func() bool { return e.Placement.isLeaving(inFlight) },
 	})
 	e.attemptErr = err
 	if errors.Is(err, upstream.ErrNotSent) {
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -92,6 +92,12 @@
 	return run, ok
 }
 
+// isLeaving reports whether the request's endpoint is leaving or no longer listed, so that its end is planned.
+func (p *Placement) isLeaving(inFlight *route.InFlightRequest) (leaving bool) {
+	p.owner.Do(func(t *table) { leaving = !t.Serves(inFlight) })
+	return leaving
+}
+
 // recordFirstToken records that the answer has begun. inFlight is nil if another router sent the request.
 func (p *Placement) recordFirstToken(inFlight *route.InFlightRequest) {
 	if inFlight == nil {
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -51,6 +51,9 @@
 	// ID is the request's id, which the response must repeat in the header IDHeader.
 	ID       string
 	IDHeader string
+	// IsLeaving reports whether the endpoint stops by plan: it may take no more connections while it still completes its answers.
+	// Optional.
+	IsLeaving func() bool
 }
 
 // Response is an endpoint's response. Its Body must be closed.
@@ -227,7 +230,11 @@
 		return e.ctx.Err()
 	}
 	e.client.Stats.ConfirmedEnds.Add(1)
-	return e.client.Connect(e.ctx, e.call.Address, dialTimeout)
+	err := e.client.Connect(e.ctx, e.call.Address, dialTimeout)
+	if err != nil && e.ctx.Err() == nil && e.call.IsLeaving != nil && e.call.IsLeaving() {
+		return nil
+	}
+	return err
 }
 
 // Statuses of a final response by the protocol. http.ReadResponse accepts any number of three digits.
