Read event streams whose lines end with CR LF

Such a stream had no event for the router, so that nothing was passed on and the attempt failed at its end. The media type allows both line ends. TestEventStreamPassesLinesWithCarriageReturns failed before.

--- a/pkg/forward/eventstream.go
+++ b/pkg/forward/eventstream.go
@@ -40,24 +40,48 @@
 // call. Its errors wrap errOutOfSequence or errNotAnEvent; events returned with it are still to be relayed.
 func (s *eventStream) add(data []byte) ([]byte, error) {
 	s.partial = append(s.partial, data...)
-	end := bytes.LastIndex(s.partial, []byte("\n\n"))
-	if end < 0 {
+	end := lastEventEnd(s.partial)
+	if end == 0 {
 		if len(s.partial) > maxEventBytes {
 			return nil, fmt.Errorf("%w: larger than %d bytes", errNotAnEvent, maxEventBytes)
 		}
 		return nil, nil
 	}
-	complete := s.partial[:end+2]
-	rest := s.partial[end+2:]
+	complete, rest := s.partial[:end], s.partial[end:]
 	s.partial = append([]byte(nil), rest...)
 	return s.checkSequence(complete)
 }
 
+// An event ends with an empty line. Lines end with LF or CR LF.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// lastEventEnd returns the length of the data up to the end of its last complete event, 0 if there is none.
+func lastEventEnd(data []byte) int {
+	end := 0
+	for _, mark := range eventEnds {
+		if i := bytes.LastIndex(data, mark); i >= 0 {
+			end = max(end, i+len(mark))
+		}
+	}
+	return end
+}
+
+// firstEventEnd returns the length of the first event in complete events.
+func firstEventEnd(complete []byte) int {
+	end := len(complete)
+	for _, mark := range eventEnds {
+		if i := bytes.Index(complete, mark); i >= 0 {
+			end = min(end, i+len(mark))
+		}
+	}
+	return end
+}
+
 // checkSequence records the ids of complete events and drops the events that the caller already has.
 func (s *eventStream) checkSequence(complete []byte) ([]byte, error) {
 	var unseen []byte
 	for len(complete) > 0 {
-		n := bytes.Index(complete, []byte("\n\n")) + 2
+		n := firstEventEnd(complete)
 		event := complete[:n]
 		complete = complete[n:]
 		if isComment(event) {
@@ -101,7 +125,7 @@
 
 // isComment reports whether an event has only comment lines, which endpoints may send to keep a connection open.
 func isComment(event []byte) bool {
-	for line := range bytes.SplitSeq(bytes.TrimRight(event, "\n"), []byte("\n")) {
+	for line := range bytes.SplitSeq(bytes.TrimRight(event, "\r\n"), []byte("\n")) {
 		if !bytes.HasPrefix(line, []byte(":")) {
 			return false
 		}
