Reset the connections of callers without chunks when a stream is broken off

What a caller with HTTP/1.0 saw: four events of eight and an end in order. A response to HTTP/1.0 has no chunks and ends with its connection, and an aborted handler closes the connection without a reset. Same class as: the end of a connection alone doesn't show that an answer is whole. TestBrokenStreamDoesNotLookCompleteWithoutChunks failed before.

--- a/pkg/entry/callerlistener.go
+++ b/pkg/entry/callerlistener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -172,3 +173,12 @@
 	}
 	return n, err
 }
+
+// SetLinger sets what Close does with unsent bytes, as net.TCPConn does: with 0 seconds it resets the connection.
+func (c *callerConn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.SetLinger(seconds)
+}
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -185,11 +186,32 @@
 	e.serve(r)
 	e.recordResult(r.Context())
 	if e.incomplete {
-		// Closes the connection without ending the response, so that it doesn't look complete.
-		panic(http.ErrAbortHandler)
+		e.abort(r)
 	}
 }
 
+// abort closes the caller's connection without ending the response, so that it doesn't look complete. A response to HTTP/1.0 has no
+// chunks and ends with its connection, which is reset.
+func (e *exchange) abort(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		conn, _, err := http.NewResponseController(e.writer).Hijack()
+		if err == nil {
+			resetConn(conn)
+			return
+		}
+		e.Log.WithField("request", e.request.ID).WithError(err).Warn("caller_not_reset")
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConn closes a connection so that its peer sees a reset.
+func resetConn(conn net.Conn) {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0) // It fails only on a closed connection.
+	}
+	_ = conn.Close() // It was to be broken off in any case.
+}
+
 func (e *exchange) serve(r *http.Request) {
 	if failure := e.admit(r); failure != nil {
 		e.refuse(failure)
