--- /dev/null
+++ b/pkg/origin/staleview_test.go
@@ -0,0 +1,34 @@
+package origin
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a stream that goes on at an older version because the router that gets it hasn't seen the endpoints of the newer one
+// yet, or is cut off from the store: it takes its own view for that of the router at which the stream began.
+func TestTakenUpStreamKeepsItsVersionAtRouterWithOldView(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.setSoftware("v1")
+		time.Sleep(MaxStreamAge + maxClockSkew)
+		f.router("vm0").Update(endpoints("v1", "v1.1")) // The other routers don't get this change.
+		f.router("vm0").Record("a", "desk", "v1.1")
+		must.NotEq(t, found{"v1", SourceOnly}, find(f.router("vm1"), "a"), must.Sprint("before the announcement has arrived"))
+	})
+}
+
+// Guards against the same where the router that gets the stream isn't one that remembers it.
+func TestTakenUpStreamKeepsItsVersionAtRouterOutsideItsKeepers(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.router("vm0").Keepers = func(string, int) []string { return []string{"vm0", "vm2"} }
+		f.router("vm1").Keepers = f.router("vm0").Keepers
+		f.setSoftware("v1")
+		time.Sleep(MaxStreamAge + maxClockSkew)
+		f.router("vm0").Update(endpoints("v1", "v1.1")) // vm1 doesn't get this change.
+		f.router("vm0").Record("a", "desk", "v1.1")
+		time.Sleep(5 * time.Second)
+		must.NotEq(t, found{"v1", SourceOnly}, find(f.router("vm1"), "a"), must.Sprint("five seconds after the stream began"))
+	})
+}
