Ask other routers for a stream's version before the own view counts

Cause: a router that gets a stream taken up answered from its own view that the service has one version only, however old that view was. One that the store turns away, or whose watch lags, doesn't know of the newer engines that began the stream. Fix: the routers that remember a stream are asked first, and they also say whether they have seen several versions of the service. The own view counts only if none of them has, and if one of them answered or the view is current. Otherwise the stream is refused with 503 and a line stream_origin_unknown. While the store is silent for all routers, all have the same view and streams go on as before. Earlier builds don't answer the new field, which reads as before.

--- a/pkg/origin/peers.go
+++ b/pkg/origin/peers.go
@@ -43,7 +43,7 @@
 // Find implements OriginService.
 func (s *Service) Find(_ context.Context, req *connect.Request[originv1.FindRequest]) (*connect.Response[originv1.FindResponse], error) {
 	software, ok := s.registry.Known(req.Msg.GetStream())
-	return connect.NewResponse(&originv1.FindResponse{Found: ok, Software: software}), nil
+	return connect.NewResponse(&originv1.FindResponse{Found: ok, Software: software, Mixed: s.registry.IsMixed(req.Msg.GetService())}), nil
 }
 
 // RemotePeers implements Peers over the network.
@@ -80,7 +80,7 @@
 }
 
 // Find implements Peers.
-func (p *RemotePeers) Find(ctx context.Context, routers []string, stream string) (software string, ok bool) {
+func (p *RemotePeers) Find(ctx context.Context, routers []string, stream, service string) Finding {
 	addresses := p.Addresses()
 	answers := make(chan *originv1.FindResponse, len(routers))
 	pending := 0
@@ -91,7 +91,7 @@
 		}
 		pending++
 		go func() {
-			response, err := p.client(address).Find(ctx, connect.NewRequest(&originv1.FindRequest{Stream: stream}))
+			response, err := p.client(address).Find(ctx, connect.NewRequest(&originv1.FindRequest{Stream: stream, Service: service}))
 			if err != nil {
 				p.Log.WithFields(log.Fields{"peer": router, "stream": stream}).WithError(err).Info("stream_not_found_at_peer")
 				answers <- nil
@@ -100,15 +100,19 @@
 			answers <- response.Msg
 		}()
 	}
+	finding := Finding{Answered: len(addresses) == 0}
 	for ; pending > 0; pending-- {
 		select {
 		case a := <-answers:
+			finding.Answered = finding.Answered || a != nil
+			finding.Mixed = finding.Mixed || a.GetMixed()
 			if a.GetFound() {
-				return a.GetSoftware(), true
+				finding.Found, finding.Software = true, a.GetSoftware()
+				return finding
 			}
 		case <-ctx.Done():
-			return "", false
+			return finding
 		}
 	}
-	return "", false
+	return finding
 }
--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -72,14 +72,27 @@
 	// IsFirst reports whether this router is the first of those that are alive for the key. One router writes a service's record.
 	IsFirst func(key string) bool
 	Peers   Peers
+	// IsViewCurrent reports whether this router knows the endpoints as the store has them, give or take a few seconds. Optional.
+	IsViewCurrent func() bool
 }
 
 // Peers calls other routers by name.
 type Peers interface {
 	// Announce tells a router the versions at which streams began, by the streams' ids. It doesn't wait.
 	Announce(router string, software map[string]string)
-	// Find asks routers at the same time and returns the first answer of one that knows the stream.
-	Find(ctx context.Context, routers []string, stream string) (software string, ok bool)
+	// Find asks routers at the same time, until one of them knows the stream or all have answered.
+	Find(ctx context.Context, routers []string, stream, service string) Finding
+}
+
+// Finding is what other routers know of a stream and of the versions of the service that is to continue it.
+type Finding struct {
+	// Software is the version at which the stream began, if Found is set.
+	Software string
+	Found    bool
+	// Mixed is set if one of them has seen several versions of the service.
+	Mixed bool
+	// Answered is set if one of them has answered, or if there is no other router.
+	Answered bool
 }
 
 // Registry finds the versions at which streams began. It is safe for concurrent use.
@@ -228,34 +241,52 @@
 }
 
 // Find returns the version at which a stream of the service began. With SourceUnknown nobody knows, and the stream can't go on.
+//
+// It answers a router that doesn't know of a newer version yet, because it is cut off from the store or its watch lags: other routers
+// are asked before its own view of the versions counts.
 func (r *Registry) Find(ctx context.Context, id, serviceName string) (software string, source Source) {
 	if software, ok := r.Known(id); ok {
 		return software, SourceStream
 	}
+	peers := r.askPeers(ctx, id, serviceName)
+	if peers.Found {
+		return peers.Software, SourcePeer
+	}
+	isTrusted := !peers.Mixed && (peers.Answered || r.IsViewCurrent == nil || r.IsViewCurrent())
 	r.mu.Lock()
 	software, settled := r.service(serviceName).settled(time.Now())
 	r.mu.Unlock()
-	if settled {
+	if settled && isTrusted {
 		return software, SourceOnly
 	}
 	if id != "" {
-		if software, ok := r.askPeers(ctx, id); ok {
-			return software, SourcePeer
-		}
 		if software, ok := r.findStored(ctx, id); ok {
 			return software, SourceStored
 		}
 	}
-	if software, ok := r.onlyByRecord(ctx, serviceName); ok {
-		return software, SourceRecord
+	if isTrusted {
+		if software, ok := r.onlyByRecord(ctx, serviceName); ok {
+			return software, SourceRecord
+		}
 	}
+	r.Log.WithFields(log.Fields{
+		"stream": id, "service": serviceName, "settled": settled, "mixed_at_peer": peers.Mixed, "peer_answered": peers.Answered,
+	}).Info("stream_origin_unknown")
 	return "", SourceUnknown
 }
 
-func (r *Registry) askPeers(ctx context.Context, id string) (software string, ok bool) {
+func (r *Registry) askPeers(ctx context.Context, id, serviceName string) Finding {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	return r.Peers.Find(ctx, r.Keepers(id, keepers), id)
+	return r.Peers.Find(ctx, r.Keepers(id, keepers), id, serviceName)
+}
+
+// IsMixed reports whether this router has seen several versions of the service within MaxStreamAge.
+func (r *Registry) IsMixed(serviceName string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[serviceName]
+	return s != nil && s.isMixed(time.Now())
 }
 
 // findStored returns the version at which a stream began by what all routers wrote into the store.
--- a/pkg/origin/registry_test.go
+++ b/pkg/origin/registry_test.go
@@ -24,6 +24,8 @@
 	mu      sync.Mutex
 	routers map[string]*Registry
 	stops   map[string]context.CancelFunc
+	// unreachable are the routers that other routers can't ask and that can't ask others.
+	unreachable map[string]bool
 }
 
 const firstRouter = "vm0"
@@ -33,7 +35,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		fl := &fleet{ctx: ctx, memory: memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1}), routers: map[string]*Registry{}, stops: map[string]context.CancelFunc{}}
+		fl := &fleet{ctx: ctx, memory: memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1}), routers: map[string]*Registry{}, stops: map[string]context.CancelFunc{}, unreachable: map[string]bool{}}
 		for i := range 3 {
 			fl.start(fmt.Sprintf("vm%d", i))
 		}
@@ -106,15 +108,21 @@
 	}
 }
 
-func (p fleetPeers) Find(_ context.Context, routers []string, stream string) (string, bool) {
+func (p fleetPeers) Find(_ context.Context, routers []string, stream, service string) Finding {
+	finding := Finding{}
 	for _, name := range routers {
-		if r := p.router(name); r != nil && name != p.vm {
-			if software, ok := r.Known(stream); ok {
-				return software, true
-			}
+		r := p.router(name)
+		if r == nil || name == p.vm || p.unreachable[p.vm] || p.unreachable[name] {
+			continue
+		}
+		finding.Answered = true
+		finding.Mixed = finding.Mixed || r.IsMixed(service)
+		if software, ok := r.Known(stream); ok {
+			finding.Software, finding.Found = software, true
+			return finding
 		}
 	}
-	return "", false
+	return finding
 }
 
 type found struct {
--- a/pkg/origin/staleview_test.go
+++ b/pkg/origin/staleview_test.go
@@ -32,3 +32,19 @@
 		must.NotEq(t, found{"v1", SourceOnly}, find(f.router("vm1"), "a"), must.Sprint("five seconds after the stream began"))
 	})
 }
+
+// Guards against the same where nobody remembers the stream: another router has seen the newer version, or none can be asked.
+func TestRouterWithOldViewDoesNotGuess(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.setSoftware("v1")
+		time.Sleep(MaxStreamAge + maxClockSkew)
+		must.Eq(t, found{"v1", SourceOnly}, find(f.router("vm1"), "a"))
+		f.router("vm1").IsViewCurrent = func() bool { return false }
+		must.Eq(t, found{"v1", SourceOnly}, find(f.router("vm1"), "a"), must.Sprint("other routers know of one version only, as while the store is silent for all"))
+		f.unreachable["vm1"] = true
+		must.Eq(t, found{"", SourceUnknown}, find(f.router("vm1"), "a"), must.Sprint("no router can be asked"))
+		f.unreachable["vm1"] = false
+		f.router("vm0").Update(endpoints("v1", "v1.1"))
+		must.Eq(t, found{"", SourceUnknown}, find(f.router("vm1"), "a"), must.Sprint("another router has seen two versions"))
+	})
+}
--- a/pkg/origin/versions.go
+++ b/pkg/origin/versions.go
@@ -44,3 +44,8 @@
 	software, ok = v.only()
 	return software, ok && now.Sub(v.since) >= MaxStreamAge
 }
+
+// isMixed reports whether the service has several versions or has changed its only one within MaxStreamAge.
+func (v *versions) isMixed(now time.Time) bool {
+	return len(v.current) > 1 || v.replaced && now.Sub(v.since) < MaxStreamAge
+}
