Keep a stream at the service that began it where a route has several

What callers saw: a stream went on at another service, in one answer (through another router) or when it was taken up, with status 200. Cause: a backend of the route was drawn at random for each attempt of a caller, and once more by a router that sends for another one. Fix: the backend follows from the id of the attempt that began the stream, so every router and every attempt chooses the same while the weights stay.

--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -130,6 +130,17 @@
 	return noEvent
 }
 
+// backendSample returns a number uniform in [0, 1) by which a backend of the route is chosen. It is the same at every router, and for all
+// attempts of a stream, which another service can't continue.
+func (r *Request) backendSample() float64 {
+	id := r.ID
+	if r.LastEvent != "" && r.BeganAs != "" {
+		id = r.BeganAs
+	}
+	const bits = 53 // A float64 represents each such integer.
+	return float64(xxhash.Sum64String(id)>>(64-bits)) / (1 << bits)
+}
+
 // Dispatch is what the router adds to a request for one endpoint.
 type Dispatch struct {
 	Endpoint string
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -281,7 +280,7 @@
 	if e.route.Streaming && e.request.LastEvent != "" && e.request.lastEventID() == noEvent {
 		return outcome.NotRunf(outcome.ReasonBadRequest, 0, "the id of the last event is not a number")
 	}
-	name := e.route.Pick(rand.Float64())
+	name := e.route.Pick(e.request.backendSample())
 	service, ok := e.config.Service(name)
 	if !ok {
 		return outcome.NotRunf(outcome.ReasonNoEndpoint, longRetryAfter, "service %q is not configured", name)
