Keep tokens whose return the store rejected before it ran

What callers saw: 402 of organisations whose routers had lost idle tokens. A return takes the tokens off the account, writes, and forgot them after every error, also if the store had answered 503 or 429, if no connection was made, or if the record could not be read after a conflict. In none of these cases is anything written (the platform's page: a 503 means that nothing was done, calls beyond the rates receive 429).

Now the account gets such tokens back and returns them later.

--- a/pkg/allowance/accounts_test.go
+++ b/pkg/allowance/accounts_test.go
@@ -412,6 +412,51 @@
 	})
 }
 
+// unaccounted returns the tokens that are drawn in the store and neither free at a router of the fleet nor spent.
+func unaccounted(t *testing.T, memory *memstore.Store, f *fleet, spent int64) int64 {
+	o, err := memory.Client("test").Get(t.Context(), objectKind+"/"+organisation)
+	must.NoError(t, err)
+	r, err := decodeRecord(o.Value)
+	must.NoError(t, err)
+	sum := r.Drawn - spent
+	for _, acc := range f.accounts {
+		acc.owner.Do(func(t *accountTable) { sum -= t.account(organisation).free })
+	}
+	return sum
+}
+
+// Guards against losing tokens whose return the store has rejected before it ran, and against spending tokens a second time
+// whose return took effect although its answer was lost.
+func TestReturnIsCreditedOnlyIfNothingWasWritten(t *testing.T) {
+	for _, kind := range []memstore.FaultKind{memstore.FaultDown, memstore.FaultLost, memstore.FaultSlow} {
+		synctest.Test(t, func(t *testing.T) {
+			memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			// The budget is scarce, so the primary allocator returns what is idle; it knows the record from its draws.
+			const prepaid, size, requests = 1_000, 40, 25
+			f := startFleet(ctx, memory, []string{"vm1"}, prepaid)
+			acc := f.accounts["vm1"]
+			for range requests {
+				must.EqOp(t, Granted, acc.Reserve(ctx, organisation, prepaid, size))
+			}
+			time.Sleep(tickInterval)
+			fault, err := memory.Inject(memstore.Fault{Kind: kind, DelayMS: 2000})
+			must.NoError(t, err)
+			acc.Release(organisation, 2*size)
+			time.Sleep(idleTimeout + 3*tickInterval)
+			memory.Clear(fault)
+			time.Sleep(5 * time.Second)
+			lost := unaccounted(t, memory, f, (requests-2)*size)
+			// A write without an answer may have taken effect, so its tokens may be lost, but never counted twice.
+			must.GreaterEq(t, 0, lost, must.Sprint(kind))
+			if kind != memstore.FaultSlow {
+				must.Zero(t, lost, must.Sprint(kind))
+			}
+		})
+	}
+}
+
 // Guards against a fleet that holds most of a budget that is nearly used up: a power failure loses the held tokens.
 func TestHoldsLimitedShareOfRemainder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -272,7 +272,7 @@
 	}
 }
 
-// returnTokens subtracts unspent tokens from the drawn ones in the store. It deducts them from the account first, so a
+// returnTokens subtracts unspent tokens from the drawn ones in the store. It deducts them from the account before it writes, so a
 // lost response can lose tokens but can't spend them twice.
 func (acc *Accounts) returnTokens(t *accountTable, name string, a *account, tokens int64) {
 	a.free -= tokens
@@ -283,9 +283,11 @@
 	go acc.writeReturn(name, current, t.era, tokens, fmt.Sprintf("%s/%d", acc.Instance, t.writeCount))
 }
 
-// writeReturn writes a return; era is the store's, as far as it is known.
+// writeReturn writes a return; era is the store's, as far as it is known. Tokens that were certainly not written are credited to the
+// account again.
 func (acc *Accounts) writeReturn(name string, current storedRecord, era uint64, tokens int64, writeID string) {
 	var err error
+	mayBeWritten := false
 	for range maxAttempts {
 		var object platform.Object
 		if current.revision > 0 {
@@ -297,6 +299,7 @@
 			break
 		}
 		if !errors.Is(err, platform.ErrConflict) {
+			mayBeWritten = !wroteNothing(err)
 			break
 		}
 		known := current.record.Eras
@@ -310,8 +313,11 @@
 		a.storeCallInProgress = false
 		entry := acc.Log.WithFields(log.Fields{"organisation": name, "tokens": tokens})
 		if err != nil {
-			entry.WithError(err).Warn("allowance_return_failed")
+			entry.WithField("kept", !mayBeWritten).WithError(err).Warn("allowance_return_failed")
 			a.retryAt = time.Now().Add(t.recordStoreFailure())
+			if !mayBeWritten {
+				a.credit(tokens)
+			}
 		} else {
 			t.recordStoreAnswer()
 			t.records[name] = current
@@ -322,3 +328,8 @@
 		acc.advance(t, name, a)
 	})
 }
+
+// wroteNothing reports whether a failed write certainly had no effect and will have none. Errors that don't say so count as writes.
+func wroteNothing(err error) bool {
+	return !errors.Is(err, platform.ErrUncertain) && (errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrThrottled))
+}
