Read the budget's record before returning idle tokens without knowing it

What callers saw: 402 of organisations whose tokens were lost while the store was silent. A router that gets its tokens from an allocator has never read the record. When it returned them, it wrote on condition that no record exists, which can't take effect; but without an answer the outcome counted as uncertain, and the tokens were lost.

Now the record is read first, and the tokens stay with the router until it is known, for its own requests and for other routers'. The number of calls is the same: the rejected write is a read now. While the store is silent, only one call of a router at a time tests it, as with draws.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -108,6 +108,8 @@
 	waiters []waiter
 	// storeCallInProgress covers draws and returns, peerRequestInProgress a request to other routers.
 	storeCallInProgress, peerRequestInProgress bool
+	// returnReadInProgress covers the read of the record before a return. The free tokens stay available meanwhile.
+	returnReadInProgress bool
 	// retryAt is the earliest time of the next call to the store.
 	retryAt time.Time
 	// askAheadAt is the earliest time of the next question ahead of need.
@@ -423,7 +425,7 @@
 // idleTimeout, and those drawn beyond the total at once. The primary allocator returns tokens only when the budget is scarce.
 // Returning fewer tokens than an average request needs is not worth a call.
 func (a *account) surplus(now time.Time, primary bool) int64 {
-	if a.storeCallInProgress || a.mustReconcile || now.Before(a.retryAt) {
+	if a.storeCallInProgress || a.returnReadInProgress || a.mustReconcile || now.Before(a.retryAt) {
 		return 0
 	}
 	if excess := a.overdrawn(); excess > 0 {
--- a/pkg/allowance/accounts.go
+++ b/pkg/allowance/accounts.go
@@ -123,11 +123,8 @@
 			return
 		case <-ticker.C:
 			acc.owner.Post(func(t *accountTable) {
-				now := time.Now()
 				for name, a := range t.accounts {
-					if tokens := a.surplus(now, acc.isPrimary(name)); tokens > 0 {
-						acc.returnTokens(t, name, a, tokens)
-					}
+					acc.startReturn(t, name, a)
 					acc.advance(t, name, a)
 				}
 			})
@@ -146,9 +143,7 @@
 	now, primary := time.Now(), acc.isPrimary(name)
 	switch {
 	case t.closing:
-		if a.free > 0 && !a.storeCallInProgress && !now.Before(a.retryAt) {
-			acc.returnTokens(t, name, a, a.free)
-		}
+		acc.startReturn(t, name, a)
 	case a.shouldDraw(now, primary):
 		if t.retryDelay > 0 && t.probeInProgress {
 			// Only one draw at a time tests whether the store answers again.
@@ -318,7 +313,7 @@
 		busy := false
 		if !acc.owner.Do(func(t *accountTable) {
 			for _, a := range t.accounts {
-				busy = busy || a.storeCallInProgress
+				busy = busy || a.storeCallInProgress || a.returnReadInProgress
 			}
 		}) || !busy {
 			return
--- a/pkg/allowance/accounts_test.go
+++ b/pkg/allowance/accounts_test.go
@@ -425,6 +425,40 @@
 	return sum
 }
 
+// Guards against losing idle tokens that a router returns while the store is silent: the router had got them from an allocator, so
+// it had never read the record, and its write couldn't take effect but counted as one that may have. Also guards against
+// keeping these tokens from the router's own requests meanwhile.
+func TestIdleTokensOutliveASilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		const prepaid, size = 100_000, 1_000
+		f := startFleet(ctx, memory, []string{"vm1", "vm2"}, prepaid)
+		for _, acc := range f.accounts {
+			acc.Allocators = func(string) []string { return []string{"vm1"} }
+		}
+		idle := f.accounts["vm2"]
+		must.EqOp(t, Granted, idle.Reserve(ctx, organisation, prepaid, size))
+		fault, err := memory.Inject(memstore.Fault{Kind: memstore.FaultSlow, DelayMS: 5000})
+		must.NoError(t, err)
+		idle.Release(organisation, size)
+		for range 4 {
+			time.Sleep(idleTimeout + tickInterval + callTimeout/2)
+			begin := time.Now()
+			must.EqOp(t, Granted, idle.Reserve(ctx, organisation, prepaid, size))
+			must.Zero(t, time.Since(begin))
+			idle.Release(organisation, size)
+		}
+		memory.Clear(fault)
+		time.Sleep(10 * time.Second)
+		must.Zero(t, unaccounted(t, memory, f, 0))
+		var free int64
+		idle.owner.Do(func(t *accountTable) { free = t.account(organisation).free })
+		must.Zero(t, free, must.Sprint("tokens are returned once the store answers"))
+	})
+}
+
 // Guards against losing tokens whose return the store has rejected before it ran, and against spending tokens a second time
 // whose return took effect although its answer was lost.
 func TestReturnIsCreditedOnlyIfNothingWasWritten(t *testing.T) {
--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -272,13 +272,60 @@
 	}
 }
 
+// returnable returns the number of tokens to return now: the surplus, or all free tokens if the router is stopping.
+func (acc *Accounts) returnable(t *accountTable, name string, a *account) int64 {
+	now := time.Now()
+	if !t.closing {
+		return a.surplus(now, acc.isPrimary(name))
+	}
+	if a.storeCallInProgress || a.returnReadInProgress || now.Before(a.retryAt) {
+		return 0
+	}
+	return a.free
+}
+
+// startReturn begins to return tokens, if there are some to return. It reads the record first unless it is known: a write without it
+// can't take effect, but its outcome is uncertain if the store is silent.
+func (acc *Accounts) startReturn(t *accountTable, name string, a *account) {
+	tokens := acc.returnable(t, name, a)
+	if tokens <= 0 || t.retryDelay > 0 && t.probeInProgress && !t.closing {
+		return // Only one call at a time tests whether the store answers again.
+	}
+	t.probeInProgress = t.retryDelay > 0
+	if current := t.records[name]; current.revision > 0 {
+		acc.returnTokens(t, name, a, current, tokens)
+		return
+	}
+	a.returnReadInProgress = true
+	go acc.readBeforeReturn(name)
+}
+
+// readBeforeReturn reads the record and returns what is still to be returned then.
+func (acc *Accounts) readBeforeReturn(name string) {
+	current, err := acc.currentRecord(name, platform.Object{})
+	acc.owner.Post(func(t *accountTable) {
+		a := t.account(name)
+		a.returnReadInProgress = false
+		if err != nil {
+			acc.Log.WithFields(log.Fields{"organisation": name, "tokens": a.free, "kept": true}).WithError(err).Warn("allowance_return_failed")
+			a.retryAt = time.Now().Add(t.recordStoreFailure())
+		} else {
+			t.recordStoreAnswer()
+			acc.observeEra(t, time.Now(), current.revision)
+			if tokens := acc.returnable(t, name, a); tokens > 0 {
+				acc.returnTokens(t, name, a, current, tokens)
+			}
+		}
+		acc.advance(t, name, a)
+	})
+}
+
 // returnTokens subtracts unspent tokens from the drawn ones in the store. It deducts them from the account before it writes, so a
 // lost response can lose tokens but can't spend them twice.
-func (acc *Accounts) returnTokens(t *accountTable, name string, a *account, tokens int64) {
+func (acc *Accounts) returnTokens(t *accountTable, name string, a *account, current storedRecord, tokens int64) {
 	a.free -= tokens
 	a.storeCallInProgress = true
 	t.writeCount++
-	current := t.records[name]
 	current.record = current.record.with(a.known)
 	go acc.writeReturn(name, current, t.era, tokens, fmt.Sprintf("%s/%d", acc.Instance, t.writeCount))
 }
