Count where each router's tokens come from and go, and say what it holds in its lines about budgets

Now each account counts drawn, received, returned, given, charged and uncertain tokens. allowance_drawn, _asked, _given, _returned and _return_failed have held and charged; the gauge allowance_tokens and the counter allowance_flow_tokens_total sum over organisations.

In existing tests Release(x) became the equivalent Settle(reserved, charged).

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -105,6 +105,7 @@
 	mustSettle bool
 	// free is the number of drawn tokens that are neither spent nor reserved.
 	free    int64
+	flows   flows
 	waiters []waiter
 	// storeCallInProgress covers draws and returns, peerRequestInProgress a request to other routers.
 	storeCallInProgress, peerRequestInProgress bool
@@ -351,6 +352,7 @@
 	if w, ok := a.pendingDraws[writeID]; ok {
 		// This write took effect, so the other pending ones, conditional on the same or an older revision, did not.
 		clear(a.pendingDraws)
+		a.flows.drawn += w.amount
 		a.credit(w.amount)
 		return true
 	}
@@ -370,6 +372,7 @@
 	if tokens >= a.refuseTokens {
 		a.refusalDuration = 0
 	}
+	a.flows.drawn += tokens
 	a.credit(tokens)
 }
 
@@ -415,6 +418,7 @@
 	}
 	tokens := min(free, max(need, min(want, free/2)))
 	a.free -= tokens
+	a.flows.given += tokens
 	// Transfers count as demand, so that an allocator holds enough for other routers.
 	a.recordDemand(now, tokens)
 	a.lastUse = now
--- a/pkg/allowance/accounts.go
+++ b/pkg/allowance/accounts.go
@@ -202,20 +202,33 @@
 	return Unavailable
 }
 
-// Release returns reserved tokens that the request did not use.
-func (acc *Accounts) Release(organisation string, tokens int64) {
-	if tokens > 0 {
-		acc.owner.Post(func(t *accountTable) { t.account(organisation).credit(tokens) })
-	}
+// Settle ends a reservation of which the request is charged a part. The rest is free again.
+func (acc *Accounts) Settle(organisation string, reserved, charged int64) {
+	acc.owner.Post(func(t *accountTable) {
+		a := t.account(organisation)
+		a.flows.charged += charged
+		a.credit(reserved - charged)
+	})
+}
+
+// receive adds tokens from another router that arrive late.
+func (acc *Accounts) receive(organisation string, tokens int64) {
+	acc.owner.Post(func(t *accountTable) {
+		a := t.account(organisation)
+		a.flows.received += tokens
+		a.credit(tokens)
+	})
 }
 
 // TransferOut deducts tokens from the organisation's account for another router, which is need tokens short for its
 // next request and want tokens short in all. With draw, it draws what is missing for need from the store, until ctx
 // ends at the latest. exhausted reports whether too little of the budget is left.
 func (acc *Accounts) TransferOut(ctx context.Context, organisation string, need, want int64, draw bool) (transferred int64, exhausted bool) {
+	var after flows
 	acc.owner.Do(func(t *accountTable) {
 		a := t.account(organisation)
 		transferred = a.transferOut(time.Now(), need, want)
+		after = a.flows
 		draw = draw && a.mayDraw(time.Now())
 		acc.advance(t, organisation, a)
 	})
@@ -224,6 +237,11 @@
 		// wait for each other.
 		switch acc.reserve(ctx, organisation, prepaid, need-transferred, true) {
 		case Granted:
+			acc.owner.Do(func(t *accountTable) {
+				a := t.account(organisation)
+				a.flows.given += need - transferred
+				after = a.flows
+			})
 			transferred = need
 		case Exhausted:
 			exhausted = true
@@ -231,7 +249,7 @@
 		}
 	}
 	if transferred > 0 {
-		acc.Log.WithFields(log.Fields{"organisation": organisation, "tokens": transferred, "need": need}).Info("allowance_given")
+		acc.Log.WithFields(log.Fields{"organisation": organisation, "tokens": transferred, "need": need, "held": after.held(), "charged": after.charged}).Info("allowance_given")
 	}
 	return transferred, exhausted
 }
@@ -266,7 +284,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), peerRequestTimeout)
 		defer cancel()
-		result := acc.Peers.RequestTokens(ctx, allocators, name, shortage, func(tokens int64) { acc.Release(name, tokens) })
+		result := acc.Peers.RequestTokens(ctx, allocators, name, shortage, func(tokens int64) { acc.receive(name, tokens) })
 		acc.owner.Post(func(t *accountTable) {
 			a.peerRequestInProgress = false
 			if result.Tokens > 0 {
@@ -276,10 +294,11 @@
 				a.askAheadAt = time.Now().Add(askPause)
 			}
 			waitersBefore := len(a.waiters)
+			a.flows.received += result.Tokens
 			a.credit(result.Tokens)
 			acc.Log.WithFields(log.Fields{
 				"organisation": name, "need": shortage.Total, "ahead": shortage.Ahead, "tokens": result.Tokens, "complete": result.Complete, "exhausted": result.Exhausted,
-				"refused": len(a.waiters), "drawn": a.drawn, "prepaid": a.prepaid,
+				"refused": len(a.waiters), "drawn": a.drawn, "prepaid": a.prepaid, "held": a.flows.held(), "charged": a.flows.charged,
 			}).Info("allowance_asked")
 			switch {
 			case fallback == Granted:
--- a/pkg/allowance/accounts_test.go
+++ b/pkg/allowance/accounts_test.go
@@ -261,7 +261,7 @@
 				spent += use
 				mu.Unlock()
 				time.Sleep(300 * time.Millisecond)
-				acc.Release(organisation, tokens-use)
+				acc.Settle(organisation, tokens, use)
 			})
 		}
 		time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
@@ -403,7 +403,7 @@
 		})
 		go acc.Run(ctx)
 		must.EqOp(t, Granted, acc.Reserve(ctx, organisation, 10_000, 100))
-		acc.Release(organisation, 60)
+		acc.Settle(organisation, 100, 40)
 		acc.ReturnAll(ctx)
 		o, err := memory.Client("vm1").Get(ctx, objectKind+"/"+organisation)
 		must.NoError(t, err)
@@ -442,13 +442,13 @@
 		must.EqOp(t, Granted, idle.Reserve(ctx, organisation, prepaid, size))
 		fault, err := memory.Inject(memstore.Fault{Kind: memstore.FaultSlow, DelayMS: 5000})
 		must.NoError(t, err)
-		idle.Release(organisation, size)
+		idle.Settle(organisation, size, 0)
 		for range 4 {
 			time.Sleep(idleTimeout + tickInterval + callTimeout/2)
 			begin := time.Now()
 			must.EqOp(t, Granted, idle.Reserve(ctx, organisation, prepaid, size))
 			must.Zero(t, time.Since(begin))
-			idle.Release(organisation, size)
+			idle.Settle(organisation, size, 0)
 		}
 		memory.Clear(fault)
 		time.Sleep(10 * time.Second)
@@ -477,7 +477,7 @@
 			time.Sleep(tickInterval)
 			fault, err := memory.Inject(memstore.Fault{Kind: kind, DelayMS: 2000})
 			must.NoError(t, err)
-			acc.Release(organisation, 2*size)
+			acc.Settle(organisation, 2*size, 0)
 			time.Sleep(idleTimeout + 3*tickInterval)
 			memory.Clear(fault)
 			time.Sleep(5 * time.Second)
--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -237,6 +237,7 @@
 		acc.Peers.Inform(acc.Allocators(name), name, a.known)
 		acc.Log.WithFields(log.Fields{
 			"organisation": name, "tokens": amount, "drawn": a.drawn, "prepaid": a.prepaid, "revision": platform.FormatRevision(current.revision),
+			"held": a.flows.held(), "charged": a.flows.charged,
 		}).Info("allowance_drawn")
 		acc.advance(t, name, a)
 	})
@@ -307,7 +308,7 @@
 		a := t.account(name)
 		a.returnReadInProgress = false
 		if err != nil {
-			acc.Log.WithFields(log.Fields{"organisation": name, "tokens": a.free, "kept": true}).WithError(err).Warn("allowance_return_failed")
+			acc.Log.WithFields(log.Fields{"organisation": name, "tokens": a.free, "held": a.flows.held(), "charged": a.flows.charged, "kept": true}).WithError(err).Warn("allowance_return_failed")
 			a.retryAt = time.Now().Add(t.recordStoreFailure())
 		} else {
 			t.recordStoreAnswer()
@@ -358,13 +359,18 @@
 	acc.owner.Post(func(t *accountTable) {
 		a := t.account(name)
 		a.storeCallInProgress = false
-		entry := acc.Log.WithFields(log.Fields{"organisation": name, "tokens": tokens})
+		switch {
+		case err == nil:
+			a.flows.returned += tokens
+		case mayBeWritten:
+			a.flows.uncertain += tokens
+		default:
+			a.credit(tokens)
+		}
+		entry := acc.Log.WithFields(log.Fields{"organisation": name, "tokens": tokens, "held": a.flows.held(), "charged": a.flows.charged})
 		if err != nil {
 			entry.WithField("kept", !mayBeWritten).WithError(err).Warn("allowance_return_failed")
 			a.retryAt = time.Now().Add(t.recordStoreFailure())
-			if !mayBeWritten {
-				a.credit(tokens)
-			}
 		} else {
 			t.recordStoreAnswer()
 			t.records[name] = current
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -153,6 +153,11 @@
 		Prepaid:    r.prepaid,
 		Peers:      &allowance.RemotePeers{Addresses: r.roster.Peers, Client: peers, Log: logger},
 	})
+	instruments := telemetry.NewInstruments(r.metrics.Meter)
+	r.accounts.RegisterMetrics(instruments)
+	if err := instruments.Err(); err != nil {
+		return nil, err
+	}
 	r.crashes = poison.NewRegistry(poison.RegistryOptions{
 		Store: r.breaker, VM: s.VM, Log: logger,
 		IsFirst: func(key string) bool { return r.roster.PreferenceList(key, 1)[0] == s.VM },
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -220,7 +220,7 @@
 	if reserved > 0 {
 		defer func() {
 			e.chargedTokens = e.usedTokens(reserved)
-			e.Allowances.Release(e.org.Name, reserved-e.chargedTokens)
+			e.Allowances.Settle(e.org.Name, reserved, e.chargedTokens)
 		}()
 	}
 	e.forward(ctx)
