--- a/pkg/allowance/accounts_test.go
+++ b/pkg/allowance/accounts_test.go
@@ -261,7 +261,7 @@
 				spent += use
 				mu.Unlock()
 				time.Sleep(300 * time.Millisecond)
-				acc.Release(organisation, tokens-use)
+				acc.Settle(organisation, tokens, use)
 			})
 		}
 		time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
@@ -403,7 +403,7 @@
 		})
 		go acc.Run(ctx)
 		must.EqOp(t, Granted, acc.Reserve(ctx, organisation, 10_000, 100))
-		acc.Release(organisation, 60)
+		acc.Settle(organisation, 100, 40)
 		acc.ReturnAll(ctx)
 		o, err := memory.Client("vm1").Get(ctx, objectKind+"/"+organisation)
 		must.NoError(t, err)
@@ -412,6 +412,85 @@
 	})
 }
 
+// unaccounted returns the tokens that are drawn in the store and neither free at a router of the fleet nor spent.
+func unaccounted(t *testing.T, memory *memstore.Store, f *fleet, spent int64) int64 {
+	o, err := memory.Client("test").Get(t.Context(), objectKind+"/"+organisation)
+	must.NoError(t, err)
+	r, err := decodeRecord(o.Value)
+	must.NoError(t, err)
+	sum := r.Drawn - spent
+	for _, acc := range f.accounts {
+		acc.owner.Do(func(t *accountTable) { sum -= t.account(organisation).free })
+	}
+	return sum
+}
+
+// Guards against losing idle tokens that a router returns while the store is silent: the router had got them from an allocator, so
+// it had never read the record, and its write couldn't take effect but counted as one that may have. Also guards against
+// keeping these tokens from the router's own requests meanwhile.
+func TestIdleTokensOutliveASilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		const prepaid, size = 100_000, 1_000
+		f := startFleet(ctx, memory, []string{"vm1", "vm2"}, prepaid)
+		for _, acc := range f.accounts {
+			acc.Allocators = func(string) []string { return []string{"vm1"} }
+		}
+		idle := f.accounts["vm2"]
+		must.EqOp(t, Granted, idle.Reserve(ctx, organisation, prepaid, size))
+		fault, err := memory.Inject(memstore.Fault{Kind: memstore.FaultSlow, DelayMS: 5000})
+		must.NoError(t, err)
+		idle.Settle(organisation, size, 0)
+		for range 4 {
+			time.Sleep(idleTimeout + tickInterval + callTimeout/2)
+			begin := time.Now()
+			must.EqOp(t, Granted, idle.Reserve(ctx, organisation, prepaid, size))
+			must.Zero(t, time.Since(begin))
+			idle.Settle(organisation, size, 0)
+		}
+		memory.Clear(fault)
+		time.Sleep(10 * time.Second)
+		must.Zero(t, unaccounted(t, memory, f, 0))
+		var free int64
+		idle.owner.Do(func(t *accountTable) { free = t.account(organisation).free })
+		must.Zero(t, free, must.Sprint("tokens are returned once the store answers"))
+	})
+}
+
+// Guards against losing tokens whose return the store has rejected before it ran, and against spending tokens a second time
+// whose return took effect although its answer was lost.
+func TestReturnIsCreditedOnlyIfNothingWasWritten(t *testing.T) {
+	for _, kind := range []memstore.FaultKind{memstore.FaultDown, memstore.FaultLost, memstore.FaultSlow} {
+		synctest.Test(t, func(t *testing.T) {
+			memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			// The budget is scarce, so the primary allocator returns what is idle; it knows the record from its draws.
+			const prepaid, size, requests = 1_000, 40, 25
+			f := startFleet(ctx, memory, []string{"vm1"}, prepaid)
+			acc := f.accounts["vm1"]
+			for range requests {
+				must.EqOp(t, Granted, acc.Reserve(ctx, organisation, prepaid, size))
+			}
+			time.Sleep(tickInterval)
+			fault, err := memory.Inject(memstore.Fault{Kind: kind, DelayMS: 2000})
+			must.NoError(t, err)
+			acc.Settle(organisation, 2*size, 0)
+			time.Sleep(idleTimeout + 3*tickInterval)
+			memory.Clear(fault)
+			time.Sleep(5 * time.Second)
+			lost := unaccounted(t, memory, f, (requests-2)*size)
+			// A write without an answer may have taken effect, so its tokens may be lost, but never counted twice.
+			must.GreaterEq(t, 0, lost, must.Sprint(kind))
+			if kind != memstore.FaultSlow {
+				must.Zero(t, lost, must.Sprint(kind))
+			}
+		})
+	}
+}
+
 // Guards against a fleet that holds most of a budget that is nearly used up: a power failure loses the held tokens.
 func TestHoldsLimitedShareOfRemainder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
