--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -237,6 +237,7 @@
 		acc.Peers.Inform(acc.Allocators(name), name, a.known)
 		acc.Log.WithFields(log.Fields{
 			"organisation": name, "tokens": amount, "drawn": a.drawn, "prepaid": a.prepaid, "revision": platform.FormatRevision(current.revision),
+			"held": a.flows.held(), "charged": a.flows.charged,
 		}).Info("allowance_drawn")
 		acc.advance(t, name, a)
 	})
@@ -272,20 +273,69 @@
 	}
 }
 
-// returnTokens subtracts unspent tokens from the drawn ones in the store. It deducts them from the account first, so a
+// returnable returns the number of tokens to return now: the surplus, or all free tokens if the router is stopping.
+func (acc *Accounts) returnable(t *accountTable, name string, a *account) int64 {
+	now := time.Now()
+	if !t.closing {
+		return a.surplus(now, acc.isPrimary(name))
+	}
+	if a.storeCallInProgress || a.returnReadInProgress || now.Before(a.retryAt) {
+		return 0
+	}
+	return a.free
+}
+
+// startReturn begins to return tokens, if there are some to return. It reads the record first unless it is known: a write without it
+// can't take effect, but its outcome is uncertain if the store is silent.
+func (acc *Accounts) startReturn(t *accountTable, name string, a *account) {
+	tokens := acc.returnable(t, name, a)
+	if tokens <= 0 || t.retryDelay > 0 && t.probeInProgress && !t.closing {
+		return // Only one call at a time tests whether the store answers again.
+	}
+	t.probeInProgress = t.retryDelay > 0
+	if current := t.records[name]; current.revision > 0 {
+		acc.returnTokens(t, name, a, current, tokens)
+		return
+	}
+	a.returnReadInProgress = true
+	go acc.readBeforeReturn(name)
+}
+
+// readBeforeReturn reads the record and returns what is still to be returned then.
+func (acc *Accounts) readBeforeReturn(name string) {
+	current, err := acc.currentRecord(name, platform.Object{})
+	acc.owner.Post(func(t *accountTable) {
+		a := t.account(name)
+		a.returnReadInProgress = false
+		if err != nil {
+			acc.Log.WithFields(log.Fields{"organisation": name, "tokens": a.free, "held": a.flows.held(), "charged": a.flows.charged, "kept": true}).WithError(err).Warn("allowance_return_failed")
+			a.retryAt = time.Now().Add(t.recordStoreFailure())
+		} else {
+			t.recordStoreAnswer()
+			acc.observeEra(t, time.Now(), current.revision)
+			if tokens := acc.returnable(t, name, a); tokens > 0 {
+				acc.returnTokens(t, name, a, current, tokens)
+			}
+		}
+		acc.advance(t, name, a)
+	})
+}
+
+// returnTokens subtracts unspent tokens from the drawn ones in the store. It deducts them from the account before it writes, so a
 // lost response can lose tokens but can't spend them twice.
-func (acc *Accounts) returnTokens(t *accountTable, name string, a *account, tokens int64) {
+func (acc *Accounts) returnTokens(t *accountTable, name string, a *account, current storedRecord, tokens int64) {
 	a.free -= tokens
 	a.storeCallInProgress = true
 	t.writeCount++
-	current := t.records[name]
 	current.record = current.record.with(a.known)
 	go acc.writeReturn(name, current, t.era, tokens, fmt.Sprintf("%s/%d", acc.Instance, t.writeCount))
 }
 
-// writeReturn writes a return; era is the store's, as far as it is known.
+// writeReturn writes a return; era is the store's, as far as it is known. Tokens that were certainly not written are credited to the
+// account again.
 func (acc *Accounts) writeReturn(name string, current storedRecord, era uint64, tokens int64, writeID string) {
 	var err error
+	mayBeWritten := false
 	for range maxAttempts {
 		var object platform.Object
 		if current.revision > 0 {
@@ -297,6 +347,7 @@
 			break
 		}
 		if !errors.Is(err, platform.ErrConflict) {
+			mayBeWritten = !wroteNothing(err)
 			break
 		}
 		known := current.record.Eras
@@ -308,9 +359,17 @@
 	acc.owner.Post(func(t *accountTable) {
 		a := t.account(name)
 		a.storeCallInProgress = false
-		entry := acc.Log.WithFields(log.Fields{"organisation": name, "tokens": tokens})
+		switch {
+		case err == nil:
+			a.flows.returned += tokens
+		case mayBeWritten:
+			a.flows.uncertain += tokens
+		default:
+			a.credit(tokens)
+		}
+		entry := acc.Log.WithFields(log.Fields{"organisation": name, "tokens": tokens, "held": a.flows.held(), "charged": a.flows.charged})
 		if err != nil {
-			entry.WithError(err).Warn("allowance_return_failed")
+			entry.WithField("kept", !mayBeWritten).WithError(err).Warn("allowance_return_failed")
 			a.retryAt = time.Now().Add(t.recordStoreFailure())
 		} else {
 			t.recordStoreAnswer()
@@ -322,3 +381,8 @@
 		acc.advance(t, name, a)
 	})
 }
+
+// wroteNothing reports whether a failed write certainly had no effect and will have none. Errors that don't say so count as writes.
+func wroteNothing(err error) bool {
+	return !errors.Is(err, platform.ErrUncertain) && (errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrThrottled))
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -58,7 +58,8 @@
 func (e *exchange) forward(ctx context.Context) {
 	var lastErrorResponse *bufferedResponse
 	var excluded []string
-	stream := newEventStream()
+	stream := newEventStream(e.request.lastEventID())
+	defer func() { e.lastEvent = stream.lastID }()
 	unsentAttempts := 0
 	for {
 		if ctx.Err() != nil {
@@ -134,6 +135,9 @@
 	fields := log.Fields{
 		"request": e.request.ID, "attempt": e.attempts, "outcome": result.String(), "events": stream.count, "answer_begun": e.answerBegun,
 	}
+	if e.route.Streaming {
+		fields["last_event"], fields["ends_with_connection"] = stream.lastID, e.endsWithConnection
+	}
 	if d := e.decision; d != nil {
 		fields["endpoint"], fields["kv_use"], fields["software"] = d.Chosen, d.KVUse, d.Software
 	}
@@ -214,6 +218,11 @@
 	}
 }
 
+// beginAttempt resets what is known of the latest attempt.
+func (e *exchange) beginAttempt(stream *eventStream) {
+	e.eventsBefore, e.answerBegun, e.attemptAnswered, e.endsWithConnection, e.attemptErr = stream.count, false, false, false, nil
+}
+
 // attempt sends the request to one endpoint. The response is nil unless the result is attemptErrorResponse and it may be passed on.
 func (e *exchange) attempt(ctx context.Context, decision route.Decision, inFlight *route.InFlightRequest, stream *eventStream) (attemptResult, *bufferedResponse) {
 	end := attemptEnd{result: route.Cancelled}
@@ -225,13 +234,14 @@
 	if e.org != nil {
 		dispatch.Organisation = e.org.Name
 	}
-	if stream.lastID >= 0 {
+	if stream.lastID != noEvent {
 		dispatch.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
-	e.eventsBefore, e.answerBegun, e.attemptAnswered, e.attemptErr = stream.count, false, false, nil
+	e.beginAttempt(stream)
 	response, err := e.Client.Send(ctx, upstream.Call{
 		Address: decision.Address, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Header: e.Dialect.Encode(&e.request, dispatch), Body: e.request.Body, ID: e.request.ID, IDHeader: e.Dialect.IDHeader(),
+		IsLeaving: func() bool { return e.Placement.isLeaving(inFlight) },
 	})
 	e.attemptErr = err
 	if errors.Is(err, upstream.ErrNotSent) {
@@ -301,15 +311,16 @@
 // handleResponse relays or buffers an endpoint's response. The returned response is nil unless the result is
 // attemptErrorResponse and it may be passed on.
 func (e *exchange) handleResponse(response *upstream.Response, inFlight *route.InFlightRequest, stream *eventStream) (attemptResult, *bufferedResponse) {
+	e.endsWithConnection = response.EndsWithConnection
 	verdict, err := judge(e.Dialect, e.route.Streaming, response.Status, response.Header)
 	e.attemptErr = err
 	e.mayHaveRun = e.mayHaveRun || verdict != verdictNotRun
 	switch verdict {
 	case verdictNotRun:
-		discardBody(response.Body)
+		discardBody(response)
 		return attemptRejected, nil
 	case verdictWithheld:
-		discardBody(response.Body)
+		discardBody(response)
 		return attemptErrorResponse, nil
 	case verdictInvalid:
 		return attemptFailed, nil
@@ -331,8 +342,10 @@
 }
 
 // discardBody reads a short body that isn't used, so that the connection can be reused.
-func discardBody(body io.Reader) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(body, relayBufferBytes)) // After an error the connection is closed.
+func discardBody(response *upstream.Response) {
+	if !response.EndsWithConnection {
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, relayBufferBytes)) // After an error the connection is closed.
+	}
 }
 
 // writeResponse writes an endpoint's response to the caller, without its hop-by-hop headers.
@@ -355,7 +368,7 @@
 	buffer := make([]byte, relayBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
-		events, sequenceErr := stream.add(buffer[:n])
+		events, invalid := stream.add(buffer[:n])
 		if len(events) > 0 {
 			if e.firstByteAt.IsZero() {
 				e.firstByteAt = time.Now()
@@ -374,25 +387,36 @@
 				return attemptDelivered
 			}
 		}
-		if sequenceErr != nil {
-			e.Log.WithField("request", e.request.ID).WithError(sequenceErr).Warn("stream_out_of_sequence")
-			return attemptFailed
-		}
 		switch {
-		case err == io.EOF && !stream.endsWhole(e.request.LastEvent != "", !response.EndsWithConnection):
-			e.Log.WithFields(log.Fields{
-				"request": e.request.ID, "events": stream.count, "partial_bytes": len(stream.partial), "ends_with_connection": response.EndsWithConnection,
-			}).Info("stream_ended_early")
+		case invalid != nil:
+			e.reportIrregular(stream, invalid)
+			return attemptFailed
+		case err == io.EOF && !stream.endsWhole(!response.EndsWithConnection):
+			e.reportIrregular(stream, errEndedEarly)
 			return attemptFailed
 		case err == io.EOF:
 			e.writeStreamHeader(response)
 			return attemptDelivered
 		case err != nil:
+			e.attemptErr = err
 			return attemptFailed
 		}
 	}
 }
 
+// reportIrregular logs and counts a stream that an endpoint sent out of order, not as events, or not to its end.
+func (e *exchange) reportIrregular(stream *eventStream, cause error) {
+	e.Metrics.recordIrregular(cause)
+	fields := log.Fields{
+		"request": e.request.ID, "attempt": e.attempts, "last_event": stream.lastID, "events": stream.count, "partial_bytes": len(stream.partial),
+		"ends_with_connection": e.endsWithConnection,
+	}
+	if e.decision != nil {
+		fields["endpoint"], fields["software"] = e.decision.Chosen, e.decision.Software
+	}
+	e.Log.WithFields(fields).WithError(cause).Warn("stream_irregular")
+}
+
 // writeStreamHeader sends the header of a stream. Later calls do nothing.
 func (e *exchange) writeStreamHeader(response *upstream.Response) {
 	if e.headerSent {
--- a/pkg/forward/remote.go
+++ b/pkg/forward/remote.go
@@ -88,10 +88,10 @@
 		TimeLeft: time.Until(e.deadline), ConfigVersion: e.config.Version, Attempts: e.attempts, LastEvent: e.request.LastEvent,
 		Begun: e.begun, Software: e.software,
 	}
-	if stream.lastID >= 0 {
+	if stream.lastID != noEvent {
 		request.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
-	e.eventsBefore, e.answerBegun, e.attemptAnswered, e.attemptErr = stream.count, false, false, nil
+	e.beginAttempt(stream)
 	sentAt := time.Now()
 	response, err := e.Remote.Send(ctx, request)
 	e.attemptErr = err
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -136,6 +136,8 @@
 	// answerBegun is set once the latest attempt got the header of an answer, and attemptAnswered once it showed that the
 	// endpoint can answer the request.
 	answerBegun, attemptAnswered bool
+	// endsWithConnection is set if the answer of the latest attempt has neither a length nor chunks.
+	endsWithConnection bool
 	// attemptErr is the error of the latest attempt that got no answer.
 	attemptErr error
 	// eventsBefore is the number of events that were relayed before the latest attempt.
@@ -157,8 +159,10 @@
 	// firstByteAt is the time at which a buffered response or a stream's first event was relayed.
 	firstByteAt   time.Time
 	relayedEvents int
-	status        int
-	failure       *outcome.Failure
+	// lastEvent is the id of the last event that was relayed, or noEvent.
+	lastEvent int64
+	status    int
+	failure   *outcome.Failure
 	// chargedTokens is the number of tokens charged to the budget.
 	chargedTokens int64
 	// bufferedBytes is the number of bytes reserved for buffered responses.
@@ -181,11 +185,32 @@
 	e.serve(r)
 	e.recordResult(r.Context())
 	if e.incomplete {
-		// Closes the connection without ending the response, so that it doesn't look complete.
-		panic(http.ErrAbortHandler)
+		e.abort(r)
 	}
 }
 
+// abort closes the caller's connection without ending the response, so that it doesn't look complete. A response to HTTP/1.0 has no
+// chunks and ends with its connection, which is reset.
+func (e *exchange) abort(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		conn, _, err := http.NewResponseController(e.writer).Hijack()
+		if err == nil {
+			resetConn(conn)
+			return
+		}
+		e.Log.WithField("request", e.request.ID).WithError(err).Warn("caller_not_reset")
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConn closes a connection so that its peer sees a reset.
+func resetConn(conn net.Conn) {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0) // It fails only on a closed connection.
+	}
+	_ = conn.Close() // It was to be broken off in any case.
+}
+
 func (e *exchange) serve(r *http.Request) {
 	if failure := e.admit(r); failure != nil {
 		e.refuse(failure)
@@ -220,7 +245,7 @@
 	if reserved > 0 {
 		defer func() {
 			e.chargedTokens = e.usedTokens(reserved)
-			e.Allowances.Release(e.org.Name, reserved-e.chargedTokens)
+			e.Allowances.Settle(e.org.Name, reserved, e.chargedTokens)
 		}()
 	}
 	e.forward(ctx)
@@ -252,7 +277,10 @@
 			return failure
 		}
 	}
-	name := e.route.Pick(rand.Float64())
+	if e.route.Streaming && e.request.LastEvent != "" && e.request.lastEventID() == noEvent {
+		return outcome.NotRunf(outcome.ReasonBadRequest, 0, "the id of the last event is not a number")
+	}
+	name := e.route.Pick(e.request.backendSample())
 	service, ok := e.config.Service(name)
 	if !ok {
 		return outcome.NotRunf(outcome.ReasonNoEndpoint, longRetryAfter, "service %q is not configured", name)
@@ -391,6 +419,12 @@
 	if e.onBehalf {
 		fields["for_router"] = true
 	}
+	if e.relayedEvents > 0 {
+		fields["last_event"] = e.lastEvent
+	}
+	if e.endsWithConnection {
+		fields["ends_with_connection"] = true
+	}
 	if e.request.LastEvent != "" {
 		fields["began_as"], fields["after"] = e.request.BeganAs, e.request.LastEvent
 	}
