Compare the start of an engine after an answer that ended with its connection

Cause: another process may accept them. A router that was paused notices the death of an endpoint only after its restart at the same address. Fix: a model engine is asked for its load report then, which states when it was started; a run other than the one that got the request proves nothing about the answer. Engines that don't state it, and plain services, count as before: what they answer is short.

--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -112,20 +112,42 @@
 	r.placement.Report(vm.Name, report)
 }
 
+// startOf asks an engine for the start time of its process. It is 0 if the engine answers without saying it, and an error without an
+// answer.
+func (r *Router) startOf(ctx context.Context, address string) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, response, err := r.requestReport(ctx, address)
+	if err != nil && response != nil {
+		r.log.WithField("address", address).WithError(err).Debug("report_failed")
+		return 0, nil
+	}
+	return report.Started, err
+}
+
 func (r *Router) fetchReport(ctx context.Context, vm platform.VM) (route.LoadReport, error) {
 	sentAt := time.Now()
-	response, err := r.client.Send(ctx, upstream.Call{Address: vm.Address, Method: http.MethodGet, Target: r.adapter.ReportPath, Host: vm.Address, Header: http.Header{}})
+	report, response, err := r.requestReport(ctx, vm.Address)
+	if response != nil {
+		r.placement.RecordAnswer(forward.NewAnswer(r.adapter.Dialect, vm.Name, sentAt, response), r.log)
+	}
+	return report, err
+}
+
+// requestReport returns an engine's load report. The response is nil if there was none; its body has been read.
+func (r *Router) requestReport(ctx context.Context, address string) (route.LoadReport, *upstream.Response, error) {
+	response, err := r.client.Send(ctx, upstream.Call{Address: address, Method: http.MethodGet, Target: r.adapter.ReportPath, Host: address, Header: http.Header{}})
 	if err != nil {
-		return route.LoadReport{}, err
+		return route.LoadReport{}, nil, err
 	}
 	defer response.Body.Close()
-	r.placement.RecordAnswer(forward.NewAnswer(r.adapter.Dialect, vm.Name, sentAt, response), r.log)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
 	if err != nil {
-		return route.LoadReport{}, err
+		return route.LoadReport{}, response, err
 	}
 	if response.Status != http.StatusOK {
-		return route.LoadReport{}, fmt.Errorf("entry: load report request returned status %d", response.Status)
+		return route.LoadReport{}, response, fmt.Errorf("entry: load report request returned status %d", response.Status)
 	}
-	return r.adapter.DecodeReport(body)
+	report, err := r.adapter.DecodeReport(body)
+	return report, response, err
 }
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -98,6 +98,12 @@
 	return leaving
 }
 
+// endpointStarted returns the start time of the run of the request's endpoint as a Unix time in ms, 0 if it isn't known.
+func (p *Placement) endpointStarted(inFlight *route.InFlightRequest) (started int64) {
+	p.owner.Do(func(*table) { started = inFlight.EndpointStarted() })
+	return started
+}
+
 // recordFirstToken records that the answer has begun. inFlight is nil if another router sent the request.
 func (p *Placement) recordFirstToken(inFlight *route.InFlightRequest) {
 	if inFlight == nil {
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -61,6 +61,8 @@
 	Remote Remote
 	// OnBroken is called when an endpoint broke an attempt off or gave no answer. Optional.
 	OnBroken func()
+	// StartOf asks a model engine for its start time as a Unix time in ms, 0 if it doesn't say. Optional.
+	StartOf func(ctx context.Context, address string) (int64, error)
 	// Routers returns the number of routers that share the retry budget.
 	Routers func() int
 	Log     log.Interface
--- a/pkg/route/inflight.go
+++ b/pkg/route/inflight.go
@@ -27,6 +27,9 @@
 	return f.endpoint.vm.Name + "@" + strconv.FormatInt(f.endpoint.vm.Started, 10)
 }
 
+// EndpointStarted returns the start time of the endpoint's run as a Unix time in ms, 0 if the platform doesn't report it.
+func (f *InFlightRequest) EndpointStarted() int64 { return f.endpoint.vm.Started }
+
 // Started returns the time of Begin.
 func (f *InFlightRequest) Started() time.Time { return f.started }
 
--- a/pkg/route/report.go
+++ b/pkg/route/report.go
@@ -16,6 +16,8 @@
 	KVUse float64
 	// Age is the time since the values were measured.
 	Age time.Duration
+	// Started is the start time of the engine as a Unix time in ms, 0 if it doesn't say.
+	Started int64
 }
 
 // maxChanges limits the changes that are kept per endpoint to correct its next report.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -54,6 +54,9 @@
 	// IsLeaving reports whether the endpoint stops by plan: it may take no more connections while it still completes its answers.
 	// Optional.
 	IsLeaving func() bool
+	// ConfirmRun returns an error if the endpoint that accepts connections at the address now is not the process that got the call.
+	// Optional.
+	ConfirmRun func(ctx context.Context) error
 }
 
 // Response is an endpoint's response. Its Body must be closed.
@@ -234,6 +237,9 @@
 	if err != nil && e.ctx.Err() == nil && e.call.IsLeaving != nil && e.call.IsLeaving() {
 		return nil
 	}
+	if err == nil && e.call.ConfirmRun != nil {
+		return e.call.ConfirmRun(e.ctx)
+	}
 	return err
 }
 
