Notice a silence of the store by calls that are overdue, not only by those that failed

Draws, own records and confirmations that were lost in a silence weren't known while pending, so they were waited for with their own timeouts.

All calls of a router now go through Monitor.Call. A call that the store neither holds nor answers with much data is overdue after 700 ms: if nothing was answered since it began, the store counts as silent and is probed; if the router had no answer for a second or more around it and the store answers others within 150 ms again, the calls of that time are given up. A slow store, whose answers take longer than that, breaks off nothing. Calls that are shorter than 250 ms in flight as the store answers again are left alone. A write that is given up is uncertain, as one whose time is over.

Changed tests: they make calls through Call, as Record is gone.

--- a/pkg/contact/history.go
+++ b/pkg/contact/history.go
@@ -3,6 +3,10 @@
 
 import "time"
 
+// minGap is the time without an answer from which a lost call in it shows a silence, although another call was answered before that one
+// was given up. A router that reads the store in turn goes without an answer for shorter times.
+const minGap = time.Second
+
 // Silence is a time in which the store answered none of the router's calls.
 type Silence struct {
 	// Began is the time of the last answer before it, or of the first lost call if there was none. Ended is the time of the answer
@@ -23,6 +27,8 @@
 	// silentSince is zero unless the store is silent.
 	silentSince time.Time
 	last        Silence
+	// gap is the last time of minGap or more between two answers.
+	gap Silence
 }
 
 // Answered records that the store answered a call. It returns true if this has ended a silence.
@@ -30,6 +36,9 @@
 	if !h.silentSince.IsZero() {
 		h.last, ended = Silence{Began: h.silentSince, Ended: now}, true
 	}
+	if !h.answeredAt.IsZero() && now.Sub(h.answeredAt) >= minGap {
+		h.gap = Silence{Began: h.answeredAt, Ended: now}
+	}
 	h.answeredAt, h.silentSince = now, time.Time{}
 	return ended
 }
@@ -45,6 +54,16 @@
 	return true
 }
 
+// LostInGap records that a call which began at startedAt got no answer, after Lost has returned false for it. It returns true if that
+// shows that the store was silent before the answer that ended the last gap.
+func (h *History) LostInGap(startedAt time.Time) bool {
+	if h.IsSilent() || startedAt.Before(h.gap.Began) || !startedAt.Before(h.gap.Ended) || !h.gap.Ended.After(h.last.Ended) {
+		return false
+	}
+	h.last = h.gap
+	return true
+}
+
 // IsSilent reports whether calls are lost and none has been answered since.
 func (h *History) IsSilent() bool { return !h.silentSince.IsZero() }
 
--- a/pkg/contact/monitor.go
+++ b/pkg/contact/monitor.go
@@ -19,6 +19,11 @@
 	probeInterval = 250 * time.Millisecond
 	// probeTimeout bounds a probe. A slow store may take some hundred ms.
 	probeTimeout = time.Second
+	// overdueAfter is the time after which a call that the store doesn't hold counts as lost if nothing was answered since it began. A
+	// slow store answers in about 250 ms.
+	overdueAfter = 700 * time.Millisecond
+	// slowAnswer is the time of an answer from which an overdue call may be slow and not lost. A healthy store answers in 4 ms.
+	slowAnswer = 150 * time.Millisecond
 )
 
 // ErrInterrupted means that a call was given up because the store answers others that began later. It is to be made again.
@@ -42,7 +47,13 @@
 	history History
 	// noticedAt is the time at which the last silence was noticed.
 	noticedAt time.Time
-	pending   map[*pendingCall]struct{}
+	// isGuess is set if no call of the present silence has failed yet, but one is overdue.
+	isGuess bool
+	// gapEndedBy is the start of the call whose answer ended the last gap of the history, and gapIsSlow is set if that took longer
+	// than slowAnswer.
+	gapEndedBy time.Time
+	gapIsSlow  bool
+	pending    map[*pendingCall]struct{}
 	// returned is closed at the end of the next silence.
 	returned chan struct{}
 	// wake has an element after a silence was noticed.
@@ -52,7 +63,9 @@
 // pendingCall is a call that is given up if it was lost in a silence.
 type pendingCall struct {
 	startedAt time.Time
-	cancel    context.CancelCauseFunc
+	// isLong is set for a call that the store may hold or whose answer is large.
+	isLong bool
+	cancel context.CancelCauseFunc
 }
 
 // NewMonitor returns a Monitor.
@@ -115,54 +128,110 @@
 	return m.returned
 }
 
-// Call makes a call that may be waiting for long, and records its result. If the call was lost in a silence that another call has
-// ended, it is given up and the error wraps ErrInterrupted.
-func (m *Monitor) Call(ctx context.Context, call func(context.Context) error) error {
+// Call makes a call and records its result. isLong is set if the store may hold it or if its answer is large; other calls are lost if
+// they take longer than overdueAfter while nothing is answered. If the call was lost in a silence that another call has ended, it is
+// given up and the error wraps ErrInterrupted.
+func (m *Monitor) Call(ctx context.Context, isLong bool, call func(context.Context) error) error {
 	callCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	p := &pendingCall{startedAt: time.Now(), cancel: cancel}
+	p := &pendingCall{startedAt: time.Now(), isLong: isLong, cancel: cancel}
 	m.mu.Lock()
 	m.pending[p] = struct{}{}
 	m.mu.Unlock()
+	if !isLong {
+		timer := time.AfterFunc(overdueAfter, func() { m.setOverdue(p) })
+		defer timer.Stop()
+	}
 	err := call(callCtx)
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	delete(m.pending, p)
-	m.mu.Unlock()
 	if err != nil && errors.Is(context.Cause(callCtx), ErrInterrupted) {
 		return fmt.Errorf("%w: %w", ErrInterrupted, err)
 	}
-	m.Record(ctx, p.startedAt, err)
+	m.record(ctx, p, err)
 	return err
 }
 
-// Record records the result of a call that began at startedAt with the context ctx.
-func (m *Monitor) Record(ctx context.Context, startedAt time.Time, err error) {
+// setOverdue records that the call has taken longer than overdueAfter.
+func (m *Monitor) setOverdue(p *pendingCall) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if _, ok := m.pending[p]; !ok {
+		return
+	}
+	if m.history.Lost(p.startedAt) {
+		m.beginSilence(p, nil)
+		m.isGuess = true
+		return
+	}
+	if !m.gapIsSlow {
+		m.checkGap(p)
+	}
+	if last := m.history.Last(); p.startedAt.After(last.Began) && p.startedAt.Before(last.Ended) {
+		p.cancel(ErrInterrupted)
+	}
+}
+
+// checkGap gives up the calls that were lost before the end of the last gap, if the lost call p shows that the store was silent in it.
+// m.mu must be held.
+func (m *Monitor) checkGap(p *pendingCall) {
+	if m.history.LostInGap(p.startedAt) {
+		m.noticedAt = time.Now()
+		m.endSilence(func(other *pendingCall) bool { return other.startedAt.Before(m.gapEndedBy) })
+	}
+}
+
+// record records the result of the call p with the context ctx. m.mu must be held.
+func (m *Monitor) record(ctx context.Context, p *pendingCall, err error) {
 	now := time.Now()
 	switch {
 	case isAnswer(err):
-		if m.history.Answered(now) {
-			m.endSilence(startedAt)
+		ended, isSlow := m.history.Answered(now), now.Sub(p.startedAt) > slowAnswer
+		if m.history.gap.Ended.Equal(now) {
+			m.gapEndedBy, m.gapIsSlow = p.startedAt, isSlow
 		}
+		if !ended {
+			return
+		}
+		mayBeSlow := m.isGuess && isSlow
+		m.endSilence(func(other *pendingCall) bool { return !mayBeSlow && m.isLost(other, now, p.startedAt) })
 	case errors.Is(err, platform.ErrThrottled) || errors.Is(ctx.Err(), context.Canceled):
 		// A rejected call doesn't show that others are lost, and neither does one that its caller gave up.
-	case m.history.Lost(startedAt):
-		m.noticedAt = now
-		m.Log.WithField("call_ms", now.Sub(startedAt).Milliseconds()).WithError(err).Info("store_contact_lost")
-		select {
-		case m.wake <- struct{}{}:
-		default:
-		}
+	case m.history.Lost(p.startedAt):
+		m.beginSilence(p, err)
+	default:
+		m.isGuess = false
+		m.checkGap(p)
 	}
 }
 
-// endSilence gives up the calls that were lost in it: those that began before it was noticed, or before the call that was answered
-// now. m.mu must be held.
-func (m *Monitor) endSilence(answeredStart time.Time) {
+// beginSilence notes that a silence was noticed by the call p. m.mu must be held.
+func (m *Monitor) beginSilence(p *pendingCall, err error) {
+	m.noticedAt, m.isGuess = time.Now(), false
+	entry := m.Log.WithField("call_ms", m.noticedAt.Sub(p.startedAt).Milliseconds())
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("store_contact_lost")
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// isLost reports whether a pending call was lost in the silence that the answer to a call begun at answeredStart has ended: it began
+// before the silence was noticed, or before that call. A short one that began in the last probeInterval may be on its way, so
+// setOverdue decides about it.
+func (m *Monitor) isLost(p *pendingCall, now, answeredStart time.Time) bool {
+	return p.startedAt.Before(m.noticedAt) || p.startedAt.Before(answeredStart) && (p.isLong || now.Sub(p.startedAt) >= probeInterval)
+}
+
+// endSilence gives up the calls for which isLost returns true. m.mu must be held.
+func (m *Monitor) endSilence(isLost func(*pendingCall) bool) {
 	interrupted := 0
 	for p := range m.pending {
-		if p.startedAt.Before(m.noticedAt) || p.startedAt.Before(answeredStart) {
+		if isLost(p) {
 			p.cancel(ErrInterrupted)
 			interrupted++
 		}
--- a/pkg/entry/breaker_test.go
+++ b/pkg/entry/breaker_test.go
@@ -19,7 +19,7 @@
 		b := &circuitBreaker{contact: monitor}
 		record := func(err error) {
 			time.Sleep(time.Millisecond)
-			monitor.Record(t.Context(), time.Now(), err)
+			callStore(t, monitor, 0, err)
 		}
 		record(nil)
 		must.False(t, b.isOpen())
--- a/pkg/entry/endpoints_test.go
+++ b/pkg/entry/endpoints_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"sync"
@@ -77,6 +78,14 @@
 	})
 }
 
+// callStore makes a call to the store that takes a time and has a result.
+func callStore(t *testing.T, m *contact.Monitor, d time.Duration, result error) {
+	_ = m.Call(t.Context(), false, func(context.Context) error {
+		time.Sleep(d)
+		return result
+	})
+}
+
 // Guards against sending requests to an endpoint whose entry was removed seconds after the store had come back: a router whose
 // watch of the endpoints was lost lists them late, and must not give the entry the grace time of an outage.
 func TestGraceTimeBeginsWhenTheStoreIsBack(t *testing.T) {
@@ -87,10 +96,10 @@
 		e := newEndpointSet(decodeTestEndpoint, discardLog(), p.set)
 		e.lastSilence = monitor.LastSilence
 		e.ReplaceAll(endpointObjects("live", "a", "b", "c"), 0)
-		monitor.Record(t.Context(), time.Now(), nil)
-		time.Sleep(outage)
-		monitor.Record(t.Context(), time.Now().Add(-time.Second), platform.ErrUnavailable)
-		monitor.Record(t.Context(), time.Now(), nil)
+		callStore(t, monitor, 0, nil)
+		time.Sleep(outage - time.Second)
+		callStore(t, monitor, time.Second, platform.ErrUnavailable)
+		callStore(t, monitor, 0, nil)
 		time.Sleep(reregistrationTime / 2)
 		e.ReplaceAll(endpointObjects("live", "a", "b"), outage+reregistrationTime/2)
 		must.Eq(t, []string{"a", "b", "c"}, p.names(), must.Sprint("the entry may still come back"))
@@ -110,10 +119,10 @@
 		e.lastSilence = monitor.LastSilence
 		e.ReplaceAll(endpointObjects("live", "a", "b", "c"), 0)
 		silence := func(length time.Duration) {
-			monitor.Record(t.Context(), time.Now(), nil)
+			callStore(t, monitor, 0, nil)
 			time.Sleep(length)
-			monitor.Record(t.Context(), time.Now(), platform.ErrUnavailable)
-			monitor.Record(t.Context(), time.Now(), nil)
+			callStore(t, monitor, 0, platform.ErrUnavailable)
+			callStore(t, monitor, 0, nil)
 		}
 		silence(graceOutageThreshold / 2)
 		e.ApplyChanges([]platform.Object{{Key: "c", Deleted: true}})
--- a/pkg/entry/monitoredstore.go
+++ b/pkg/entry/monitoredstore.go
@@ -32,32 +32,31 @@
 }
 
 // Get implements Store.
-func (s monitoredStore) Get(ctx context.Context, key string) (platform.Object, error) {
-	startedAt := time.Now()
-	object, err := s.Store.Get(ctx, key)
-	s.monitor.Record(ctx, startedAt, err)
+func (s monitoredStore) Get(ctx context.Context, key string) (object platform.Object, err error) {
+	err = s.monitor.Call(ctx, false, func(ctx context.Context) (err error) {
+		object, err = s.Store.Get(ctx, key)
+		return err
+	})
 	return object, err
 }
 
-// Put implements Store.
-func (s monitoredStore) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (platform.Object, error) {
-	startedAt := time.Now()
-	object, err := s.Store.Put(ctx, key, value, ifRevision)
-	s.monitor.Record(ctx, startedAt, err)
+// Put implements Store. The result of a call that is given up is uncertain.
+func (s monitoredStore) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (object platform.Object, err error) {
+	err = s.monitor.Call(ctx, false, func(ctx context.Context) (err error) {
+		object, err = s.Store.Put(ctx, key, value, ifRevision)
+		return err
+	})
 	return object, err
 }
 
-// Delete implements Store.
+// Delete implements Store. The result of a call that is given up is uncertain.
 func (s monitoredStore) Delete(ctx context.Context, key string, ifRevision uint64) error {
-	startedAt := time.Now()
-	err := s.Store.Delete(ctx, key, ifRevision)
-	s.monitor.Record(ctx, startedAt, err)
-	return err
+	return s.monitor.Call(ctx, false, func(ctx context.Context) error { return s.Store.Delete(ctx, key, ifRevision) })
 }
 
 // List implements Store.
 func (s monitoredStore) List(ctx context.Context, prefix string) (objects []platform.Object, revision uint64, err error) {
-	err = s.monitor.Call(ctx, func(ctx context.Context) (err error) {
+	err = s.monitor.Call(ctx, true, func(ctx context.Context) (err error) {
 		objects, revision, err = s.Store.List(ctx, prefix)
 		return err
 	})
@@ -66,7 +65,7 @@
 
 // ListStale implements Store.
 func (s monitoredStore) ListStale(ctx context.Context, prefix string) (objects []platform.Object, err error) {
-	err = s.monitor.Call(ctx, func(ctx context.Context) (err error) {
+	err = s.monitor.Call(ctx, false, func(ctx context.Context) (err error) {
 		objects, err = s.Store.ListStale(ctx, prefix)
 		return err
 	})
@@ -75,7 +74,7 @@
 
 // Poll implements Store.
 func (s monitoredStore) Poll(ctx context.Context, prefix string, after uint64, wait time.Duration) (changes []platform.Object, revision uint64, err error) {
-	err = s.monitor.Call(ctx, func(ctx context.Context) (err error) {
+	err = s.monitor.Call(ctx, true, func(ctx context.Context) (err error) {
 		changes, revision, err = s.Store.Poll(ctx, prefix, after, wait)
 		return err
 	})
