Draw tokens at once when another call shows that the store is back

The accounts learn of the end of each silence from the monitor. Delays and refusals for the store's sake end then, and draws that fail later but began before have no delay. Without a silence nothing changes.

TestDrawsAtOnceWhenTheStoreIsBack fails without it: nothing is drawn within 0.5 s of the return, for a return 5.6 s into a silence.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -108,6 +108,8 @@
 	waiters []waiter
 	// storeCallInProgress covers draws and returns, peerRequestInProgress a request to other routers.
 	storeCallInProgress, peerRequestInProgress bool
+	// storeCallAt is the start of the last draw or return.
+	storeCallAt time.Time
 	// retryAt is the earliest time of the next call to the store.
 	retryAt time.Time
 	// askAheadAt is the earliest time of the next question ahead of need.
--- a/pkg/allowance/accounts.go
+++ b/pkg/allowance/accounts.go
@@ -73,6 +73,8 @@
 	// whether one account's draw is testing the store meanwhile.
 	retryDelay      time.Duration
 	probeInProgress bool
+	// returnedAt is the time at which another call of the router showed that the store answers again.
+	returnedAt time.Time
 	// era is the store's newest known era, and eraKnown is set once the store has answered.
 	era      uint64
 	eraKnown bool
@@ -157,7 +159,7 @@
 			return
 		}
 		t.probeInProgress = t.retryDelay > 0
-		a.storeCallInProgress = true
+		a.storeCallInProgress, a.storeCallAt = true, now
 		go acc.draw(name, t.records[name])
 		if len(a.waiters) > 0 {
 			time.AfterFunc(peerRequestDelay, func() { acc.owner.Post(func(*accountTable) { acc.requestDuringDraw(name, a) }) })
--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -247,7 +247,9 @@
 	acc.owner.Post(func(t *accountTable) {
 		a := t.account(name)
 		a.storeCallInProgress = false
-		a.retryAt = time.Now().Add(t.recordStoreFailure())
+		if a.retryAt = time.Now(); !a.storeCallAt.Before(t.returnedAt) {
+			a.retryAt = a.retryAt.Add(t.recordStoreFailure())
+		}
 		acc.Log.WithFields(log.Fields{"organisation": name, "waiting": len(a.waiters)}).WithError(err).Warn("allowance_draw_failed")
 		acc.advance(t, name, a)
 	})
@@ -276,7 +278,7 @@
 // lost response can lose tokens but can't spend them twice.
 func (acc *Accounts) returnTokens(t *accountTable, name string, a *account, tokens int64) {
 	a.free -= tokens
-	a.storeCallInProgress = true
+	a.storeCallInProgress, a.storeCallAt = true, time.Now()
 	t.writeCount++
 	current := t.records[name]
 	current.record = current.record.with(a.known)
--- a/pkg/contact/monitor.go
+++ b/pkg/contact/monitor.go
@@ -128,6 +128,19 @@
 	return m.returned
 }
 
+// NotifyReturns calls notify at the end of each silence, until ctx ends.
+func (m *Monitor) NotifyReturns(ctx context.Context, notify func()) {
+	for returned := m.Returned(); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-returned:
+		}
+		returned = m.Returned()
+		notify()
+	}
+}
+
 // Call makes a call and records its result. isLong is set if the store may hold it or if its answer is large; other calls are lost if
 // they take longer than overdueAfter while nothing is answered. If the call was lost in a silence that another call has ended, it is
 // given up and the error wraps ErrInterrupted.
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -238,6 +238,7 @@
 	tasks.Go(func() { r.contact.Run(backgroundCtx) })
 	tasks.Go(func() { r.placement.Run(backgroundCtx) })
 	tasks.Go(func() { r.accounts.Run(backgroundCtx) })
+	tasks.Go(func() { r.contact.NotifyReturns(backgroundCtx, r.accounts.StoreReturned) })
 	tasks.Go(func() { r.roster.Run(backgroundCtx, r.rosterFeed.Age) })
 	tasks.Go(func() { r.runFeeds(backgroundCtx) })
 	tasks.Go(func() { r.crashes.Run(backgroundCtx) })
