Follow another router again as soon as the store answers it

In a large fleet a router that could follow no other one reads the store itself.

The messages of leaders say when the store answered them last. The leader's word doesn't end this router's silence, as the store may be silent to it alone, and adds no call to the store where leaders can be followed.

TestFollowsAgainAfterLeaderAnswered fails on the code before: the feed stays with the store for directWatchTime (here with a store that gives each call up at once, so it is read without end). TestLeaderAnsweredGivesUpLostReads covers the monitor; the code before lacks the function.

--- a/pkg/contact/monitor.go
+++ b/pkg/contact/monitor.go
@@ -29,6 +29,9 @@
 // ErrInterrupted means that a call was given up because the store answers others that began later. It is to be made again.
 var ErrInterrupted = errors.New("contact: the call was lost in a silence of the store that is over")
 
+// ErrLeaderAnswered is an ErrInterrupted of a router whose store is silent while it answers a router that this one may follow.
+var ErrLeaderAnswered = fmt.Errorf("%w: a router to follow has an answer", ErrInterrupted)
+
 // Options contains the dependencies of a Monitor.
 type Options struct {
 	// Probe makes a cheap call to the store and records its result. MayProbe reports whether this router is one of those that find
@@ -159,13 +162,28 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.pending, p)
-	if err != nil && errors.Is(context.Cause(callCtx), ErrInterrupted) {
-		return fmt.Errorf("%w: %w", ErrInterrupted, err)
+	if cause := context.Cause(callCtx); err != nil && errors.Is(cause, ErrInterrupted) {
+		return fmt.Errorf("%w: %w", cause, err)
 	}
 	m.record(ctx, p, err)
 	return err
 }
 
+// LeaderAnswered gives up the lists and watches that began at least probeInterval before the store answered another router, at the time at.
+// It does so only while the store is silent to this router, and doesn't end the silence: the store may be silent to this router alone.
+func (m *Monitor) LeaderAnswered(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.history.IsSilent() {
+		return
+	}
+	for p := range m.pending {
+		if p.isLong && at.Sub(p.startedAt) >= probeInterval {
+			p.cancel(ErrLeaderAnswered)
+		}
+	}
+}
+
 // setOverdue records that the call has taken longer than overdueAfter.
 func (m *Monitor) setOverdue(p *pendingCall) {
 	m.mu.Lock()
--- a/pkg/contact/monitor_test.go
+++ b/pkg/contact/monitor_test.go
@@ -243,3 +243,26 @@
 		})
 	}
 }
+
+// Guards against a router that waits for its own lost list although routers that it may follow are answered again, and against giving
+// up calls of a router whose store answers, or calls that are younger than the answer.
+func TestLeaderAnsweredGivesUpLostReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{latency: 4 * time.Millisecond}
+		m := newTestMonitor(t, s, false)
+		must.NoError(t, shortCall(t.Context(), m, s))
+		time.AfterFunc(time.Second, func() { m.LeaderAnswered(time.Now()) })
+		must.NoError(t, watch(t.Context(), m, s))
+
+		s.silent.Store(true)
+		must.Error(t, shortCall(t.Context(), m, s))
+		started := time.Now()
+		for _, after := range []time.Duration{400, 800} {
+			time.AfterFunc(after*time.Millisecond, func() { m.LeaderAnswered(started.Add(probeInterval - 1)) })
+		}
+		time.AfterFunc(time.Second, func() { m.LeaderAnswered(started.Add(probeInterval)) })
+		must.ErrorIs(t, watch(t.Context(), m, s), ErrLeaderAnswered)
+		must.EqOp(t, time.Second, time.Since(started))
+		must.True(t, m.IsSilent())
+	})
+}
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -75,6 +75,8 @@
 	// AwaitRetry waits for the delay before a failed call is made again, or for less if the store is known to be back. It returns false
 	// as soon as the context has ended. Optional.
 	AwaitRetry func(ctx context.Context, delay time.Duration) bool
+	// LeaderAnswered is called with the time of the last answer of the store to the router that this one follows. Optional.
+	LeaderAnswered func(at time.Time)
 	// SetStoreLost is called with true when calls to the store start to fail and with false when the store answers again.
 	// Optional.
 	SetStoreLost func(lost bool)
@@ -146,7 +148,7 @@
 }
 
 // readStore reads the store until a call fails, or until directUntil has passed and there is a router to follow. It
-// returns false after a failure, after a delay.
+// returns false after a failure, after a delay, and at once if a router that can be followed has an answer of the store.
 func (f *Feed) readStore(ctx context.Context, directUntil time.Time) bool {
 	var err error
 	if f.StaleListInterval > 0 {
@@ -157,6 +159,9 @@
 	switch {
 	case ctx.Err() != nil || err == nil:
 		return true
+	case errors.Is(err, contact.ErrLeaderAnswered):
+		f.fallback.dueAt = time.Now() // If no router can be followed, the store is read at once.
+		return false
 	case errors.Is(err, contact.ErrInterrupted):
 		return true
 	case errors.Is(err, platform.ErrGap):
@@ -202,7 +207,7 @@
 		}
 		start := time.Now()
 		changes, next, err := f.Store.Poll(ctx, f.Kind+"/", revision, wait)
-		if errors.Is(err, contact.ErrInterrupted) {
+		if errors.Is(err, contact.ErrInterrupted) && !errors.Is(err, contact.ErrLeaderAnswered) {
 			wait = catchUpWait
 			continue
 		}
@@ -210,7 +215,7 @@
 		if err != nil {
 			// A watch may be cut off while the store works, so one failed call is repeated from the same revision.
 			failures++
-			if errors.Is(err, platform.ErrGap) || failures > 1 {
+			if errors.Is(err, platform.ErrGap) || errors.Is(err, contact.ErrLeaderAnswered) || failures > 1 {
 				return err
 			}
 			continue
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -318,3 +319,50 @@
 	must.NoError(t, f.applyMessage(&feedv1.FollowResponse{Revision: 7, Objects: []*feedv1.Object{encodeObject(change)}}, 0))
 	must.True(t, m.hasObjects(want), must.Sprint("a heartbeat of an older build came first"))
 }
+
+// silentReads is a store that answers no list, until the router learns of an answer to another router.
+type silentReads struct {
+	testStore
+	lists    atomic.Int64
+	answered chan struct{}
+}
+
+func (s *silentReads) List(ctx context.Context, _ string) ([]platform.Object, uint64, error) {
+	s.lists.Add(1)
+	select {
+	case <-s.answered:
+		return nil, 0, contact.ErrLeaderAnswered
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// Guards against a router that reads a silent store itself for directWatchTime, or waits for a delay, although a router that it can
+// follow is answered again.
+func TestFollowsAgainAfterLeaderAnswered(t *testing.T) {
+	memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+	_, err := memory.Client("operator").Put(t.Context(), "servers/1", []byte(`"a"`), 0)
+	must.NoError(t, err)
+	leader := testFeed(memory.Client("leader"), &memoryConsumer{}, nil)
+	mux := http.NewServeMux()
+	mux.Handle(NewService(leader).Handler())
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+
+	store := &silentReads{answered: make(chan struct{})}
+	m := &memoryConsumer{}
+	follower := testFeed(nil, m, func() []string { return []string{server.Listener.Addr().String()} })
+	follower.Store = store
+	var answers atomic.Int64
+	follower.LeaderAnswered = func(time.Time) { answers.Add(1) }
+	go follower.Run(ctx)
+	eventually(t, "the router reads the store itself, as the other one has read nothing yet", func() bool { return store.lists.Load() == 1 })
+	go leader.Run(ctx)
+	eventually(t, "the other router has the objects", func() bool { _, ok := leader.Age(); return ok })
+	close(store.answered)
+	eventually(t, "the router follows the other one", func() bool { return m.hasObjects(map[string]string{"servers/1": `"a"`}) })
+	must.EqOp(t, 1, store.lists.Load(), must.Sprint("the store is not read again"))
+	must.Positive(t, answers.Load())
+}
--- a/pkg/feed/peer.go
+++ b/pkg/feed/peer.go
@@ -159,6 +159,9 @@
 			return err
 		}
 		f.following = true
+		if f.LeaderAnswered != nil {
+			f.LeaderAnswered(time.Now().Add(-age))
+		}
 	}
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
