Measure how long after a silence of the store each feed is up to date, and say why

Both count from when this router notices the return; the stand-in's own clock is in TestChangesAreAppliedSoonAfterASilence.

`store_catch_up_seconds` by kind and cause, and `feed_caught_up`. TestCatchUpsAreMeasured; TestInterruptedWatchGoesOn checks the causes too, and waits for the feed's end before it reads them.

--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -63,7 +63,7 @@
 // a large fleet the leaders of an availability zone read the store and pass the changes on to the others in it.
 func (r *Router) newFeeds(peers feed.PeerClient) {
 	options := feed.Options{
-		Log: r.log, Client: peers, AwaitRetry: r.contact.Sleep, LeaderAnswered: r.contact.LeaderAnswered,
+		Log: r.log, Client: peers, AwaitRetry: r.contact.Sleep, LeaderAnswered: r.contact.LeaderAnswered, Contacted: r.catchUps.contacted,
 		WatchWait:  r.byFleetSize(watchWaitSmallFleet, feed.LeaderWait),
 		WatchPause: r.byFleetSize(watchPauseSmallFleet, watchPauseLargeFleet),
 		Leaders:    func() []string { return r.roster.Leaders(maxSmallFleet, leadersPerZone) },
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -91,6 +91,7 @@
 	adapter   Adapter
 	breaker   *circuitBreaker
 	contact   *contact.Monitor
+	catchUps  *catchUps
 	log       log.Interface
 	config    *configuration
 	endpoints *endpointSet
@@ -127,6 +128,9 @@
 	if r.metrics, err = telemetry.New("lsentry"); err != nil {
 		return nil, err
 	}
+	if r.catchUps, err = newCatchUps(r.contact.LastSilence, r.metrics.Meter, logger); err != nil {
+		return nil, err
+	}
 	metrics, err := forward.NewMetrics(r.metrics.Meter)
 	if err != nil {
 		return nil, err
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -77,6 +77,9 @@
 	AwaitRetry func(ctx context.Context, delay time.Duration) bool
 	// LeaderAnswered is called with the time of the last answer of the store to the router that this one follows. Optional.
 	LeaderAnswered func(at time.Time)
+	// Contacted is called at each answer of the store, to this router or to the one that it follows. The objects are those of the time
+	// at, and cause says how the feed's call before ended: answered, given_up, failed, or leader if another router is followed. Optional.
+	Contacted func(kind, cause string, at time.Time)
 	// SetStoreLost is called with true when calls to the store start to fail and with false when the store answers again.
 	// Optional.
 	SetStoreLost func(lost bool)
@@ -94,7 +97,11 @@
 	retryDelay time.Duration
 	// following is set once a message of the leader was applied.
 	following bool
-	fallback  fallback
+	// isLed is set while another router is followed.
+	isLed bool
+	// isGivenUp and isFailed say how the last call to the store ended.
+	isGivenUp, isFailed bool
+	fallback            fallback
 }
 
 // New returns a Feed. It doesn't call the store before Run.
@@ -180,12 +187,35 @@
 // recordContact records an answer of the store that is age old.
 func (f *Feed) recordContact(age time.Duration) {
 	f.contact, f.retryDelay, f.fallback = time.Now().Add(-age), minRetryDelay, fallback{}
+	if f.Contacted != nil {
+		f.Contacted(f.Kind, f.contactCause(), f.contact)
+	}
+	f.isGivenUp, f.isFailed = false, false
 	if f.storeLost {
 		f.setLost(false)
 		f.Log.WithField("kind", f.Kind).Info("store_regained")
 	}
 }
 
+// contactCause returns how the call before this answer ended.
+func (f *Feed) contactCause() string {
+	switch {
+	case f.isLed:
+		return "leader"
+	case f.isGivenUp:
+		return "given_up"
+	case f.isFailed:
+		return "failed"
+	}
+	return "answered"
+}
+
+// recordCallEnd records how a call to the store ended that got no answer.
+func (f *Feed) recordCallEnd(err error) {
+	f.isGivenUp = errors.Is(err, contact.ErrInterrupted)
+	f.isFailed = !f.isGivenUp
+}
+
 func (f *Feed) setLost(lost bool) {
 	f.storeLost = lost
 	if f.SetStoreLost != nil {
@@ -197,6 +227,7 @@
 func (f *Feed) listAndWatch(ctx context.Context, directUntil time.Time) error {
 	objects, revision, err := f.Store.List(ctx, f.Kind+"/")
 	if err != nil {
+		f.recordCallEnd(err)
 		return err
 	}
 	f.replaceAll(objects, revision, f.sinceContact(), 0)
@@ -207,6 +238,9 @@
 		}
 		start := time.Now()
 		changes, next, err := f.Store.Poll(ctx, f.Kind+"/", revision, wait)
+		if err != nil {
+			f.recordCallEnd(err)
+		}
 		if errors.Is(err, contact.ErrInterrupted) && !errors.Is(err, contact.ErrLeaderAnswered) {
 			wait = catchUpWait
 			continue
@@ -233,6 +267,7 @@
 	for first := true; ; first = false {
 		objects, err := f.Store.ListStale(ctx, f.Kind+"/")
 		if err != nil {
+			f.recordCallEnd(err)
 			return err
 		}
 		if first {
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -142,9 +142,15 @@
 	m := &memoryConsumer{}
 	f := testFeed(memory.Client("a"), m, nil)
 	f.Store = store
+	var causes []string // Appended to by the feed only, and read after it has ended.
+	f.Contacted = func(_, cause string, _ time.Time) { causes = append(causes, cause) }
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	go f.Run(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.Run(ctx)
+	}()
 	polls := func() int {
 		store.mu.Lock()
 		defer store.mu.Unlock()
@@ -154,12 +160,15 @@
 	_, err := memory.Client("operator").Put(ctx, "servers/1", []byte(`"a"`), 0)
 	must.NoError(t, err)
 	eventually(t, "the consumer has the change", func() bool { return m.hasObjects(map[string]string{"servers/1": `"a"`}) })
+	stop()
+	<-ended
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	wait := f.WatchWait()
 	must.Eq(t, []time.Duration{wait, wait, catchUpWait, catchUpWait, wait}, store.waits[:5])
 	must.EqOp(t, 1, store.lists)
 	must.False(t, f.storeLost)
+	must.Eq(t, []string{"answered", "answered", "given_up", "answered"}, causes[:4], must.Sprint("the list, the first watch, the repeated one, the next"))
 }
 
 // Guards against a follower that can't reach the store and gets no changes through its leader either, and against one
--- a/pkg/feed/peer.go
+++ b/pkg/feed/peer.go
@@ -148,6 +148,8 @@
 		return err
 	}
 	defer stream.Close()
+	f.isLed = true
+	defer func() { f.isLed = false }()
 	for stream.Receive() {
 		timer.Reset(leaderTimeout)
 		m := stream.Msg()
