--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -111,6 +111,8 @@
 	storeCallInProgress, peerRequestInProgress bool
 	// returnReadInProgress covers the read of the record before a return. The free tokens stay available meanwhile.
 	returnReadInProgress bool
+	// storeCallAt is the start of the last draw or return.
+	storeCallAt time.Time
 	// retryAt is the earliest time of the next call to the store.
 	retryAt time.Time
 	// askAheadAt is the earliest time of the next question ahead of need.
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -93,6 +93,7 @@
 	adapter   Adapter
 	breaker   *circuitBreaker
 	contact   *contact.Monitor
+	catchUps  *catchUps
 	log       log.Interface
 	config    *configuration
 	endpoints *endpointSet
@@ -129,6 +130,9 @@
 	if r.metrics, err = telemetry.New("lsentry"); err != nil {
 		return nil, err
 	}
+	if r.catchUps, err = newCatchUps(r.contact.LastSilence, r.metrics.Meter, logger); err != nil {
+		return nil, err
+	}
 	metrics, err := forward.NewMetrics(r.metrics.Meter)
 	if err != nil {
 		return nil, err
@@ -250,6 +254,7 @@
 	tasks.Go(func() { r.contact.Run(backgroundCtx) })
 	tasks.Go(func() { r.placement.Run(backgroundCtx) })
 	tasks.Go(func() { r.accounts.Run(backgroundCtx) })
+	tasks.Go(func() { r.contact.NotifyReturns(backgroundCtx, r.accounts.StoreReturned) })
 	tasks.Go(func() { r.roster.Run(backgroundCtx, r.rosterFeed.Age) })
 	tasks.Go(func() { r.runFeeds(backgroundCtx) })
 	tasks.Go(func() { r.crashes.Run(backgroundCtx) })
