--- a/pkg/forward/crash_test.go
+++ b/pkg/forward/crash_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -135,3 +136,17 @@
 	must.Nil(t, e.failure)
 	must.EqOp(t, http.StatusInternalServerError, recorder.Code)
 }
+
+// Guards against a prompt of thousands of parts that replaces the prefixes of all others in the placement's index.
+func TestPromptOfManyPartsIsIndexedInPart(t *testing.T) {
+	p := &Prompt{Model: "m", Parts: make([]Part, 4000)}
+	for i := range p.Parts {
+		p.Parts[i] = Part{ID: strconv.Itoa(i), Tokens: 1}
+	}
+	hashes, ends := p.sharedPrefixes()
+	must.Len(t, maxIndexedParts, hashes)
+	must.EqOp(t, maxIndexedParts, ends[len(ends)-1])
+	p.Parts = p.Parts[:3]
+	first, _ := p.sharedPrefixes()
+	must.Eq(t, hashes[:2], first)
+}
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -34,8 +34,12 @@
 // maxTokens returns the largest number of tokens that the request can use.
 func (p *Prompt) maxTokens() int64 { return p.Tokens + p.MaxOutput }
 
+// maxIndexedParts bounds the prefixes of one prompt that the placement remembers, so that a prompt of thousands of parts doesn't
+// replace those of others.
+const maxIndexedParts = 256
+
 // sharedPrefixes returns the hash of each prefix of the prompt that other requests may share, and its length in tokens.
-// The last part is left out, because it belongs to this request or session alone.
+// The last part is left out, because it belongs to this request or session alone. It returns at most maxIndexedParts.
 func (p *Prompt) sharedPrefixes() (hashes []uint64, ends []int) {
 	if p == nil || len(p.Parts) < 2 {
 		return nil, nil
@@ -43,7 +47,7 @@
 	digest := xxhash.New()
 	_, _ = digest.WriteString(p.Model) // Writes to a digest never fail.
 	total := 0
-	for _, part := range p.Parts[:len(p.Parts)-1] {
+	for _, part := range p.Parts[:min(maxIndexedParts, len(p.Parts)-1)] {
 		_, _ = digest.WriteString("/" + part.ID)
 		total += part.Tokens
 		hashes, ends = append(hashes, digest.Sum64()), append(ends, total)
