Limit the head of each request by header_timeout_ms, and keep limits above the fixed ones

What callers saw: a later request's head could take 10 s whatever header_timeout_ms said. A head that began shortly before the idle timeout was cut off by it, and was answered 400 if its first line wasn't whole, which callers don't retry. Limits above 10 s and 2 min weren't kept. Cause: the hooks of net/http don't tell when a head begins, so that it counted as idle time, and the server's fixed limits were shorter. Now the connection's first read after it became idle begins the time of a head; such a connection is not idle, neither for the timeout nor for making room. The server's own limits are off for callers. TestLaterHeadsAreLimitedByTheConfiguration failed before: the rest of a head that began after 14 s of 15 s idle time could not be sent.

--- a/pkg/entry/callerconns.go
+++ b/pkg/entry/callerconns.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -48,6 +49,8 @@
 	connNew connPhase = iota
 	// connIdle means that no request is in progress.
 	connIdle
+	// connHead means that the head of a later request has begun to arrive.
+	connHead
 	// connActive means that a request is in progress.
 	connActive
 )
@@ -60,13 +63,14 @@
 	ended bool
 }
 
-// isOverdue reports whether a connection has waited for longer than the limits allow. A limit of 0 doesn't apply.
+// isOverdue reports whether a connection has waited for longer than the limits allow. For a limit of 0 readHeaderTimeout or idleTimeout
+// applies.
 func (s connState) isOverdue(now time.Time, l catalog.Limits) bool {
 	switch s.phase {
-	case connNew:
-		return l.HeaderTimeout > 0 && now.Sub(s.since) > l.HeaderTimeout
+	case connNew, connHead:
+		return now.Sub(s.since) > cmp.Or(l.HeaderTimeout, readHeaderTimeout)
 	case connIdle:
-		return l.IdleTimeout > 0 && now.Sub(s.since) > l.IdleTimeout
+		return now.Sub(s.since) > cmp.Or(l.IdleTimeout, idleTimeout)
 	}
 	return false
 }
@@ -105,6 +109,56 @@
 	return &callerConns{limits: limits, max: most, log: logger, full: logging.NewLimiter(fullLinesPerSecond), conns: map[net.Conn]*connState{}}
 }
 
+// attach makes c limit the connections of the server, whose listener must be one of listen. The server's own limits are fixed and are
+// switched off.
+func (c *callerConns) attach(s *http.Server) {
+	s.ConnState, s.IdleTimeout, s.ReadHeaderTimeout = c.Observe, -1, -1
+}
+
+// listen returns a listener whose connections tell c when the head of a later request begins.
+func (c *callerConns) listen(l net.Listener) net.Listener { return headListener{l, c} }
+
+type headListener struct {
+	net.Listener
+	conns *callerConns
+}
+
+// Accept implements net.Listener.
+func (l headListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &headConn{Conn: accepted, conns: l.conns}, nil
+}
+
+// headConn is a connection that tells when the head of a later request begins.
+type headConn struct {
+	net.Conn
+	conns *callerConns
+	// idle is set while no byte of the next request has been read. It spares a lock for most reads.
+	idle atomic.Bool
+}
+
+// Read implements net.Conn.
+func (h *headConn) Read(p []byte) (int, error) {
+	n, err := h.Conn.Read(p)
+	if n > 0 && h.idle.CompareAndSwap(true, false) {
+		h.conns.beginHead(h)
+	}
+	return n, err
+}
+
+// beginHead records the first bytes of a later request's head.
+func (c *callerConns) beginHead(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.conns[conn]; s != nil && s.phase == connIdle {
+		s.phase, s.since = connHead, time.Now()
+		c.keep(conn, s)
+	}
+}
+
 // Observe is the ConnState hook of the callers' server.
 func (c *callerConns) Observe(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
@@ -117,14 +171,14 @@
 	case http.StateIdle:
 		if s := c.conns[conn]; s != nil {
 			s.phase, s.since = connIdle, now
+			if h, ok := conn.(*headConn); ok {
+				h.idle.Store(true)
+			}
 		}
 	case http.StateActive:
 		if s := c.conns[conn]; s != nil {
 			s.phase, s.since = connActive, now
-			if s.ended { // The request came as the connection was ended: it is served.
-				s.ended = false
-				_ = conn.SetReadDeadline(time.Time{}) // A closed connection fails the request anyway.
-			}
+			c.keep(conn, s)
 		}
 	case http.StateClosed, http.StateHijacked:
 		delete(c.conns, conn)
@@ -167,6 +221,14 @@
 	_ = conn.SetReadDeadline(time.Now()) // On an error the connection is closed already.
 }
 
+// keep takes the end of a connection back, because a request came as it was ended. c.mu must be held.
+func (c *callerConns) keep(conn net.Conn, s *connState) {
+	if s.ended {
+		s.ended = false
+		_ = conn.SetReadDeadline(time.Time{}) // A closed connection fails the request anyway.
+	}
+}
+
 // isFull reports whether another connection would be ended at once.
 func (c *callerConns) isFull() bool {
 	c.mu.Lock()
--- a/pkg/entry/callerconns_test.go
+++ b/pkg/entry/callerconns_test.go
@@ -45,11 +45,12 @@
 	c := &callersOf{listener: pipeListener{make(chan net.Conn)}}
 	c.limits.Store(&limits)
 	c.conns = newCallerConns(func() catalog.Limits { return *c.limits.Load() }, most, discardLog())
-	server := &http.Server{ConnState: c.conns.Observe, IdleTimeout: idleTimeout, ReadHeaderTimeout: readHeaderTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // What the caller sends doesn't matter.
 		time.Sleep(time.Duration(c.work.Load()))
 	})}
-	go func() { _ = server.Serve(c.listener) }() // It ends with the listener.
+	c.conns.attach(server)
+	go func() { _ = server.Serve(c.conns.listen(c.listener)) }() // It ends with the listener.
 	ctx, cancel := context.WithCancel(t.Context())
 	go c.conns.run(ctx)
 	t.Cleanup(func() {
@@ -118,6 +119,53 @@
 	})
 }
 
+// Guards against a head that takes longer than the configuration allows on a connection that has carried a request, against ending one
+// that comes in time, and against a fixed limit below that of the configuration.
+func TestLaterHeadsAreLimitedByTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 2
+		c := newCallersOf(t, most, catalog.Limits{IdleTimeout: 15 * time.Second, HeaderTimeout: 3 * time.Second})
+		begin := func(conn net.Conn) {
+			_, err := io.WriteString(conn, "GET / HT")
+			must.NoError(t, err)
+		}
+		slow := c.dial(t)
+		must.True(t, send(slow))
+		time.Sleep(14 * time.Second)
+		begin(slow)
+		time.Sleep(2 * time.Second)
+		must.NoError(t, slow.SetWriteDeadline(time.Now().Add(time.Second)))
+		_, err := io.WriteString(slow, "TP/1.1\r\nHost: a\r\n")
+		must.NoError(t, err)
+		must.True(t, isOpen(slow, 900*time.Millisecond), must.Sprint("the head has begun within the idle timeout"))
+		must.NoError(t, slow.SetReadDeadline(time.Now().Add(time.Second)))
+		_, err = slow.Read(make([]byte, 1))
+		must.ErrorIs(t, err, io.EOF, must.Sprint("a part of a head doesn't extend its time, and callers don't retry after a 400"))
+
+		inTime := c.dial(t)
+		must.True(t, send(inTime))
+		time.Sleep(14 * time.Second)
+		begin(inTime)
+		idle := c.dial(t)
+		must.True(t, send(idle))
+		time.Sleep(time.Second)
+		added := c.dial(t)
+		must.True(t, send(added))
+		must.False(t, isOpen(idle, 100*time.Millisecond), must.Sprint("the only idle one"))
+		_, err = io.WriteString(inTime, "TP/1.1\r\nHost: a\r\n\r\n")
+		must.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(inTime), nil)
+		must.NoError(t, err)
+		must.EqOp(t, http.StatusOK, response.StatusCode)
+
+		c.limits.Store(&catalog.Limits{IdleTimeout: 5 * time.Minute, HeaderTimeout: time.Minute})
+		must.True(t, isOpen(inTime, 4*time.Minute))
+		begin(inTime)
+		must.True(t, isOpen(inTime, 59*time.Second))
+		must.False(t, isOpen(inTime, 2*time.Second))
+	})
+}
+
 // Guards against a router that has used up its descriptors with idle connections and takes no new one, and against ending others than
 // those idle for longest.
 func TestNewCallersReplaceThoseIdleLongest(t *testing.T) {
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -39,9 +39,9 @@
 	drainServingTime = 2500 * time.Millisecond
 	// exitMargin is the part of the grace time reserved for the exit itself.
 	exitMargin = 400 * time.Millisecond
-	// readHeaderTimeout limits the time in which a caller sends a request's header.
+	// readHeaderTimeout limits the time in which a request's header is sent. For callers the limit of the configuration replaces it.
 	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is for connections of other routers and of the platform. Those of callers end earlier if the configuration says so.
+	// idleTimeout limits the time for which a connection is idle. For callers the limit of the configuration replaces it.
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is larger than the limit that the configuration states to callers.
 	maxHeaderBytes = 64 << 10
@@ -250,7 +250,7 @@
 	tasks.Go(func() { r.callerConns.run(backgroundCtx) })
 
 	callers := r.newHTTPServer(r.server)
-	callers.ConnState = r.callerConns.Observe
+	r.callerConns.attach(callers)
 	peers := r.newHTTPServer(r.peerHandler())
 	peers.Protocols = peerhttp.UnencryptedHTTP2()
 	serveErrors := make(chan error, 5)
@@ -278,6 +278,9 @@
 			tasks.Go(func() { metered.run(backgroundCtx) })
 			listener = metered
 		}
+		if l.server == callers {
+			listener = r.callerConns.listen(listener)
+		}
 		tasks.Go(func() {
 			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				serveErrors <- fmt.Errorf("entry: serve %s: %w", l.address, err)
