Keep a service's max_connections by all routers together, and a number of descriptors for endpoints

What callers saw: an endpoint resets the connections beyond max_connections, and requests on them; connections to endpoints had no number of their own, so that they could take the descriptors that the store, other routers and readiness checks need. Cause: max_connections was not decoded, and nothing counted connections to endpoints. Now the client counts them, also idle ones and attempts. A router has an even share of max_connections among the routers that are alive, at least one, and 0.15 of the descriptors that aren't for files. Checks of links aren't refused. TestLimitOfConnectionsIsNoFailureOfTheEndpoint fails if the limit counts as the endpoint's failure (tried).

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -74,6 +74,8 @@
 	TokensPerEvent int
 	// Slots is the number of requests that an engine runs concurrently; 0 if unknown.
 	Slots int
+	// MaxConnections is the number of connections that an endpoint accepts from all routers together; 0 if unknown.
+	MaxConnections int
 }
 
 // Limits bound what callers may send.
--- a/pkg/entry/callerconns.go
+++ b/pkg/entry/callerconns.go
@@ -25,6 +25,8 @@
 	// callerDescriptorShare is the share of the other descriptors that connections of callers may use. The rest is for endpoints, the
 	// store, other routers and readiness checks.
 	callerDescriptorShare = 0.75
+	// endpointDescriptorShare is the share of them that connections to endpoints may use.
+	endpointDescriptorShare = 0.15
 	// roomShare is the share of the largest number of connections that is made free at a time, so that a router at that number doesn't
 	// sort its connections for each new one.
 	roomShare = 1.0 / 32
@@ -41,6 +43,24 @@
 	return max(1, int(callerDescriptorShare*float64(descriptors-fileDescriptors)))
 }
 
+// maxEndpointConns returns the number of connections to endpoints that a process with the number of descriptors may hold, 0 if it has
+// no limit.
+func maxEndpointConns(descriptors int) int {
+	if descriptors <= 0 {
+		return 0
+	}
+	return max(1, int(endpointDescriptorShare*float64(descriptors-fileDescriptors)))
+}
+
+// connShare returns how many of the connections that an endpoint accepts from all routers this one may have, 0 for no limit. Each of the
+// routers has at least one, or a large fleet would send nothing.
+func connShare(most, routers int) int {
+	if most <= 0 {
+		return 0
+	}
+	return max(1, most/max(1, routers))
+}
+
 // connPhase is what a connection of a caller is waiting for.
 type connPhase int
 
--- a/pkg/entry/callerconns_test.go
+++ b/pkg/entry/callerconns_test.go
@@ -254,3 +254,20 @@
 		must.Len(t, fullLinesPerSecond, lines.Entries)
 	})
 }
+
+// Guards against routers that together open more connections to an endpoint than it accepts, and against shares of the descriptors that
+// leave none for the store, other routers and readiness checks.
+func TestSharesOfConnections(t *testing.T) {
+	for _, routers := range []int{1, 3, 8, 88} {
+		must.LessEq(t, 370, routers*connShare(370, routers))
+	}
+	must.EqOp(t, 46, connShare(370, 8))
+	must.EqOp(t, 1, connShare(5, 88), must.Sprint("a router with no share would serve nothing"))
+	must.EqOp(t, 0, connShare(0, 8), must.Sprint("no limit is known"))
+	must.EqOp(t, 0, maxEndpointConns(0))
+	for _, descriptors := range []int{400, 4100, 8192} {
+		callers, endpoints := maxCallerConns(descriptors), maxEndpointConns(descriptors)
+		must.Less(t, descriptors-fileDescriptors, callers+endpoints)
+		must.GreaterEq(t, (descriptors-fileDescriptors)/10, descriptors-fileDescriptors-callers-endpoints)
+	}
+}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -105,11 +105,13 @@
 	linkMeter *linkMeter
 	// liveEndpoints holds the liveAddresses of the endpoints that were published last.
 	liveEndpoints atomic.Pointer[[]string]
-	links         *reach.Monitor
-	callerConns   *callerConns
-	remote        *remote.Client
-	metrics       *telemetry.Metrics
-	draining      atomic.Bool
+	// services maps the addresses of the endpoints that were published last to their services.
+	services    atomic.Pointer[map[string]string]
+	links       *reach.Monitor
+	callerConns *callerConns
+	remote      *remote.Client
+	metrics     *telemetry.Metrics
+	draining    atomic.Bool
 
 	configFeed, endpointFeed, rosterFeed, crashFeed *feed.Feed
 }
@@ -135,6 +137,7 @@
 		r.linkMeter = newLinkMeter(s.LinkBytesPerSecond, time.Now())
 	}
 	r.client = upstream.NewClient()
+	r.client.MaxConns, r.client.MaxConnsTo = maxEndpointConns(s.Descriptors), r.maxConnsTo
 	if a.DialEndpoint != nil {
 		r.client.DialContext = a.DialEndpoint
 	}
@@ -210,6 +213,16 @@
 	return catalog.Limits{}
 }
 
+// maxConnsTo returns how many connections to the endpoint at the address this router may have, 0 for no limit.
+func (r *Router) maxConnsTo(address string) int {
+	config, services := r.config.Current(), r.services.Load()
+	if config == nil || services == nil {
+		return 0
+	}
+	service, _ := config.Service((*services)[address])
+	return connShare(service.MaxConnections, r.roster.Count())
+}
+
 // updateEndpoints passes the endpoints to the placement and closes the idle connections to all others.
 func (r *Router) updateEndpoints(vms []platform.VM) {
 	addresses := liveAddresses(vms)
@@ -217,9 +230,11 @@
 	r.placement.Update(vms)
 	r.origins.Update(vms)
 	keep := make(map[string]bool, len(vms))
+	services := make(map[string]string, len(vms))
 	for _, vm := range vms {
-		keep[vm.Address] = true
+		keep[vm.Address], services[vm.Address] = true, vm.Service
 	}
+	r.services.Store(&services)
 	r.client.CloseIdleExcept(keep)
 }
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -235,7 +235,9 @@
 	})
 	e.attemptErr = err
 	if errors.Is(err, upstream.ErrNotSent) {
-		end.result = e.failureResult(ctx)
+		if !errors.Is(err, upstream.ErrTooManyConns) { // That is this router's limit, not the endpoint's failure.
+			end.result = e.failureResult(ctx)
+		}
 		return attemptNotSent, nil
 	}
 	e.attempts++
--- a/pkg/forward/verdict_test.go
+++ b/pkg/forward/verdict_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -10,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lavendershunt/lavendershunt/pkg/catalog"
+	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
@@ -91,3 +94,31 @@
 		must.EqOp(t, 1, e.attempts, must.Sprint("the endpoint has room for the request"))
 	}
 }
+
+// Guards against an endpoint that counts as failed, and is closed to others, because this router has used its own share of connections.
+func TestLimitOfConnectionsIsNoFailureOfTheEndpoint(t *testing.T) {
+	placement := NewPlacement("a", route.Options{})
+	go placement.Run(t.Context())
+	placement.Update([]platform.VM{{Name: "e0", Role: platform.RoleService, Service: "s", State: platform.VMLive, Address: "endpoint"}})
+	client := upstream.NewClient()
+	client.MaxConnsTo = func(string) int { return 1 }
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	client.DialContext = func(context.Context, string, string) (net.Conn, error) { return near, nil }
+	go func() {
+		_, _ = client.Send(t.Context(), upstream.Call{Address: "endpoint", Method: "GET", Target: "/"})
+	}() // Holds the only one.
+	_, err := far.Read(make([]byte, 1))
+	must.NoError(t, err)
+	for range 5 {
+		e := testExchange(catalog.Route{MaxAttempts: 1})
+		e.Log = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+		e.Dialect, e.Placement, e.Client = plainDialect{}, placement, client
+		e.request, e.service, e.attempts = Request{ID: "1", Method: "POST", Target: "/a", Host: "h"}, catalog.Service{Name: "s"}, 0
+		e.writer = httptest.NewRecorder()
+		e.forward(t.Context())
+		must.EqOp(t, outcome.NotRun, e.failure.Outcome)
+		must.ErrorIs(t, e.attemptErr, upstream.ErrTooManyConns, must.Sprint("the endpoint is still chosen"))
+	}
+}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -74,15 +74,20 @@
 	// OnAttempt is called at the end of each connection attempt, unless the request that needed the connection ended first.
 	// Optional.
 	OnAttempt func(reach.Attempt)
-	delay     delayMeter
-	mu        sync.Mutex
+	// MaxConnsTo returns how many connections to the address the client may have, 0 for no limit. Optional.
+	MaxConnsTo func(address string) int
+	// MaxConns is the largest number of connections to all endpoints, 0 for no limit.
+	MaxConns int
+	counts   connCounts
+	delay    delayMeter
+	mu       sync.Mutex
 	// idle holds the idle connections by address.
 	idle map[string][]*conn
 }
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{DialContext: Dialer(0, EndpointUnackedTimeout).DialContext, idle: map[string][]*conn{}}
+	return &Client{DialContext: Dialer(0, EndpointUnackedTimeout).DialContext, idle: map[string][]*conn{}, counts: connCounts{byAddr: map[string]int{}}}
 }
 
 // dial connects to the address. timeout bounds the attempt.
@@ -267,20 +272,33 @@
 		}
 		_ = pooled.Close() // The connection is unusable, so an error in closing it does not matter.
 	}
-	dialled, err := c.dial(ctx, address, dialTimeout)
+	if err := c.reserve(address); err != nil {
+		return nil, err
+	}
+	return c.open(ctx, address, dialTimeout)
+}
+
+// open makes a connection that has been counted.
+func (c *Client) open(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	dialled, err := c.dial(ctx, address, timeout)
 	if err != nil {
+		c.counts.remove(address)
 		return nil, err
 	}
-	return newConn(dialled), nil
+	opened := newConn(dialled)
+	opened.closed = sync.OnceFunc(func() { c.counts.remove(address) })
+	return opened, nil
 }
 
-// Connect makes a connection for a later request. timeout bounds the attempt.
+// Connect makes a connection for a later request, also beyond the limits: it is for checks of a link, which are few. timeout bounds
+// the attempt.
 func (c *Client) Connect(ctx context.Context, address string, timeout time.Duration) error {
-	dialled, err := c.dial(ctx, address, timeout)
+	c.counts.add(address, 0, 0)
+	opened, err := c.open(ctx, address, timeout)
 	if err != nil {
 		return err
 	}
-	c.putIdle(address, newConn(dialled))
+	c.putIdle(address, opened)
 	return nil
 }
 
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -64,11 +64,19 @@
 	exchanges    int
 	idleDeadline time.Time
 	idleTimeout  time.Duration
+	// closed is called when the connection is closed, any number of times.
+	closed func()
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closed()
+	return c.Conn.Close()
 }
 
 func newConn(c net.Conn) *conn {
 	head := &headLimit{source: c}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, idleTimeout: defaultIdleTimeout}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, idleTimeout: defaultIdleTimeout, closed: func() {}}
 }
 
 // canReuse reports whether an idle connection is open and has no unread bytes. Bytes that arrive while no request is in
