--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -248,7 +248,9 @@
 	acc.owner.Post(func(t *accountTable) {
 		a := t.account(name)
 		a.storeCallInProgress = false
-		a.retryAt = time.Now().Add(t.recordStoreFailure())
+		if a.retryAt = time.Now(); !a.storeCallAt.Before(t.returnedAt) {
+			a.retryAt = a.retryAt.Add(t.recordStoreFailure())
+		}
 		acc.Log.WithFields(log.Fields{"organisation": name, "waiting": len(a.waiters)}).WithError(err).Warn("allowance_draw_failed")
 		acc.advance(t, name, a)
 	})
@@ -325,7 +327,7 @@
 // lost response can lose tokens but can't spend them twice.
 func (acc *Accounts) returnTokens(t *accountTable, name string, a *account, current storedRecord, tokens int64) {
 	a.free -= tokens
-	a.storeCallInProgress = true
+	a.storeCallInProgress, a.storeCallAt = true, time.Now()
 	t.writeCount++
 	current.record = current.record.with(a.known)
 	go acc.writeReturn(name, current, t.era, tokens, fmt.Sprintf("%s/%d", acc.Instance, t.writeCount))
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -41,9 +41,9 @@
 	drainServingTime = 2500 * time.Millisecond
 	// exitMargin is the part of the grace time reserved for the exit itself.
 	exitMargin = 400 * time.Millisecond
-	// readHeaderTimeout limits the time in which a caller sends a request's header.
+	// readHeaderTimeout limits the time in which a request's header is sent. For callers the limit of the configuration replaces it.
 	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is for connections of other routers and of the platform. Those of callers end earlier if the configuration says so.
+	// idleTimeout limits the time for which a connection is idle. For callers the limit of the configuration replaces it.
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is larger than the limit that the configuration states to callers.
 	maxHeaderBytes = 64 << 10
@@ -93,6 +93,7 @@
 	adapter   Adapter
 	breaker   *circuitBreaker
 	contact   *contact.Monitor
+	catchUps  *catchUps
 	log       log.Interface
 	config    *configuration
 	endpoints *endpointSet
@@ -107,11 +108,13 @@
 	linkMeter *linkMeter
 	// liveEndpoints holds the liveAddresses of the endpoints that were published last.
 	liveEndpoints atomic.Pointer[[]string]
-	links         *reach.Monitor
-	callerConns   *callerConns
-	remote        *remote.Client
-	metrics       *telemetry.Metrics
-	draining      atomic.Bool
+	// services maps the addresses of the endpoints that were published last to their services.
+	services    atomic.Pointer[map[string]string]
+	links       *reach.Monitor
+	callerConns *callerConns
+	remote      *remote.Client
+	metrics     *telemetry.Metrics
+	draining    atomic.Bool
 
 	configFeed, endpointFeed, rosterFeed, crashFeed *feed.Feed
 }
@@ -129,6 +132,9 @@
 	if r.metrics, err = telemetry.New("lsentry"); err != nil {
 		return nil, err
 	}
+	if r.catchUps, err = newCatchUps(r.contact.LastSilence, r.metrics.Meter, logger); err != nil {
+		return nil, err
+	}
 	metrics, err := forward.NewMetrics(r.metrics.Meter)
 	if err != nil {
 		return nil, err
@@ -137,6 +143,7 @@
 		r.linkMeter = newLinkMeter(s.LinkBytesPerSecond, time.Now())
 	}
 	r.client = upstream.NewClient()
+	r.client.MaxConns, r.client.MaxConnsTo = maxEndpointConns(s.Descriptors), r.maxConnsTo
 	if a.DialEndpoint != nil {
 		r.client.DialContext = a.DialEndpoint
 	}
@@ -222,6 +229,16 @@
 	return catalog.Limits{}
 }
 
+// maxConnsTo returns how many connections to the endpoint at the address this router may have, 0 for no limit.
+func (r *Router) maxConnsTo(address string) int {
+	config, services := r.config.Current(), r.services.Load()
+	if config == nil || services == nil {
+		return 0
+	}
+	service, _ := config.Service((*services)[address])
+	return connShare(service.MaxConnections, r.roster.Count())
+}
+
 // updateEndpoints passes the endpoints to the placement and closes the idle connections to all others.
 func (r *Router) updateEndpoints(vms []platform.VM) {
 	addresses := liveAddresses(vms)
@@ -229,9 +246,11 @@
 	r.placement.Update(vms)
 	r.origins.Update(vms)
 	keep := make(map[string]bool, len(vms))
+	services := make(map[string]string, len(vms))
 	for _, vm := range vms {
-		keep[vm.Address] = true
+		keep[vm.Address], services[vm.Address] = true, vm.Service
 	}
+	r.services.Store(&services)
 	r.client.CloseIdleExcept(keep)
 }
 
@@ -250,6 +269,7 @@
 	tasks.Go(func() { r.contact.Run(backgroundCtx) })
 	tasks.Go(func() { r.placement.Run(backgroundCtx) })
 	tasks.Go(func() { r.accounts.Run(backgroundCtx) })
+	tasks.Go(func() { r.contact.NotifyReturns(backgroundCtx, r.accounts.StoreReturned) })
 	tasks.Go(func() { r.roster.Run(backgroundCtx, r.rosterFeed.Age) })
 	tasks.Go(func() { r.runFeeds(backgroundCtx) })
 	tasks.Go(func() { r.crashes.Run(backgroundCtx) })
@@ -262,7 +282,7 @@
 	tasks.Go(func() { r.callerConns.run(backgroundCtx) })
 
 	callers := r.newHTTPServer(r.server)
-	callers.ConnState = r.callerConns.Observe
+	r.callerConns.attach(callers)
 	peers := r.newHTTPServer(r.peerHandler())
 	peers.Protocols = peerhttp.UnencryptedHTTP2()
 	serveErrors := make(chan error, 5)
@@ -290,6 +310,9 @@
 			tasks.Go(func() { metered.run(backgroundCtx) })
 			listener = metered
 		}
+		if l.server == callers {
+			listener = r.callerConns.listen(listener)
+		}
 		tasks.Go(func() {
 			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				serveErrors <- fmt.Errorf("entry: serve %s: %w", l.address, err)
--- a/pkg/feed/peer.go
+++ b/pkg/feed/peer.go
@@ -148,6 +148,8 @@
 		return err
 	}
 	defer stream.Close()
+	f.isLed = true
+	defer func() { f.isLed = false }()
 	for stream.Receive() {
 		timer.Reset(leaderTimeout)
 		m := stream.Msg()
@@ -159,6 +161,9 @@
 			return err
 		}
 		f.following = true
+		if f.LeaderAnswered != nil {
+			f.LeaderAnswered(time.Now().Add(-age))
+		}
 	}
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
