Don't count an endpoint as leaving that has restarted or is no longer listed

Cause: the reason of not to confirm an answer's end held also for an endpoint whose entry was gone or replaced by that of its next run, which is what a crash leads to. A scratch copy that logged the decision showed a refused connection and a leaving endpoint. Fix: only an endpoint that has said that it leaves, in its entry or an answer, ends by plan. TestOnlyALeavingEndpointEndsByPlan failed before. An endpoint that withdraws its entry without a word and completes an answer without a length after it has closed its listener is refused.

--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -92,9 +92,9 @@
 	return run, ok
 }
 
-// isLeaving reports whether the request's endpoint is leaving or no longer listed, so that its end is planned.
+// isLeaving reports whether the request's endpoint is known to be leaving, so that its end is planned.
 func (p *Placement) isLeaving(inFlight *route.InFlightRequest) (leaving bool) {
-	p.owner.Do(func(t *table) { leaving = !t.Serves(inFlight) })
+	p.owner.Do(func(t *table) { leaving = t.WasLeaving(inFlight) })
 	return leaving
 }
 
--- a/pkg/route/inflight.go
+++ b/pkg/route/inflight.go
@@ -27,6 +27,10 @@
 	return f.endpoint.vm.Name + "@" + strconv.FormatInt(f.endpoint.vm.Started, 10)
 }
 
+// WasLeaving reports whether the request's endpoint is leaving, or was when it was last listed. One that is no longer listed may have
+// crashed.
+func (t *Table) WasLeaving(f *InFlightRequest) bool { return f.endpoint.isLeaving() }
+
 // EndpointStarted returns the start time of the endpoint's run as a Unix time in ms, 0 if the platform doesn't report it.
 func (f *InFlightRequest) EndpointStarted() int64 { return f.endpoint.vm.Started }
 
