Ask other routers for a stream's version again after a pause

A router that was paused while it asked found the time over and went on by its own view (TestStreamOrder on: v1 for a stream that began at v3). It asks once more if nobody answered. TestPausedRouterAsksAgain failed before.

--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -275,10 +275,19 @@
 	return "", SourceUnknown
 }
 
-func (r *Registry) askPeers(ctx context.Context, id, serviceName string) Finding {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	return r.Peers.Find(ctx, r.Keepers(id, keepers), id, serviceName)
+// askPeers asks the routers that remember the stream. If none of them answers, it asks once more: a router that was paused finds the
+// time for the first question over.
+func (r *Registry) askPeers(ctx context.Context, id, serviceName string) (f Finding) {
+	const questions = 2
+	for range questions {
+		askCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+		f = r.Peers.Find(askCtx, r.Keepers(id, keepers), id, serviceName)
+		cancel()
+		if f.Answered {
+			break
+		}
+	}
+	return f
 }
 
 // IsMixed reports whether this router has seen several versions of the service within MaxStreamAge.
--- a/pkg/origin/registry_test.go
+++ b/pkg/origin/registry_test.go
@@ -26,6 +26,8 @@
 	stops   map[string]context.CancelFunc
 	// unreachable are the routers that other routers can't ask and that can't ask others.
 	unreachable map[string]bool
+	// lost holds the number of questions of a router that are not answered.
+	lost map[string]int
 }
 
 const firstRouter = "vm0"
@@ -35,7 +37,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		fl := &fleet{ctx: ctx, memory: memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1}), routers: map[string]*Registry{}, stops: map[string]context.CancelFunc{}, unreachable: map[string]bool{}}
+		fl := &fleet{ctx: ctx, memory: memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1}), routers: map[string]*Registry{}, stops: map[string]context.CancelFunc{}, unreachable: map[string]bool{}, lost: map[string]int{}}
 		for i := range 3 {
 			fl.start(fmt.Sprintf("vm%d", i))
 		}
@@ -110,6 +112,10 @@
 
 func (p fleetPeers) Find(_ context.Context, routers []string, stream, service string) Finding {
 	finding := Finding{}
+	if p.lost[p.vm] > 0 {
+		p.lost[p.vm]--
+		return finding
+	}
 	for _, name := range routers {
 		r := p.router(name)
 		if r == nil || name == p.vm || p.unreachable[p.vm] || p.unreachable[name] {
--- a/pkg/origin/staleview_test.go
+++ b/pkg/origin/staleview_test.go
@@ -48,3 +48,19 @@
 		must.Eq(t, found{"", SourceUnknown}, find(f.router("vm1"), "a"), must.Sprint("another router has seen two versions"))
 	})
 }
+
+// Guards against a router that falls back on its own view because it was paused while it asked the others.
+func TestPausedRouterAsksAgain(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		for _, vm := range []string{"vm0", "vm2"} {
+			f.router(vm).Keepers = func(string, int) []string { return []string{"vm0", "vm1"} }
+		}
+		f.setSoftware("v1")
+		time.Sleep(MaxStreamAge + maxClockSkew)
+		f.router("vm0").Update(endpoints("v1", "v1.1")) // The other routers don't get this change.
+		f.router("vm0").Record("a", "desk", "v1.1")
+		time.Sleep(time.Second)
+		f.lost["vm2"] = 1
+		must.Eq(t, found{"v1.1", SourcePeer}, find(f.router("vm2"), "a"))
+	})
+}
