Ask the process at the other end of a connection for its start time before the first stream on it

A connection never changes its process, so one question on each new connection to a model engine tells whose answers come through it. No choice depends on it yet.

- upstream: Call.Identify and Call.Accept; Response.Run.
- forward: endpoint_not_as_listed, version_proof in the lines of attempts and requests, forward_stream_processes_total.
- A process that doesn't say its start time in time still gets new streams, on another connection; one that says that it leaves gets none.

--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -103,7 +103,7 @@
 func (r *Router) pollEngine(ctx context.Context, vm platform.VM) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	report, err := r.fetchReport(ctx, vm)
+	report, _, err := r.fetchReport(ctx, vm, r.client.Send)
 	if err != nil {
 		r.log.WithField("endpoint", vm.Name).WithError(err).Debug("report_failed")
 		r.links.Suspect()
@@ -117,7 +117,7 @@
 func (r *Router) startOf(ctx context.Context, address string) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	report, response, err := r.requestReport(ctx, address)
+	report, response, err := r.requestReport(ctx, address, r.client.Send)
 	if err != nil && response != nil {
 		r.log.WithField("address", address).WithError(err).Debug("report_failed")
 		return 0, nil
@@ -125,18 +125,32 @@
 	return report.Started, err
 }
 
-func (r *Router) fetchReport(ctx context.Context, vm platform.VM) (route.LoadReport, error) {
+// identify asks the model engine at the other end of a connection for the start time of its process, and records its load report. It
+// returns 0 if the engine answers without saying it.
+func (r *Router) identify(ctx context.Context, endpoint, address string, send upstream.SendFunc) (started int64, err error) {
+	report, response, err := r.fetchReport(ctx, platform.VM{Name: endpoint, Address: address}, send)
+	if err == nil {
+		r.placement.Report(endpoint, report)
+	}
+	if response != nil && (response.Status == http.StatusNotFound || response.Status == http.StatusNotImplemented) {
+		return 0, nil
+	}
+	return report.Started, err
+}
+
+// fetchReport asks for an engine's load report and records what the answer says besides.
+func (r *Router) fetchReport(ctx context.Context, vm platform.VM, send upstream.SendFunc) (route.LoadReport, *upstream.Response, error) {
 	sentAt := time.Now()
-	report, response, err := r.requestReport(ctx, vm.Address)
+	report, response, err := r.requestReport(ctx, vm.Address, send)
 	if response != nil {
 		r.placement.RecordAnswer(forward.NewAnswer(r.adapter.Dialect, vm.Name, sentAt, response), r.log)
 	}
-	return report, err
+	return report, response, err
 }
 
 // requestReport returns an engine's load report. The response is nil if there was none; its body has been read.
-func (r *Router) requestReport(ctx context.Context, address string) (route.LoadReport, *upstream.Response, error) {
-	response, err := r.client.Send(ctx, upstream.Call{Address: address, Method: http.MethodGet, Target: r.adapter.ReportPath, Host: address, Header: http.Header{}})
+func (r *Router) requestReport(ctx context.Context, address string, send upstream.SendFunc) (route.LoadReport, *upstream.Response, error) {
+	response, err := send(ctx, upstream.Call{Address: address, Method: http.MethodGet, Target: r.adapter.ReportPath, Host: address, Header: http.Header{}})
 	if err != nil {
 		return route.LoadReport{}, nil, err
 	}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -189,7 +189,7 @@
 		Retries:      retry.New(s.Retry, time.Now(), s.FirstStart),
 		CrashRecords: r.crashes, Origins: r.origins,
 		Remote: r.remote, OnBroken: r.links.Suspect,
-		StartOf: r.startOf,
+		StartOf: r.startOf, Identify: r.identify,
 		Routers: r.roster.Count, Log: logger, Metrics: metrics,
 		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)),
 	})
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -142,6 +142,7 @@
 	if d := e.decision; d != nil {
 		fields["endpoint"], fields["kv_use"], fields["software"] = d.Chosen, d.KVUse, d.Software
 	}
+	e.addProcessFields(fields)
 	if e.throughRouter != "" {
 		fields["through_router"] = e.throughRouter
 	}
@@ -222,6 +223,7 @@
 // beginAttempt resets what is known of the latest attempt.
 func (e *exchange) beginAttempt(stream *eventStream) {
 	e.eventsBefore, e.answerBegun, e.attemptAnswered, e.endsWithConnection, e.attemptErr = stream.count, false, false, false, nil
+	e.process = process{}
 }
 
 // attempt sends the request to one endpoint. The response is nil unless the result is attemptErrorResponse and it may be passed on.
@@ -239,15 +241,22 @@
 		dispatch.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
 	e.beginAttempt(stream)
-	response, err := e.Client.Send(ctx, upstream.Call{
+	call := upstream.Call{
 		Address: decision.Address, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Header: e.Dialect.Encode(&e.request, dispatch), Body: e.request.Body, ID: e.request.ID, IDHeader: e.Dialect.IDHeader(),
 		IsLeaving:  func() bool { return e.Placement.isLeaving(inFlight) },
 		ConfirmRun: func(ctx context.Context) error { return e.confirmRun(ctx, decision.Address, inFlight) },
-	})
+	}
+	if e.statesStart() {
+		call.Identify = func(ctx context.Context, send upstream.SendFunc) (int64, error) {
+			return e.identify(ctx, &decision, inFlight, send)
+		}
+		call.Accept = func(run upstream.Run) error { return e.acceptProcess(&decision, run) }
+	}
+	response, err := e.Client.Send(ctx, call)
 	e.attemptErr = err
 	if errors.Is(err, upstream.ErrNotSent) {
-		if !errors.Is(err, upstream.ErrTooManyConns) { // That is this router's limit, not the endpoint's failure.
+		if !errors.Is(err, upstream.ErrTooManyConns) && !errors.Is(err, upstream.ErrRefused) { // These are no failures of the endpoint.
 			end.result = e.failureResult(ctx)
 		}
 		return attemptNotSent, nil
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -19,6 +19,7 @@
 	takenUp       metric.Int64Counter
 	remote        metric.Int64Counter
 	irregular     metric.Int64Counter
+	processes     metric.Int64Counter
 }
 
 // latencyBucketsSeconds are the histograms' bucket boundaries. They cover the latency objectives and timeouts of
@@ -47,6 +48,9 @@
 	if m.irregular, err = meter.Int64Counter("forward_streams_irregular", metric.WithDescription("Streams that an endpoint sent out of order, not as events, or not to their end, by kind.")); err != nil {
 		return nil, err
 	}
+	if m.processes, err = meter.Int64Counter("forward_stream_processes", metric.WithDescription("Attempts of streams by what proves the software version of the process that got them.")); err != nil {
+		return nil, err
+	}
 	if m.duration, err = meter.Float64Histogram("forward_duration", metric.WithUnit("s"), latencyBucketsSeconds, metric.WithDescription("Time to the end of the answer.")); err != nil {
 		return nil, err
 	}
@@ -104,3 +108,9 @@
 	}
 	m.irregular.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", kind))))
 }
+
+func (m *Metrics) recordProcess(proof versionProof) {
+	if m != nil && m.processes != nil {
+		m.processes.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("proof", string(proof)))))
+	}
+}
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -63,6 +63,9 @@
 	OnBroken func()
 	// StartOf asks a model engine for its start time as a Unix time in ms, 0 if it doesn't say. Optional.
 	StartOf func(ctx context.Context, address string) (int64, error)
+	// Identify asks the model engine at the other end of a connection for its start time as a Unix time in ms, 0 if it doesn't say, by
+	// calls that send sends on that connection. Optional.
+	Identify func(ctx context.Context, endpoint, address string, send upstream.SendFunc) (started int64, err error)
 	// Routers returns the number of routers that share the retry budget.
 	Routers func() int
 	Log     log.Interface
@@ -81,12 +84,14 @@
 	// The log lines of served requests and of failed ones have separate rate limits, so that a burst of served requests
 	// doesn't suppress the lines of failed ones.
 	servedLimiter, unservedLimiter *logging.Limiter
+	otherProcessLimiter            *logging.Limiter
 }
 
-// Limits of the log lines for requests that were served and for those that were not.
+// Limits of the log lines for requests that were served, for those that were not, and for endpoints that are not as they are listed.
 const (
-	servedLinesPerSecond   = 50
-	unservedLinesPerSecond = 200
+	servedLinesPerSecond       = 50
+	unservedLinesPerSecond     = 200
+	otherProcessLinesPerSecond = 20
 )
 
 // NewServer returns a Server.
@@ -102,6 +107,7 @@
 		Options: o, buffers: &bufferPool{limit: o.BufferBytes},
 		crashes:       crashes,
 		servedLimiter: logging.NewLimiter(servedLinesPerSecond), unservedLimiter: logging.NewLimiter(unservedLinesPerSecond),
+		otherProcessLimiter: logging.NewLimiter(otherProcessLinesPerSecond),
 	}
 }
 
@@ -156,6 +162,8 @@
 	delivered bool
 	// decision is the most recent choice of an endpoint, nil if there was none.
 	decision *route.Decision
+	// process is the process that got the latest attempt of a stream at an endpoint that this router has chosen.
+	process process
 	// headerSent is set once the header of a stream was sent to the caller.
 	headerSent bool
 	// firstByteAt is the time at which a buffered response or a stream's first event was relayed.
@@ -415,6 +423,7 @@
 		fields["endpoint"], fields["software"] = e.decision.Chosen, e.decision.Software
 		fields["candidates"], fields["choice"], fields["cached"] = e.decision.Candidates, string(e.decision.Reason), e.decision.Cached()
 	}
+	e.addProcessFields(fields)
 	if e.throughRouter != "" {
 		fields["through_router"] = e.throughRouter
 	}
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -63,7 +63,7 @@
 }
 
 func (d *Decision) setChosen(e *endpoint, reason Reason) {
-	d.endpoint, d.Chosen, d.Address, d.Software, d.Reason = e, e.vm.Name, e.vm.Address, e.vm.Software, reason
+	d.endpoint, d.Chosen, d.Address, d.Software, d.Started, d.Reason = e, e.vm.Name, e.vm.Address, e.vm.Software, e.vm.Started, reason
 	if e.report.valid {
 		d.KVUse = e.report.KVUse
 	}
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -95,7 +95,10 @@
 	Chosen string
 	// Address is the IP address and port of the chosen endpoint, and Software the version of its software.
 	Address, Software string
-	Reason            Reason
+	// Started is the start time of the chosen endpoint by its list entry, as a Unix time in ms, 0 if the platform doesn't report it.
+	// Address and Software come from the same entry.
+	Started int64
+	Reason  Reason
 	// RetryAfter is the retry delay for the caller if no endpoint was chosen.
 	RetryAfter time.Duration
 	// KVUse is the used share of the chosen endpoint's KV cache by its last report, 0 without one.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -57,6 +57,12 @@
 	// ConfirmRun returns an error if the endpoint that accepts connections at the address now is not the process that got the call.
 	// Optional.
 	ConfirmRun func(ctx context.Context) error
+	// Identify asks the process at the other end of a connection for its start time as a Unix time in ms, 0 if it doesn't say, by calls
+	// that send sends on that connection. It is called once for a connection, before the first call that has it. Optional.
+	Identify func(ctx context.Context, send SendFunc) (started int64, err error)
+	// Accept returns an error if the call must not be sent to the process, which is not known without Identify, or if it didn't answer.
+	// Optional.
+	Accept func(Run) error
 }
 
 // Response is an endpoint's response. Its Body must be closed.
@@ -67,12 +73,14 @@
 	// EndsWithConnection is set if the body has neither a length nor chunks. Reading it fails at its end if the endpoint accepts no
 	// connection then: an endpoint that stops by itself in the middle can't be told from one that has finished.
 	EndsWithConnection bool
+	// Run is the process that sent the response.
+	Run Run
 }
 
 // Stats counts connection attempts, reuses of a connection, skipped or refused responses to other requests, requests
-// that failed after they were sent, and answers whose end had to be confirmed.
+// that failed after they were sent, answers whose end had to be confirmed, and connections whose process was identified or could not be.
 type Stats struct {
-	Dials, Reuses, StrayResponses, FailedAfterSend, ConfirmedEnds atomic.Int64
+	Dials, Reuses, StrayResponses, FailedAfterSend, ConfirmedEnds, Identified, NotIdentified atomic.Int64
 }
 
 // Client sends requests to endpoints. It never repeats a request. It is safe for concurrent use.
@@ -128,7 +136,22 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	e := &exchange{ctx: ctx, client: c, conn: connection, call: call}
+	if call.Identify != nil && !connection.run.Known {
+		if connection, err = c.identify(ctx, connection, call); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
+	putIdle := func(connection *conn) { c.putIdle(call.Address, connection) }
+	if err := call.accept(connection.run); err != nil {
+		putIdle(connection)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return c.sendOn(ctx, connection, call, putIdle)
+}
+
+// sendOn sends the call on a connection. put gets the connection back if it can carry another call; otherwise it is closed.
+func (c *Client) sendOn(ctx context.Context, connection *conn, call Call, put func(*conn)) (*Response, error) {
+	e := &exchange{ctx: ctx, client: c, conn: connection, call: call, put: put}
 	e.detach = context.AfterFunc(ctx, func() { _ = connection.Close() }) // The read or write in progress reports the failure.
 	connection.exchanges++
 	response, err := e.run()
@@ -153,6 +176,7 @@
 	client *Client
 	conn   *conn
 	call   Call
+	put    func(*conn)
 	// detach separates the connection from the request's context. It reports false if the context has already ended.
 	detach func() bool
 	// written is closed when writing the request has ended, with the error writeErr.
@@ -209,10 +233,9 @@
 			return nil, err
 		}
 		if id := r.Header.Get(e.call.IDHeader); id != e.call.ID {
-			// A response to an earlier request can arrive only on a connection that has carried one.
 			skipped++
 			e.client.Stats.StrayResponses.Add(1)
-			if e.conn.exchanges < 2 || skipped > maxStrayResponses || r.Close {
+			if !e.conn.mayHoldStray(id) || skipped > maxStrayResponses || r.Close {
 				return nil, fmt.Errorf("unexpected response id %q", id)
 			}
 			if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStrayBodyBytes)); err != nil || n == maxStrayBodyBytes {
@@ -227,7 +250,7 @@
 		if endsWithConnection {
 			body.confirmEnd = e.confirmEnd
 		}
-		return &Response{Status: r.StatusCode, Header: r.Header, Body: body, EndsWithConnection: endsWithConnection}, nil
+		return &Response{Status: r.StatusCode, Header: r.Header, Body: body, EndsWithConnection: endsWithConnection, Run: e.conn.run}, nil
 	}
 }
 
@@ -285,7 +308,7 @@
 		_ = e.conn.Close() // The exchange has ended, so an error in closing does not matter.
 		return
 	}
-	e.client.putIdle(e.call.Address, e.conn)
+	e.put(e.conn)
 }
 
 func (c *Client) getConn(ctx context.Context, address string) (*conn, error) {
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -65,6 +65,8 @@
 	exchanges    int
 	idleDeadline time.Time
 	idleTimeout  time.Duration
+	// run is the process at the other end.
+	run Run
 	// closed is called when the connection is closed, any number of times.
 	closed func()
 }
@@ -104,6 +106,10 @@
 	return err == nil && open
 }
 
+// mayHoldStray reports whether a response with the id can be one to an earlier request: only on a connection that has carried one. The
+// question for the start time of the process has no id.
+func (c *conn) mayHoldStray(id string) bool { return c.exchanges > 1 || c.run.Known && id == "" }
+
 // applyKeepAlive sets the idle timeout from the header Keep-Alive, which gives it in whole seconds.
 func (c *conn) applyKeepAlive(h http.Header) {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
--- /dev/null
+++ b/pkg/upstream/identify.go
@@ -0,0 +1,69 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// identifyTimeout bounds the question of which process is at the other end of a connection. A call waits for it.
+const identifyTimeout = 200 * time.Millisecond
+
+// errNotIdentified means that the process at the other end of a connection didn't say when it was started.
+var errNotIdentified = errors.New("upstream: the process is not identified")
+
+// ErrRefused is wrapped by the errors of Call.Identify and Call.Accept after which the call must not be sent to the endpoint.
+var ErrRefused = errors.New("upstream: the call must not be sent to this process")
+
+// Run is the process at the other end of a connection. A connection never changes its process, whatever the address and the name of
+// the endpoint stand for later.
+type Run struct {
+	// Known is set if the process has been asked for its start time and has answered.
+	Known bool
+	// Started is the start time as a Unix time in ms, 0 if the process doesn't say it.
+	Started int64
+}
+
+// SendFunc sends a call. See Client.Send.
+type SendFunc func(ctx context.Context, call Call) (*Response, error)
+
+// identify asks the process at the other end of a connection, which nothing was sent on for the call. If the process doesn't say its start
+// time or closes the connection, it returns another connection whose process isn't known, provided that the call accepts one. It fails if
+// the connection does.
+func (c *Client) identify(ctx context.Context, connection *conn, call Call) (*conn, error) {
+	askCtx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	answered, kept := false, false
+	started, err := call.Identify(askCtx, func(ctx context.Context, question Call) (*Response, error) {
+		response, err := c.sendOn(ctx, connection, question, func(*conn) { kept = true })
+		answered = err == nil
+		return response, err
+	})
+	timedOut := askCtx.Err() != nil && ctx.Err() == nil
+	if err == nil && kept {
+		connection.run, connection.exchanges = Run{Known: true, Started: started}, 0
+		c.Stats.Identified.Add(1)
+		return connection, nil
+	}
+	_ = connection.Close() // The call was not sent on it.
+	c.Stats.NotIdentified.Add(1)
+	if !answered && !timedOut || errors.Is(err, ErrRefused) {
+		return nil, fmt.Errorf("%w: %w", errNotIdentified, err)
+	}
+	if refused := call.accept(Run{}); refused != nil {
+		return nil, errors.Join(refused, err)
+	}
+	if err := c.reserve(call.Address); err != nil {
+		return nil, err
+	}
+	return c.open(ctx, call.Address, dialTimeout)
+}
+
+// accept returns an error if the call must not be sent to the process.
+func (call *Call) accept(run Run) error {
+	if call.Accept == nil {
+		return nil
+	}
+	return call.Accept(run)
+}
--- /dev/null
+++ b/pkg/upstream/identify_test.go
@@ -0,0 +1,118 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const startTarget = "/start"
+
+// identifiable returns a call that asks the process for its start time first.
+func identifiable(address, id string) Call {
+	call := newTestCall(address, id)
+	call.Identify = func(ctx context.Context, send SendFunc) (started int64, err error) {
+		response, err := send(ctx, Call{Address: address, Method: http.MethodGet, Target: startTarget, Header: http.Header{}})
+		if err != nil {
+			return 0, err
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			return 0, err
+		}
+		_, err = fmt.Sscan(string(body), &started)
+		return started, err
+	}
+	return call
+}
+
+// startIdentifiable starts a server that answers questions for its start time with the head and body, and other calls in full.
+func startIdentifiable(t *testing.T, answer string) (address string) {
+	address, _ = startServer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		readBody(r)
+		if r.URL.Path == startTarget {
+			_, _ = io.WriteString(conn, answer)
+			return answer != "" && r.Header.Get("Connection") == ""
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", idHeader, r.Header.Get(idHeader))
+		return true
+	})
+	return address
+}
+
+// Guards against a response that counts as one of another process: the start time belongs to the connection that carries the call.
+func TestResponseNamesItsProcess(t *testing.T) {
+	address := startIdentifiable(t, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7")
+	c := NewClient()
+	for i := range 3 {
+		response, err := c.Send(t.Context(), identifiable(address, fmt.Sprint(i)))
+		must.NoError(t, err)
+		must.Eq(t, Run{Known: true, Started: 7}, response.Run)
+		_, err = io.ReadAll(response.Body)
+		must.NoError(t, err)
+		must.NoError(t, response.Body.Close())
+	}
+	must.EqOp(t, 1, c.Stats.Dials.Load())
+	must.EqOp(t, 1, c.Stats.Identified.Load())
+}
+
+// Guards against a call that is refused, or sent to a process that it must not be sent to, because the process doesn't say when it was
+// started.
+func TestUnidentifiedProcessGetsOnlyCallsThatAcceptIt(t *testing.T) {
+	for name, answer := range map[string]string{
+		"no number":    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+		"cut":          "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n7",
+		"closes":       "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\n7",
+		"out of time":  "HTTP/1.1 200 OK\r\nContent-Len",
+		"broken bytes": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n77",
+	} {
+		address := startIdentifiable(t, answer)
+		c := NewClient()
+		response, err := c.Send(t.Context(), identifiable(address, name))
+		must.NoError(t, err, must.Sprint(name))
+		must.Eq(t, Run{}, response.Run, must.Sprint(name))
+		must.NoError(t, response.Body.Close())
+
+		call := identifiable(address, name)
+		errUnknown := errors.New("unknown")
+		call.Accept = func(run Run) error {
+			must.False(t, run.Known, must.Sprint(name))
+			return errUnknown
+		}
+		_, err = c.Send(t.Context(), call)
+		must.ErrorIs(t, err, ErrNotSent, must.Sprint(name))
+		must.ErrorIs(t, err, errUnknown, must.Sprint(name))
+		must.EqOp(t, 0, connsTo(c, address), must.Sprint(name))
+	}
+}
+
+// Guards against a call that counts as sent, or a connection that stays counted, although the connection failed before it.
+func TestFailureBeforeTheCallIsNotSent(t *testing.T) {
+	address := startIdentifiable(t, "")
+	c := NewClient()
+	_, err := c.Send(t.Context(), identifiable(address, "a"))
+	must.ErrorIs(t, err, ErrNotSent)
+	must.EqOp(t, 0, connsTo(c, address))
+}
+
+// connsTo waits until the connections of a client are closed, and returns how many are left.
+func connsTo(c *Client, address string) (n int) {
+	for range 100 {
+		c.counts.mu.Lock()
+		n = c.counts.byAddr[address]
+		c.counts.mu.Unlock()
+		if n == 0 {
+			return 0
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return n
+}
