Join pieces of a stream only from processes whose software version is proven

Callers got streams whose events came from two software versions of one service, with sound ids and a complete end: an endpoint that restarts in place, under its id and address, with another version gets new streams, streams to be resumed and streams that a caller takes up from routers that still have the list entry of the process before. Expected-Instance holds the id only.

Cause: the version that a router recorded and compared was that of the list entry, not of the process that answered.

The version now follows from the start time that the process states on the connection that carries the request, and from the list entry with that start time; entries are kept for 30 s after they were replaced. A stream that began at a process without such an entry is unproven: routers that remember streams, the store, and the router through which it came know so, and nobody joins it until its entry arrives. A stream is continued only by a process with proof, on own links, through another router and when a caller takes it up; the request isn't sent otherwise.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -181,6 +181,8 @@
 		return false
 	case e.route.Streaming && !e.route.Resumable && stream.count > 0:
 		return false
+	case !e.findVersion():
+		return false
 	case time.Until(e.deadline) < 2*minAttemptTime:
 		return false
 	}
--- a/pkg/forward/process.go
+++ b/pkg/forward/process.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/lavendershunt/lavendershunt/pkg/origin"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
@@ -14,6 +15,9 @@
 // errLeaving means that an endpoint has said that it leaves when it was asked for its start time.
 var errLeaving = fmt.Errorf("%w: it is leaving", upstream.ErrRefused)
 
+// errOtherVersion means that a stream can't be continued by a process, because its version is another one or isn't known.
+var errOtherVersion = fmt.Errorf("%w: it may have another software version than the stream", upstream.ErrRefused)
+
 // versionProof tells what proves the software version of the process that sends an answer.
 type versionProof string
 
@@ -24,6 +28,8 @@
 	provenByOtherEntry versionProof = "other_entry"
 	// assumedFromList means that neither the process nor the list entry has a start time.
 	assumedFromList versionProof = "list"
+	// provenByRouter means that the other router through which the answer comes has named the version.
+	provenByRouter versionProof = "other_router"
 	// notProven means that the process may have another version than the list entry.
 	notProven versionProof = "none"
 )
@@ -77,13 +83,21 @@
 	return started, err
 }
 
-// acceptProcess notes which process is to get the latest attempt.
+// acceptProcess notes which process is to get the latest attempt. It fails if the process must not continue the stream.
 func (e *exchange) acceptProcess(d *route.Decision, run upstream.Run) error {
-	e.process = identifyProcess(d, run, func(int64) (string, bool) { return "", false })
+	e.process = identifyProcess(d, run, func(started int64) (string, bool) {
+		if e.Origins == nil {
+			return "", false
+		}
+		return e.Origins.SoftwareOf(origin.Run{Endpoint: d.Chosen, Started: started})
+	})
 	e.Metrics.recordProcess(e.process.proof)
 	if e.process.differs() {
 		e.logOtherProcess(d)
 	}
+	if e.begun && (e.process.proof == notProven || e.process.software != e.software) {
+		return errOtherVersion
+	}
 	return nil
 }
 
--- a/pkg/forward/remote.go
+++ b/pkg/forward/remote.go
@@ -54,8 +54,9 @@
 type RemoteProgress struct {
 	// Attempts is the number of endpoints that have got the request.
 	Attempts int
-	// Endpoint is the last of them, and Software the version of its software.
+	// Endpoint is the last of them, and Software the version of its software. Unproven is set if that isn't known.
 	Endpoint, Software string
+	Unproven           bool
 }
 
 // RemoteResponse is the result of a request that another router has sent.
@@ -109,6 +110,7 @@
 	defer func() { e.attempts = max(e.attempts, response.Progress().Attempts) }()
 	progress := response.Progress()
 	e.decision = &route.Decision{RequestID: e.request.ID, Chosen: progress.Endpoint, Software: progress.Software, Reason: ReasonRemote}
+	e.process = remoteProcess(progress)
 	if f := response.Failure; f != nil {
 		e.mayHaveRun = e.mayHaveRun || f.Outcome != outcome.NotRun
 		e.Metrics.recordRemote(string(f.Outcome))
@@ -209,9 +211,20 @@
 	if d := x.e.decision; d != nil {
 		p.Endpoint, p.Software = d.Chosen, d.Software
 	}
+	if x.e.begun {
+		p.Software, p.Unproven = x.e.software, x.e.unproven
+	}
 	return p
 }
 
+// remoteProcess returns what another router says of the process that sends an answer.
+func remoteProcess(p RemoteProgress) process {
+	if p.Unproven {
+		return process{proof: notProven}
+	}
+	return process{software: p.Software, proof: provenByRouter}
+}
+
 // httpRequest returns the caller's request.
 func (r *RemoteRequest) httpRequest(ctx context.Context) *http.Request {
 	request := &http.Request{
--- a/pkg/forward/resume.go
+++ b/pkg/forward/resume.go
@@ -32,11 +32,38 @@
 	if e.Origins == nil || e.begun {
 		return
 	}
-	e.begun, e.software = true, e.decision.Software
-	if e.onBehalf {
-		return // The router that the caller uses records it.
+	e.begun, e.unproven, e.software = true, e.process.proof == notProven, e.process.software
+	if e.process.proof == "" { // The service's endpoints state no start time.
+		e.software = e.decision.Software
 	}
-	e.Origins.Record(e.request.ID, e.service.Name, e.software)
+	switch {
+	case e.onBehalf: // The router that the caller uses records it.
+	case e.unproven:
+		e.Origins.RecordUnproven(e.request.ID, e.service.Name, e.processRun())
+	default:
+		e.Origins.Record(e.request.ID, e.service.Name, e.software)
+	}
+}
+
+// processRun names the process that got the latest attempt, the zero Run if it isn't known.
+func (e *exchange) processRun() origin.Run {
+	if !e.process.run.Known {
+		return origin.Run{}
+	}
+	return origin.Run{Endpoint: e.decision.Chosen, Started: e.process.run.Started}
+}
+
+// findVersion looks for the version of a stream that began at an unproven one, because a list entry of its process may have arrived, and
+// reports whether the stream can be continued.
+func (e *exchange) findVersion() bool {
+	if !e.begun || !e.unproven {
+		return true
+	}
+	software, ok := e.Origins.SoftwareOf(e.processRun())
+	if ok {
+		e.unproven, e.software = false, software
+	}
+	return ok
 }
 
 // recordEnd forgets a stream that the caller has got to its end.
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -152,10 +152,10 @@
 	eventsBefore int
 	// features are set by contentFeatures.
 	features []poison.Feature
-	// begun is set once the stream has begun, here or at an earlier attempt of the caller. software is the version of the endpoint's
-	// software that sent its first event.
-	begun    bool
-	software string
+	// begun is set once the stream has begun, here or at an earlier attempt of the caller. software is the version of the software of the
+	// process that sent its first event; if unproven is set, it isn't known and the stream can't be continued.
+	begun, unproven bool
+	software        string
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// delivered is set once a part of an endpoint's answer was written to the caller.
--- a/pkg/origin/peers.go
+++ b/pkg/origin/peers.go
@@ -32,18 +32,18 @@
 
 // Announce implements OriginService.
 func (s *Service) Announce(_ context.Context, req *connect.Request[originv1.AnnounceRequest]) (*connect.Response[originv1.AnnounceResponse], error) {
-	software := make(map[string]string, len(req.Msg.GetOrigins()))
+	began := make(map[string]Began, len(req.Msg.GetOrigins()))
 	for _, o := range req.Msg.GetOrigins() {
-		software[o.GetStream()] = o.GetSoftware()
+		began[o.GetStream()] = Began{Software: o.GetSoftware(), Unproven: o.GetUnproven()}
 	}
-	s.registry.Learn(software)
+	s.registry.Learn(began)
 	return connect.NewResponse(&originv1.AnnounceResponse{}), nil
 }
 
 // Find implements OriginService.
 func (s *Service) Find(_ context.Context, req *connect.Request[originv1.FindRequest]) (*connect.Response[originv1.FindResponse], error) {
-	software, ok := s.registry.Known(req.Msg.GetStream())
-	return connect.NewResponse(&originv1.FindResponse{Found: ok, Software: software, Mixed: s.registry.IsMixed(req.Msg.GetService())}), nil
+	f := s.registry.Answer(req.Msg.GetStream(), req.Msg.GetService())
+	return connect.NewResponse(&originv1.FindResponse{Found: f.Found, Software: f.Software, Mixed: f.Mixed}), nil
 }
 
 // RemotePeers implements Peers over the network.
@@ -61,20 +61,20 @@
 }
 
 // Announce implements Peers.
-func (p *RemotePeers) Announce(router string, software map[string]string) {
+func (p *RemotePeers) Announce(router string, began map[string]Began) {
 	address, ok := p.Addresses()[router]
 	if !ok {
 		return // This router itself, or one that is no longer alive.
 	}
 	request := &originv1.AnnounceRequest{}
-	for id, version := range software {
-		request.Origins = append(request.Origins, &originv1.Origin{Stream: id, Software: version})
+	for id, b := range began {
+		request.Origins = append(request.Origins, &originv1.Origin{Stream: id, Software: b.Software, Unproven: b.Unproven})
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 		defer cancel()
 		if _, err := p.client(address).Announce(ctx, connect.NewRequest(request)); err != nil {
-			p.Log.WithFields(log.Fields{"peer": router, "streams": len(software)}).WithError(err).Info("streams_not_announced")
+			p.Log.WithFields(log.Fields{"peer": router, "streams": len(began)}).WithError(err).Info("streams_not_announced")
 		}
 	}()
 }
--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -78,8 +78,8 @@
 
 // Peers calls other routers by name.
 type Peers interface {
-	// Announce tells a router the versions at which streams began, by the streams' ids. It doesn't wait.
-	Announce(router string, software map[string]string)
+	// Announce tells a router where streams began, by the streams' ids. It doesn't wait.
+	Announce(router string, began map[string]Began)
 	// Find asks routers at the same time, until one of them knows the stream or all have answered.
 	Find(ctx context.Context, routers []string, stream, service string) Finding
 }
@@ -89,7 +89,7 @@
 	// Software is the version at which the stream began, if Found is set.
 	Software string
 	Found    bool
-	// Mixed is set if one of them has seen several versions of the service.
+	// Mixed is set if one of them has seen several versions of the service, or knows that the stream began at an unknown one.
 	Mixed bool
 	// Answered is set if one of them has answered, or if there is no other router.
 	Answered bool
@@ -111,6 +111,7 @@
 	mu       sync.Mutex
 	services map[string]*service
 	streams  streams
+	runs     runs
 	// stored holds the streams of all routers by the latest list, and listed is set once there is one. The latest attempt to list them
 	// ended at triedAt with the error listErr.
 	stored  map[string]stream
@@ -134,7 +135,7 @@
 func NewRegistry(o Options) *Registry {
 	return &Registry{
 		Options: o, object: &platform.OwnedObject{Store: o.Store, Key: streamKind + "/" + o.VM},
-		queue: make(chan stream, maxQueued), changed: make(chan struct{}, 1), begun: make(chan struct{}, 1), services: map[string]*service{}, streams: streams{byID: map[string]stream{}},
+		queue: make(chan stream, maxQueued), changed: make(chan struct{}, 1), begun: make(chan struct{}, 1), services: map[string]*service{}, streams: streams{byID: map[string]stream{}}, runs: runs{},
 	}
 }
 
@@ -158,6 +159,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	r.runs.update(now, vms)
+	r.resolve(now)
 	current := map[string]map[string]bool{}
 	for _, vm := range vms {
 		if current[vm.Service] == nil {
@@ -176,7 +179,7 @@
 			s.since = now.Add(-MaxStreamAge - maxClockSkew)
 		}
 		r.Log.WithFields(log.Fields{"service": name, "versions": len(software), "was_settled": wasSettled}).Info("software_versions_changed")
-		for _, st := range r.streams.own(now, func(service string) bool { return service == name }, maxQueued) {
+		for _, st := range r.streams.own(now, func(st *stream) bool { return st.service == name }, maxQueued) {
 			r.enqueue(st)
 		}
 		signal(r.changed)
@@ -205,14 +208,56 @@
 
 // Record remembers that a stream began at a version of the service's software.
 func (r *Registry) Record(id, serviceName, software string) {
+	r.record(stream{id: id, service: serviceName, Began: Began{Software: software}})
+}
+
+// RecordUnproven remembers that a stream began at a process whose version isn't known. The stream can go on once a list entry of the
+// process arrives, if run is known.
+func (r *Registry) RecordUnproven(id, serviceName string, run Run) {
+	if software, ok := r.SoftwareOf(run); ok {
+		r.Record(id, serviceName, software)
+		return
+	}
+	r.record(stream{id: id, service: serviceName, Began: Began{Unproven: true}, run: run})
+}
+
+// SoftwareOf returns the version of the software of a process by its list entry.
+func (r *Registry) SoftwareOf(run Run) (software string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
-	st := stream{id: id, service: serviceName, software: software, at: now}
-	r.streams.add(now, st)
-	if _, settled := r.service(serviceName).settled(now); !settled {
+	seen, ok := r.runs[run]
+	return seen.software, ok
+}
+
+func (r *Registry) record(st stream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st.at = time.Now()
+	r.streams.add(st.at, st)
+	if r.isToldOthers(&st) {
+		r.enqueue(st)
+		signal(r.begun)
+	}
+}
+
+// isToldOthers reports whether other routers couldn't tell by the versions of the service where the stream began. r.mu must be held.
+func (r *Registry) isToldOthers(st *stream) bool {
+	software, settled := r.service(st.service).settled(time.Now())
+	return !settled || st.Unproven || st.Software != software
+}
+
+// resolve finds the versions of unproven streams whose process has a list entry by now. r.mu must be held.
+func (r *Registry) resolve(now time.Time) {
+	for _, st := range r.streams.own(now, func(st *stream) bool { return st.Unproven }, maxQueued) {
+		seen, ok := r.runs[st.run]
+		if !ok {
+			continue
+		}
+		st.Began = Began{Software: seen.software}
+		r.streams.byID[st.id] = st
 		r.enqueue(st)
 		signal(r.begun)
+		r.Log.WithFields(log.Fields{"stream": st.id, "endpoint": st.run.Endpoint, "started": st.run.Started, "software": seen.software}).Info("stream_version_found")
 	}
 }
 
@@ -224,29 +269,35 @@
 }
 
 // Learn remembers streams that another router has announced.
-func (r *Registry) Learn(software map[string]string) {
+func (r *Registry) Learn(began map[string]Began) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	for id, version := range software {
-		r.streams.add(now, stream{id: id, software: version, at: now})
+	for id, b := range began {
+		r.streams.add(now, stream{id: id, Began: b, at: now})
 	}
 }
 
-// Known returns the version at which a stream began, if this router remembers it.
-func (r *Registry) Known(id string) (software string, ok bool) {
+// known returns where a stream began, if this router remembers it.
+func (r *Registry) known(id string) (b Began, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.streams.find(time.Now(), id)
 }
 
+// Answer answers another router's question for a stream and for the versions of a service.
+func (r *Registry) Answer(id, serviceName string) Finding {
+	b, ok := r.known(id)
+	return Finding{Software: b.Software, Found: ok && !b.Unproven, Mixed: ok && b.Unproven || r.IsMixed(serviceName), Answered: true}
+}
+
 // Find returns the version at which a stream of the service began. With SourceUnknown nobody knows, and the stream can't go on.
 //
 // It answers a router that doesn't know of a newer version yet, because it is cut off from the store or its watch lags: other routers
 // are asked before its own view of the versions counts.
 func (r *Registry) Find(ctx context.Context, id, serviceName string) (software string, source Source) {
-	if software, ok := r.Known(id); ok {
-		return software, SourceStream
+	if b, ok := r.known(id); ok {
+		return r.whereBegan(id, b, SourceStream)
 	}
 	peers := r.askPeers(ctx, id, serviceName)
 	if peers.Found {
@@ -260,8 +311,8 @@
 		return software, SourceOnly
 	}
 	if id != "" {
-		if software, ok := r.findStored(ctx, id); ok {
-			return software, SourceStored
+		if b, ok := r.findStored(ctx, id); ok {
+			return r.whereBegan(id, b, SourceStored)
 		}
 	}
 	if isTrusted {
@@ -275,6 +326,15 @@
 	return "", SourceUnknown
 }
 
+// whereBegan returns the version at which a stream began, or SourceUnknown if it is unproven.
+func (r *Registry) whereBegan(id string, b Began, source Source) (string, Source) {
+	if b.Unproven {
+		r.Log.WithFields(log.Fields{"stream": id, "known_by": string(source)}).Info("stream_origin_unproven")
+		return "", SourceUnknown
+	}
+	return b.Software, source
+}
+
 // askPeers asks the routers that remember the stream. If none of them answers, it asks once more: a router that was paused finds the
 // time for the first question over.
 func (r *Registry) askPeers(ctx context.Context, id, serviceName string) (f Finding) {
@@ -298,18 +358,18 @@
 	return s != nil && s.isMixed(time.Now())
 }
 
-// findStored returns the version at which a stream began by what all routers wrote into the store.
-func (r *Registry) findStored(ctx context.Context, id string) (software string, ok bool) {
+// findStored returns where a stream began by what all routers wrote into the store.
+func (r *Registry) findStored(ctx context.Context, id string) (b Began, ok bool) {
 	r.listing.Lock()
 	defer r.listing.Unlock()
 	if err := r.listStreams(ctx); err != nil {
 		r.Log.WithField("stream", id).WithError(err).Info("streams_not_listed")
-		return "", false
+		return Began{}, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st, ok := r.stored[id]
-	return st.software, ok
+	return st.Began, ok
 }
 
 // listStreams lists all routers' streams, or returns the result of an attempt a short time ago, so that requests don't wait for one
@@ -436,10 +496,7 @@
 	}
 	r.mu.Lock()
 	now := time.Now()
-	list := r.streams.own(now, func(service string) bool {
-		_, settled := r.service(service).settled(now)
-		return !settled
-	}, maxStored)
+	list := r.streams.own(now, r.isToldOthers, maxStored)
 	r.mu.Unlock()
 	if len(list) == 0 {
 		return nil
@@ -474,13 +531,13 @@
 
 // announce tells the keepers of the queued streams, one call a router.
 func (r *Registry) announce(st stream) {
-	byRouter := map[string]map[string]string{}
+	byRouter := map[string]map[string]Began{}
 	for more := true; more; {
 		for _, router := range r.Keepers(st.id, keepers) {
 			if byRouter[router] == nil {
-				byRouter[router] = map[string]string{}
+				byRouter[router] = map[string]Began{}
 			}
-			byRouter[router][st.id] = st.software
+			byRouter[router][st.id] = st.Began
 		}
 		select {
 		case st = <-r.queue:
@@ -488,8 +545,8 @@
 			more = false
 		}
 	}
-	for router, software := range byRouter {
-		r.Peers.Announce(router, software)
+	for router, began := range byRouter {
+		r.Peers.Announce(router, began)
 	}
 }
 
--- a/pkg/origin/registry_test.go
+++ b/pkg/origin/registry_test.go
@@ -104,9 +104,9 @@
 	vm string
 }
 
-func (p fleetPeers) Announce(router string, software map[string]string) {
+func (p fleetPeers) Announce(router string, began map[string]Began) {
 	if r := p.router(router); r != nil && router != p.vm {
-		go r.Learn(software)
+		go r.Learn(began)
 	}
 }
 
@@ -121,11 +121,11 @@
 		if r == nil || name == p.vm || p.unreachable[p.vm] || p.unreachable[name] {
 			continue
 		}
+		answer := r.Answer(stream, service)
 		finding.Answered = true
-		finding.Mixed = finding.Mixed || r.IsMixed(service)
-		if software, ok := r.Known(stream); ok {
-			finding.Software, finding.Found = software, true
-			return finding
+		finding.Mixed = finding.Mixed || answer.Mixed
+		if answer.Found {
+			return answer
 		}
 	}
 	return finding
--- a/pkg/origin/streams.go
+++ b/pkg/origin/streams.go
@@ -12,10 +12,28 @@
 	maxStored  = 1_000
 )
 
+// Began is where a stream began.
+type Began struct {
+	// Software is the version of the software of the process that sent its first event.
+	Software string
+	// Unproven is set if the version isn't known. The stream can't go on then.
+	Unproven bool
+}
+
+// Run is a process of an endpoint.
+type Run struct {
+	Endpoint string
+	// Started is its start time as a Unix time in ms.
+	Started int64
+}
+
 // stream is where a stream began.
 type stream struct {
-	id, service, software string
-	at                    time.Time
+	id, service string
+	Began
+	// run is the process at which an unproven stream of this router began, the zero Run if it isn't known either.
+	run Run
+	at  time.Time
 }
 
 // streams remembers where streams began, for MaxStreamAge. It reads no clock.
@@ -39,18 +57,18 @@
 	s.order = s.order[expired:]
 }
 
-// find returns the version at which the stream began.
-func (s *streams) find(now time.Time, id string) (software string, ok bool) {
+// find returns where the stream began.
+func (s *streams) find(now time.Time, id string) (b Began, ok bool) {
 	st, ok := s.byID[id]
-	return st.software, ok && now.Sub(st.at) <= MaxStreamAge
+	return st.Began, ok && now.Sub(st.at) <= MaxStreamAge
 }
 
 // own returns the latest streams of this router that match and may still be taken up, the newest first.
-func (s *streams) own(now time.Time, match func(service string) bool, limit int) []stream {
+func (s *streams) own(now time.Time, match func(*stream) bool, limit int) []stream {
 	var found []stream
 	for i := len(s.order) - 1; i >= 0 && len(found) < limit; i-- {
 		st := s.order[i]
-		if st.service != "" && match(st.service) && now.Sub(st.at) <= MaxStreamAge && s.byID[st.id] == st {
+		if st.service != "" && match(&st) && now.Sub(st.at) <= MaxStreamAge && s.byID[st.id] == st {
 			found = append(found, st)
 		}
 	}
@@ -63,6 +81,7 @@
 type storedStream struct {
 	Service  string `json:"service"`
 	Software string `json:"software"`
+	Unproven bool   `json:"unproven,omitempty"`
 	// AtMS is the time of the first event in Unix milliseconds.
 	AtMS int64 `json:"at_ms"`
 }
@@ -70,7 +89,7 @@
 func encodeStreams(list []stream) []byte {
 	stored := make(storedStreams, len(list))
 	for _, st := range list {
-		stored[st.id] = storedStream{Service: st.service, Software: st.software, AtMS: st.at.UnixMilli()}
+		stored[st.id] = storedStream{Service: st.service, Software: st.Software, Unproven: st.Unproven, AtMS: st.at.UnixMilli()}
 	}
 	value, err := json.Marshal(stored)
 	if err != nil {
@@ -90,7 +109,7 @@
 		age := now.Sub(time.UnixMilli(st.AtMS))
 		if age <= MaxStreamAge+maxClockSkew {
 			// Clocks may differ; a stream never counts as younger than it is by this router's steady clock.
-			list = append(list, stream{id: id, service: st.Service, software: st.Software, at: now.Add(-min(MaxStreamAge, max(0, age)))})
+			list = append(list, stream{id: id, service: st.Service, Began: Began{st.Software, st.Unproven}, at: now.Add(-min(MaxStreamAge, max(0, age)))})
 		}
 	}
 	return list, nil
--- a/pkg/remote/client.go
+++ b/pkg/remote/client.go
@@ -252,7 +252,9 @@
 		}
 		return response, a.Close()
 	case *forwardv1.ForwardResponse_Head:
-		a.progress = forward.RemoteProgress{Attempts: int(part.Head.GetAttempts()), Endpoint: part.Head.GetEndpoint(), Software: part.Head.GetSoftware()}
+		a.progress = forward.RemoteProgress{
+			Attempts: int(part.Head.GetAttempts()), Endpoint: part.Head.GetEndpoint(), Software: part.Head.GetSoftware(), Unproven: part.Head.GetSoftwareUnproven(),
+		}
 		response.Response = &upstream.Response{Status: int(part.Head.GetStatus()), Header: decodeHeader(part.Head.GetHeaders()), Body: a}
 		return response, nil
 	}
--- a/pkg/remote/service.go
+++ b/pkg/remote/service.go
@@ -75,7 +75,7 @@
 	p := w.progress()
 	// If the other router can't be reached, the next Write fails too.
 	_ = w.stream.Send(&forwardv1.ForwardResponse{Part: &forwardv1.ForwardResponse_Head{Head: &forwardv1.Head{
-		Status: uint32(status), Headers: encodeHeader(w.header), Attempts: uint32(p.Attempts), Endpoint: p.Endpoint, Software: p.Software,
+		Status: uint32(status), Headers: encodeHeader(w.header), Attempts: uint32(p.Attempts), Endpoint: p.Endpoint, Software: p.Software, SoftwareUnproven: p.Unproven,
 	}}})
 }
 
