A resumed answer that begins too early is another run, so it is not joined with what the caller has

Callers saw a stream whose ids are in order and which holds pieces of two runs: its rest was taken from an endpoint that ignored the last event that the caller had, or went back before it, and began a run of its own. sequence.next accepted a first event before the one that is due, and the events that the caller had were dropped. The text that follows needn't fit then, and no check of ids sees it.

Now the first event of an answer must be exactly the one after the last event that the caller has, and that of a new stream 0 or 1. Otherwise the attempt has failed: the stream goes on at another endpoint, or is broken off, as after a gap. The check is the same for a stream that the router resumes, that a caller takes up, or that another router sends, because all pass through eventStream. Events are no longer dropped, so the id of the last event is kept once. stream_irregular tells the id that the request named (asked_after) and the one with which the answer began (began_with), by which a log tells such an answer from a gap.

Tests replaced: the case "taken up from the beginning" and the overlap in TestEventStreamResumesAfterBreaks demanded that repeated events are dropped and the rest is passed on, which is the fault. They now demand that such an answer is refused and none of its events passed on, with more cases of early beginnings; TestEventStreamPassesOnlyTheNextEvent also states exactly which events of each answer are passed on.

--- a/pkg/forward/eventstream.go
+++ b/pkg/forward/eventstream.go
@@ -21,19 +21,17 @@
 // broken stream can be resumed at another endpoint after the last event that the caller has.
 type eventStream struct {
 	partial []byte
-	// lastID is the id of the last event that the caller has, or noEvent.
-	lastID int64
+	// sequence checks the ids of the present answer and keeps the last one.
+	sequence
 	// count is the number of complete events that add has returned.
 	count int
 	// unfinished is set after a part of an event was dropped, until the next new event: the stream has at least one more.
 	unfinished bool
-	// sequence checks the ids of the present answer.
-	sequence sequence
 }
 
 // newEventStream returns a stream that goes on after the event with the id after, or begins at its first event with noEvent.
 func newEventStream(after int64) *eventStream {
-	return &eventStream{lastID: after, sequence: newSequence(after)}
+	return &eventStream{sequence: newSequence(after)}
 }
 
 // add appends bytes of the stream and returns the complete events to be relayed. The result is valid until the next
@@ -49,7 +47,7 @@
 	}
 	complete, rest := s.partial[:end], s.partial[end:]
 	s.partial = append([]byte(nil), rest...)
-	return s.checkSequence(complete)
+	return s.checkEvents(complete)
 }
 
 // An event ends with an empty line. Lines end with LF or CR LF.
@@ -77,33 +75,24 @@
 	return end
 }
 
-// checkSequence records the ids of complete events and drops the events that the caller already has.
-func (s *eventStream) checkSequence(complete []byte) ([]byte, error) {
-	var unseen []byte
-	for len(complete) > 0 {
-		n := firstEventEnd(complete)
-		event := complete[:n]
-		complete = complete[n:]
-		if isComment(event) {
-			unseen = append(unseen, event...)
-			continue
-		}
-		id, ok := eventID(event)
-		if !ok {
-			return unseen, fmt.Errorf("%w: it has not one id", errNotAnEvent)
-		}
-		if err := s.sequence.next(id); err != nil {
-			return unseen, err
-		}
-		if id <= s.lastID {
-			continue
+// checkEvents records the ids of complete events and returns the events before the first one that is not in sequence.
+func (s *eventStream) checkEvents(complete []byte) ([]byte, error) {
+	for end := 0; end < len(complete); {
+		event := complete[end : end+firstEventEnd(complete[end:])]
+		if !isComment(event) {
+			id, ok := eventID(event)
+			if !ok {
+				return complete[:end], fmt.Errorf("%w: it has not one id", errNotAnEvent)
+			}
+			if err := s.next(id); err != nil {
+				return complete[:end], err
+			}
+			s.count++
+			s.unfinished = false
 		}
-		s.lastID = id
-		s.count++
-		s.unfinished = false
-		unseen = append(unseen, event...)
+		end += len(event)
 	}
-	return unseen, nil
+	return complete, nil
 }
 
 // resume drops a partial event before the stream continues at another endpoint.
--- a/pkg/forward/eventstream_test.go
+++ b/pkg/forward/eventstream_test.go
@@ -17,15 +17,22 @@
 	return b.String()
 }
 
-// Guards against missing, repeated or truncated events when a stream breaks at any byte, several times, and is resumed
-// at another endpoint after its last complete event or an earlier one.
+// Guards against missing, repeated or truncated events when a stream breaks at any byte, several times, and is resumed at another endpoint
+// after its last complete event, and against joining it with an answer that begins earlier.
 func TestEventStreamResumesAfterBreaks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 20).Draw(t, "events")
 		stream := newEventStream(noEvent)
 		var got strings.Builder
 		for range rapid.IntRange(0, 4).Draw(t, "breaks") {
-			addPieces(t, stream, &got, eventText(max(1, int(stream.lastID)+1-rapid.IntRange(0, 2).Draw(t, "overlap")), n), true)
+			due := max(1, int(stream.lastID)+1)
+			if first := max(1, due-rapid.IntRange(0, 2).Draw(t, "overlap")); first < due {
+				events, err := stream.add([]byte(eventText(first, n)))
+				must.ErrorIs(t, err, errOutOfSequence)
+				must.EqOp(t, "", string(events))
+			} else {
+				addPieces(t, stream, &got, eventText(due, n), true)
+			}
 			stream.resume()
 		}
 		addPieces(t, stream, &got, eventText(max(1, int(stream.lastID)+1), n), false)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -431,8 +431,8 @@
 func (e *exchange) reportIrregular(stream *eventStream, cause error) {
 	e.Metrics.recordIrregular(cause)
 	fields := log.Fields{
-		"request": e.request.ID, "attempt": e.attempts, "last_event": stream.lastID, "events": stream.count, "partial_bytes": len(stream.partial),
-		"ends_with_connection": e.endsWithConnection,
+		"request": e.request.ID, "attempt": e.attempts, "asked_after": stream.after, "began_with": stream.first, "last_event": stream.lastID,
+		"events": stream.count, "partial_bytes": len(stream.partial), "ends_with_connection": e.endsWithConnection,
 	}
 	if e.decision != nil {
 		fields["endpoint"], fields["software"] = e.decision.Chosen, e.decision.Software
--- a/pkg/forward/sequence.go
+++ b/pkg/forward/sequence.go
@@ -12,28 +12,35 @@
 	maxFirstID = 1
 )
 
-// errOutOfSequence means that the events of an answer are not numbered one after the other.
+// errOutOfSequence means that the events of an answer are not numbered one after the other, from the one that is due.
 var errOutOfSequence = errors.New("forward: events are not in sequence")
 
-// sequence checks that the events of one answer are numbered one after the other. An answer may begin again with events that the
-// caller has, but not after the event that is due.
+// sequence checks that the events of one answer are numbered one after the other, and that the first one follows the last one that the
+// caller has; a new stream begins with 0 or 1.
 //
-// It answers endpoints that repeat, omit or misnumber events: a caller can't tell such an answer from a sound one.
+// It answers endpoints that repeat, omit or misnumber events: a caller can't tell such an answer from a sound one. An answer that
+// begins too early is of another run, so its rest needn't fit either.
 type sequence struct {
-	// due is the id of the next event. For the first event of the answer it is the largest one.
-	due   int64
-	begun bool
+	// after is the id of the last event that the caller had before the answer, or noEvent.
+	after int64
+	// first is the id with which the answer began, or noEvent.
+	first int64
+	// lastID is the id of the last event that the caller has, or noEvent.
+	lastID int64
 }
 
 // newSequence returns the sequence of an answer to a caller that has the events up to after.
-func newSequence(after int64) sequence { return sequence{due: max(after+1, maxFirstID)} }
+func newSequence(after int64) sequence { return sequence{after: after, first: noEvent, lastID: after} }
 
 // next checks the next event of the answer. Its error wraps errOutOfSequence.
 func (s *sequence) next(id int64) error {
-	isDue := id == s.due || !s.begun && id < s.due
+	if s.first == noEvent {
+		s.first = id
+	}
+	isDue := id == s.lastID+1 || s.lastID == noEvent && id <= maxFirstID
 	if !isDue {
-		return fmt.Errorf("%w: event id %d instead of %d, first of the answer %v", errOutOfSequence, id, s.due, !s.begun)
+		return fmt.Errorf("%w: event id %d instead of %d", errOutOfSequence, id, max(s.lastID+1, maxFirstID))
 	}
-	s.due, s.begun = id+1, true
+	s.lastID = id
 	return nil
 }
--- a/pkg/forward/sequence_test.go
+++ b/pkg/forward/sequence_test.go
@@ -4,8 +4,12 @@
 	"strings"
 	"testing"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	"github.com/lavendershunt/lavendershunt/pkg/catalog"
 )
 
 // Guards against passing on events that an endpoint sends out of order, and against refusing an answer that is in order.
@@ -26,8 +30,14 @@
 		"two ids":                     {noEvent, eventText(1, 1) + "id: 2\nid: 3\ndata: x\n\n", eventText(1, 1), errNotAnEvent},
 		"negative id":                 {noEvent, "id: -1\ndata: x\n\n", "", errNotAnEvent},
 		"taken up":                    {12, eventText(13, 15), eventText(13, 15), nil},
-		"taken up from the beginning": {12, eventText(1, 15), eventText(13, 15), nil},
+		"taken up from the beginning": {12, eventText(1, 15), "", errOutOfSequence},
+		"taken up from event 0":       {12, eventText(0, 15), "", errOutOfSequence},
+		"taken up one event early":    {12, eventText(12, 15), "", errOutOfSequence},
+		"comment before early event":  {12, ": ping\n\n" + eventText(1, 15), ": ping\n\n", errOutOfSequence},
 		"taken up too late":           {12, eventText(14, 15), "", errOutOfSequence},
+		"taken up after event 0":      {0, eventText(1, 3), eventText(1, 3), nil},
+		"event 0 again":               {0, eventText(0, 3), "", errOutOfSequence},
+		"event 1 again":               {1, eventText(1, 3), "", errOutOfSequence},
 		"gap in what the caller has":  {12, eventText(1, 3) + eventText(5, 15), "", errOutOfSequence},
 	} {
 		stream := newEventStream(test.after)
@@ -47,10 +57,20 @@
 		after := rapid.Int64Range(noEvent, 5).Draw(t, "after")
 		stream := newEventStream(after)
 		var got strings.Builder
+		var want strings.Builder
 		for range rapid.IntRange(1, 4).Draw(t, "answers") {
+			ids := rapid.SliceOfN(rapid.IntRange(0, 9), 0, 8).Draw(t, "ids")
+			if rapid.Bool().Draw(t, "begins with the event that is due") {
+				ids = append([]int{int(stream.lastID) + 1}, ids...)
+			}
 			var answer strings.Builder
-			for _, id := range rapid.SliceOfN(rapid.IntRange(0, 9), 0, 8).Draw(t, "ids") {
+			last, inOrder := int(stream.lastID), true
+			for _, id := range ids {
 				answer.WriteString(eventText(id, id))
+				if inOrder = inOrder && (id == last+1 || last == noEvent && id == 1); inOrder {
+					want.WriteString(eventText(id, id))
+					last = id
+				}
 			}
 			text := answer.String()
 			for len(text) > 0 {
@@ -62,6 +82,7 @@
 				}
 			}
 			stream.resume()
+			must.EqOp(t, want.String(), got.String())
 		}
 		first := int(after) + 1
 		if after == noEvent && strings.HasPrefix(got.String(), "id: 1\n") {
@@ -70,3 +91,28 @@
 		must.EqOp(t, eventText(first, int(stream.lastID)), got.String())
 	})
 }
+
+// Guards against a log that doesn't tell an answer that began too early from one that went on and then had a gap.
+func TestIrregularStreamIsLoggedWithItsBeginning(t *testing.T) {
+	for name, test := range map[string]struct {
+		after          int64
+		text           string
+		began, lastSaw int64
+	}{
+		"begins at the first event": {12, eventText(1, 15), 1, 12},
+		"gap":                       {12, eventText(13, 14) + eventText(16, 17), 13, 14},
+		"begins too late":           {12, eventText(14, 15), 14, 12},
+		"no event":                  {12, "data: x\n\n", noEvent, 12},
+		"new stream":                {noEvent, eventText(2, 3), 2, noEvent},
+	} {
+		lines := memory.New()
+		e := testExchange(catalog.Route{Streaming: true})
+		e.Log = &log.Logger{Handler: lines, Level: log.InfoLevel}
+		stream := newEventStream(test.after)
+		_, err := stream.add([]byte(test.text))
+		e.reportIrregular(stream, err)
+		must.Len(t, 1, lines.Entries, must.Sprint(name))
+		fields := lines.Entries[0].Fields
+		must.Eq(t, []any{test.after, test.began, test.lastSaw}, []any{fields["asked_after"], fields["began_with"], fields["last_event"]}, must.Sprint(name))
+	}
+}
