Say what each end without a length rests on: a line and a counter

An answer without a length or chunks ends with its connection, and a check decides whether it is whole. What passes and what fails is unchanged.

Tests: go test -race ./pkg/upstream ./pkg/forward passed.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -239,11 +238,11 @@
 		dispatch.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
 	e.beginAttempt(stream)
+	check := &endCheck{exchange: e, decision: decision, inFlight: inFlight}
 	response, err := e.Client.Send(ctx, upstream.Call{
 		Address: decision.Address, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Header: e.Dialect.Encode(&e.request, dispatch), Body: e.request.Body, ID: e.request.ID, IDHeader: e.Dialect.IDHeader(),
-		IsLeaving:  func() bool { return e.Placement.isLeaving(inFlight) },
-		ConfirmRun: func(ctx context.Context) error { return e.confirmRun(ctx, decision.Address, inFlight) },
+		IsLeaving: check.isLeaving, ConfirmRun: check.confirmRun, OnEnd: check.record,
 	})
 	e.attemptErr = err
 	if errors.Is(err, upstream.ErrNotSent) {
@@ -276,25 +275,6 @@
 	return result, errorResponse
 }
 
-// errRestarted means that the process which accepts connections at an address is not the one that sent an answer.
-var errRestarted = errors.New("forward: the endpoint was restarted")
-
-// confirmRun returns an error if the model engine at the address is not in the run that got the request. Other endpoints don't say when
-// they were started.
-func (e *exchange) confirmRun(ctx context.Context, address string, inFlight *route.InFlightRequest) error {
-	if e.StartOf == nil || e.service.TokensPerEvent == 0 {
-		return nil
-	}
-	started, err := e.StartOf(ctx, address)
-	if err != nil {
-		return err
-	}
-	if expected := e.Placement.endpointStarted(inFlight); started != 0 && expected != 0 && started != expected {
-		return fmt.Errorf("%w at %d, before at %d", errRestarted, started, expected)
-	}
-	return nil
-}
-
 // attemptEnd is what the placement learns of an attempt.
 type attemptEnd struct {
 	result       route.Result
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -19,6 +19,7 @@
 	takenUp       metric.Int64Counter
 	remote        metric.Int64Counter
 	irregular     metric.Int64Counter
+	ends          metric.Int64Counter
 }
 
 // latencyBucketsSeconds are the histograms' bucket boundaries. They cover the latency objectives and timeouts of
@@ -47,6 +48,9 @@
 	if m.irregular, err = meter.Int64Counter("forward_streams_irregular", metric.WithDescription("Streams that an endpoint sent out of order, not as events, or not to their end, by kind.")); err != nil {
 		return nil, err
 	}
+	if m.ends, err = meter.Int64Counter("forward_ends_checked", metric.WithDescription("Answers that ended with their connection, by what shows that they are whole, or why nothing does.")); err != nil {
+		return nil, err
+	}
 	if m.duration, err = meter.Float64Histogram("forward_duration", metric.WithUnit("s"), latencyBucketsSeconds, metric.WithDescription("Time to the end of the answer.")); err != nil {
 		return nil, err
 	}
@@ -104,3 +108,9 @@
 	}
 	m.irregular.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", kind))))
 }
+
+func (m *Metrics) recordEndCheck(result string) {
+	if m != nil && m.ends != nil {
+		m.ends.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("result", result))))
+	}
+}
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -81,6 +81,8 @@
 	// The log lines of served requests and of failed ones have separate rate limits, so that a burst of served requests
 	// doesn't suppress the lines of failed ones.
 	servedLimiter, unservedLimiter *logging.Limiter
+	// endLimiter limits the lines on answers that ended with their connection.
+	endLimiter *logging.Limiter
 }
 
 // Limits of the log lines for requests that were served and for those that were not.
@@ -102,6 +104,7 @@
 		Options: o, buffers: &bufferPool{limit: o.BufferBytes},
 		crashes:       crashes,
 		servedLimiter: logging.NewLimiter(servedLinesPerSecond), unservedLimiter: logging.NewLimiter(unservedLinesPerSecond),
+		endLimiter: logging.NewLimiter(endLinesPerSecond),
 	}
 }
 
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -14,7 +14,6 @@
 	"syscall"
 	"time"
 
-	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/reach"
 )
 
@@ -54,9 +53,11 @@
 	// IsLeaving reports whether the endpoint stops by plan: it may take no more connections while it still completes its answers.
 	// Optional.
 	IsLeaving func() bool
-	// ConfirmRun returns an error if the endpoint that accepts connections at the address now is not the process that got the call.
-	// Optional.
-	ConfirmRun func(ctx context.Context) error
+	// ConfirmRun returns an error if the endpoint that accepts connections at the address now is not the process that got the call, and
+	// otherwise what shows that it is. Optional.
+	ConfirmRun func(ctx context.Context) (EndBasis, error)
+	// OnEnd is called after the check of an end that had to be confirmed, with the result. Optional.
+	OnEnd func(EndBasis, error)
 }
 
 // Response is an endpoint's response. Its Body must be closed.
@@ -231,23 +232,6 @@
 	}
 }
 
-// confirmEnd returns an error unless the endpoint still accepts connections after an answer that ended with its connection. The kernel
-// closes the connections of a process that was killed in order, so the end alone doesn't show that the answer is whole.
-func (e *exchange) confirmEnd() error {
-	if !sleep.For(e.ctx, endSettleTime) {
-		return e.ctx.Err()
-	}
-	e.client.Stats.ConfirmedEnds.Add(1)
-	err := e.client.Connect(e.ctx, e.call.Address, dialTimeout)
-	if err != nil && e.ctx.Err() == nil && e.call.IsLeaving != nil && e.call.IsLeaving() {
-		return nil
-	}
-	if err == nil && e.call.ConfirmRun != nil {
-		return e.call.ConfirmRun(e.ctx)
-	}
-	return err
-}
-
 // Statuses of a final response by the protocol. http.ReadResponse accepts any number of three digits.
 const (
 	minFinalStatus = 200
--- a/pkg/upstream/confirm_test.go
+++ b/pkg/upstream/confirm_test.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -27,3 +29,33 @@
 	must.EqOp(t, 0, c.Stats.ConfirmedEnds.Load())
 	must.EqOp(t, 1, c.Stats.Dials.Load())
 }
+
+// Guards against ends that were taken as whole, or not, without a word of what decided it.
+func TestEndCheckIsReportedOnce(t *testing.T) {
+	errOther := errors.New("another run")
+	for _, test := range []struct {
+		confirmRun func(context.Context) (EndBasis, error)
+		want       EndBasis
+		wantErr    error
+	}{
+		{nil, EndWithoutRuns, nil},
+		{func(context.Context) (EndBasis, error) { return EndSameRun, nil }, EndSameRun, nil},
+		{func(context.Context) (EndBasis, error) { return EndNone, errOther }, EndNone, errOther},
+	} {
+		address, _ := startServer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+			readBody(r)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nbody", idHeader, r.Header.Get(idHeader))
+			return false
+		})
+		call, reports := newTestCall(address, "1"), 0
+		call.ConfirmRun = test.confirmRun
+		call.OnEnd = func(basis EndBasis, err error) {
+			reports++
+			must.EqOp(t, test.want, basis)
+			must.True(t, errors.Is(err, test.wantErr))
+		}
+		_, err := fetch(NewClient(), call)
+		must.EqOp(t, test.wantErr == nil, err == nil)
+		must.EqOp(t, 1, reports)
+	}
+}
