A load report that breaks off or can't be read doesn't prove the end of an answer

Callers could get a part of a stream that looked complete: its endpoint had died between two events, its answer without a length or chunks ended in order, and the next process at the address answered the check with a load report that broke off in its body, couldn't be decoded or had a status like 503. startOf took each of these for an engine that doesn't state its start, and the check passed on the connection alone.

Now only a whole 200 without the start time, 404 or 501 mean that the engine doesn't state it. After anything else the answer has failed: a stream that can be resumed goes on elsewhere, another is broken off.

--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -112,14 +112,13 @@
 	r.placement.Report(vm.Name, report)
 }
 
-// startOf asks an engine for the start time of its process. It is 0 if the engine answers without saying it, and an error without an
-// answer.
+// startOf asks an engine for the start time of its process. It is 0 if the engine doesn't say it: its whole report has none, or it has no
+// such call. Without a whole report, or with any other status, the process isn't known.
 func (r *Router) startOf(ctx context.Context, address string) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, response, err := r.requestReport(ctx, address)
-	if err != nil && response != nil {
-		r.log.WithField("address", address).WithError(err).Debug("report_failed")
+	if err != nil && response != nil && (response.Status == http.StatusNotFound || response.Status == http.StatusNotImplemented) {
 		return 0, nil
 	}
 	return report.Started, err
