A start time that only the entry or only the report states doesn't prove that the run is the same

Callers could get a part of a stream that looked complete: its endpoint had died between two events in an answer without a length or chunks, and another process answered at its address, which states no start time or has no load reports (an address may be assigned to an engine of another service); or the router's entry had no start time and the report states one. Both passed the check, because it compared the two times only if both were known.

Now the runs are the same if both sides state the same time, or if neither states any: such an engine is judged by the connection alone, as before. Plain services aren't asked. The decision is judgeRun, with a table test.

Evidence: 'start not stated', 'no report' and 'start not in entry' of TestAnswerOfRestartedEndpointIsNotComplete failed before, for a stream that can be resumed and one that can't, and pass now; TestAnswerOfEngineWithoutStartIsComplete passed before and after.

Tests: go test -race ./pkg/forward ./pkg/upstream and the TestAnswer tests of ./platform/standin passed.

--- a/pkg/forward/confirm.go
+++ b/pkg/forward/confirm.go
@@ -16,8 +16,15 @@
 // endLinesPerSecond limits the log lines on answers that ended with their connection.
 const endLinesPerSecond = 50
 
-// errRestarted means that the process which accepts connections at an address is not the one that sent an answer.
-var errRestarted = errors.New("forward: the endpoint was restarted")
+// Errors of a check of an end.
+var (
+	// errRestarted means that the process which accepts connections at an address is not the one that sent an answer.
+	errRestarted = errors.New("forward: the endpoint was restarted")
+	// errStartNotStated means that this process doesn't say when it was started, although the run that got the request did.
+	errStartNotStated = errors.New("forward: the endpoint doesn't state its start")
+	// errStartNotKnown means that it does, although the run that got the request didn't.
+	errStartNotKnown = errors.New("forward: the start of the run that got the request isn't known")
+)
 
 // endCheck is the check of an answer of one attempt that ended with its connection.
 type endCheck struct {
@@ -42,13 +49,21 @@
 		return upstream.EndNone, err
 	}
 	c.expected, c.stated = c.Placement.endpointStarted(c.inFlight), stated
+	return judgeRun(c.expected, c.stated)
+}
+
+// judgeRun compares the start time of the run that got a request with the one that its endpoint states now. An endpoint states it in all
+// that it says of itself or nowhere, so one that is stated on one side only doesn't show that the run is the same.
+func judgeRun(expected, stated int64) (upstream.EndBasis, error) {
 	switch {
-	case c.stated == 0:
+	case stated == 0 && expected == 0:
 		return upstream.EndStartNotStated, nil
-	case c.expected == 0:
-		return upstream.EndStartNotKnown, nil
-	case c.stated != c.expected:
-		return upstream.EndNone, fmt.Errorf("%w at %d, before at %d", errRestarted, c.stated, c.expected)
+	case stated == 0:
+		return upstream.EndNone, fmt.Errorf("%w, before at %d", errStartNotStated, expected)
+	case expected == 0:
+		return upstream.EndNone, fmt.Errorf("%w, now %d", errStartNotKnown, stated)
+	case stated != expected:
+		return upstream.EndNone, fmt.Errorf("%w at %d, before at %d", errRestarted, stated, expected)
 	}
 	return upstream.EndSameRun, nil
 }
@@ -78,6 +93,10 @@
 		return string(basis)
 	case errors.Is(err, errRestarted):
 		return "failed_restarted"
+	case errors.Is(err, errStartNotStated):
+		return "failed_start_not_stated"
+	case errors.Is(err, errStartNotKnown):
+		return "failed_start_not_known"
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		return "failed_cancelled"
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/pkg/forward/confirm_test.go
+++ b/pkg/forward/confirm_test.go
@@ -19,14 +19,39 @@
 		basis upstream.EndBasis
 		err   error
 	}{
-		"same_run":         {upstream.EndSameRun, nil},
-		"leaving":          {upstream.EndLeaving, nil},
-		"failed_restarted": {upstream.EndNone, fmt.Errorf("%w at 2, before at 1", errRestarted)},
-		"failed_refused":   {upstream.EndNone, fmt.Errorf("%w: %w", upstream.ErrUnreached, syscall.ECONNREFUSED)},
-		"failed_unreached": {upstream.EndNone, fmt.Errorf("%w: %w", upstream.ErrUnreached, errors.New("i/o timeout"))},
-		"failed_cancelled": {upstream.EndNone, errors.Join(context.Canceled, upstream.ErrUnreached)},
-		"failed_no_report": {upstream.EndNone, errors.New("unexpected EOF")},
+		"same_run":                {upstream.EndSameRun, nil},
+		"leaving":                 {upstream.EndLeaving, nil},
+		"failed_restarted":        {upstream.EndNone, fmt.Errorf("%w at 2, before at 1", errRestarted)},
+		"failed_start_not_stated": {upstream.EndNone, fmt.Errorf("%w, before at 1", errStartNotStated)},
+		"failed_start_not_known":  {upstream.EndNone, fmt.Errorf("%w, now 2", errStartNotKnown)},
+		"failed_refused":          {upstream.EndNone, fmt.Errorf("%w: %w", upstream.ErrUnreached, syscall.ECONNREFUSED)},
+		"failed_unreached":        {upstream.EndNone, fmt.Errorf("%w: %w", upstream.ErrUnreached, errors.New("i/o timeout"))},
+		"failed_cancelled":        {upstream.EndNone, errors.Join(context.Canceled, upstream.ErrUnreached)},
+		"failed_no_report":        {upstream.EndNone, errors.New("unexpected EOF")},
 	} {
 		must.EqOp(t, want, endResult(test.basis, test.err))
 	}
 }
+
+// Guards against a run that counts as the one that got the request because nothing is known of one of the two, and against refusing the
+// answers of an engine that states its start nowhere.
+func TestRunIsTheSameOnlyIfBothSidesSaySo(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		expected, stated int64
+		want             upstream.EndBasis
+		wantErr          error
+	}{
+		{0, 0, upstream.EndStartNotStated, nil},
+		{1, 1, upstream.EndSameRun, nil},
+		{1, 2, upstream.EndNone, errRestarted},
+		{2, 1, upstream.EndNone, errRestarted},
+		{1, 0, upstream.EndNone, errStartNotStated},
+		{0, 1, upstream.EndNone, errStartNotKnown},
+	} {
+		basis, err := judgeRun(test.expected, test.stated)
+		must.EqOp(t, test.want, basis)
+		must.EqOp(t, test.wantErr == nil, err == nil)
+		must.True(t, errors.Is(err, test.wantErr))
+	}
+}
--- a/pkg/upstream/end.go
+++ b/pkg/upstream/end.go
@@ -15,10 +15,8 @@
 	EndNone EndBasis = ""
 	// EndSameRun means that the endpoint states the start time of the run that got the call.
 	EndSameRun EndBasis = "same_run"
-	// EndStartNotStated means that the endpoint accepts a connection and doesn't say when it was started.
+	// EndStartNotStated means that the endpoint accepts a connection and says nowhere when it was started.
 	EndStartNotStated EndBasis = "start_not_stated"
-	// EndStartNotKnown means that the endpoint accepts a connection and the caller of Send doesn't know the run that got the call.
-	EndStartNotKnown EndBasis = "start_not_known"
 	// EndWithoutRuns means that the endpoint accepts a connection and is of a kind that has no start time.
 	EndWithoutRuns EndBasis = "without_runs"
 	// EndLeaving means that the endpoint is leaving and accepts no connection.
