A leaving endpoint that refuses connections doesn't prove the end of an answer that can be had elsewhere

Callers could get a part of an answer that looked complete. An endpoint that is leaving was believed about the end of an answer without a length or chunks when it accepted no connection after it, because a process that stops by plan closes its listener first. One that is killed at the end of its time closes both at once and looks the same.

Now such an end counts as whole only if the request can't be sent again: callers of these requests get the whole answer of an endpoint that stops by plan, as before, and may still get a cut one, because nothing tells the two apart. Another request goes on elsewhere: a stream after its last event, a plain answer, which is buffered and of which the caller has nothing, from the start. That costs a repeat also if the answer was whole.

If no other endpoint can take it (none left, no attempt or retry left): the stream is broken off after its last event, so that its caller can take it up, and a plain request is answered 502 'unknown' rather than with a buffered body that may be cut; its caller may send it again.

The decision is judgeUnreached, with a table test; a test keeps mayRepeat and canRetry the same.

--- a/pkg/forward/confirm.go
+++ b/pkg/forward/confirm.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/lavendershunt/lavendershunt/pkg/catalog"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
@@ -31,6 +32,7 @@
 	*exchange
 	decision route.Decision
 	inFlight *route.InFlightRequest
+	stream   *eventStream
 	// expected and stated are the start times of the run that got the request and of the one that accepts connections at its address, as
 	// Unix times in ms, 0 if not known.
 	expected, stated int64
@@ -38,6 +40,13 @@
 
 func (c *endCheck) isLeaving() bool { return c.Placement.isLeaving(c.inFlight) }
 
+func (c *endCheck) mayRepeat() bool { return mayRepeat(c.route, c.stream.count) }
+
+// mayRepeat reports whether a request that an endpoint has run may be sent to another one, after the number of events that the caller has.
+func mayRepeat(r catalog.Route, events int) bool {
+	return r.Semantics == catalog.Idempotent && (!r.Streaming || r.Resumable || events == 0)
+}
+
 // confirmRun returns an error if the model engine at the address is not in the run that got the request. Other endpoints don't say when
 // they were started.
 func (c *endCheck) confirmRun(ctx context.Context) (upstream.EndBasis, error) {
--- a/pkg/forward/confirm_test.go
+++ b/pkg/forward/confirm_test.go
@@ -6,9 +6,12 @@
 	"fmt"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lavendershunt/lavendershunt/pkg/catalog"
+	"github.com/lavendershunt/lavendershunt/pkg/retry"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
 
@@ -55,3 +58,20 @@
 		must.True(t, errors.Is(err, test.wantErr))
 	}
 }
+
+// Guards against an end that is judged by another rule on repeats than canRetry has.
+func TestRepeatAfterAnEndAgreesWithRetry(t *testing.T) {
+	t.Parallel()
+	for _, semantics := range []catalog.Semantics{catalog.Idempotent, catalog.AtMostOnce} {
+		for _, streaming := range []bool{false, true} {
+			for _, resumable := range []bool{false, true} {
+				for _, events := range []int{0, 1} {
+					r := catalog.Route{Semantics: semantics, Streaming: streaming, Resumable: resumable, MaxAttempts: 2}
+					e := &exchange{Server: NewServer(Options{Retries: retry.New(retry.Limits{Ratio: 1, Window: time.Second, Extra: 1000}, time.Now(), true), Routers: func() int { return 1 }})}
+					e.route, e.deadline = r, time.Now().Add(time.Minute)
+					must.EqOp(t, e.canRetry(attemptFailed, &eventStream{count: events}), mayRepeat(r, events))
+				}
+			}
+		}
+	}
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -238,11 +238,11 @@
 		dispatch.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
 	e.beginAttempt(stream)
-	check := &endCheck{exchange: e, decision: decision, inFlight: inFlight}
+	check := &endCheck{exchange: e, decision: decision, inFlight: inFlight, stream: stream}
 	response, err := e.Client.Send(ctx, upstream.Call{
 		Address: decision.Address, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Header: e.Dialect.Encode(&e.request, dispatch), Body: e.request.Body, ID: e.request.ID, IDHeader: e.Dialect.IDHeader(),
-		IsLeaving: check.isLeaving, ConfirmRun: check.confirmRun, OnEnd: check.record,
+		IsLeaving: check.isLeaving, MayRepeat: check.mayRepeat, ConfirmRun: check.confirmRun, OnEnd: check.record,
 	})
 	e.attemptErr = err
 	if errors.Is(err, upstream.ErrNotSent) {
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -53,6 +53,8 @@
 	// IsLeaving reports whether the endpoint stops by plan: it may take no more connections while it still completes its answers.
 	// Optional.
 	IsLeaving func() bool
+	// MayRepeat reports whether the call may be sent to another endpoint although this one has run it. Optional.
+	MayRepeat func() bool
 	// ConfirmRun returns an error if the endpoint that accepts connections at the address now is not the process that got the call, and
 	// otherwise what shows that it is. Optional.
 	ConfirmRun func(ctx context.Context) (EndBasis, error)
--- a/pkg/upstream/confirm_test.go
+++ b/pkg/upstream/confirm_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -59,3 +60,26 @@
 		must.EqOp(t, 1, reports)
 	}
 }
+
+// Guards against a part of an answer that counts as whole because its endpoint is leaving, although the request could be sent again, and
+// against refusing the whole answer of an endpoint that stops by plan to a request that can't be.
+func TestEndOfAnswerOfUnreachedEndpoint(t *testing.T) {
+	for _, test := range []struct {
+		isLeaving, mayRepeat bool
+		want                 EndBasis
+	}{
+		{false, false, EndNone},
+		{false, true, EndNone},
+		{true, true, EndNone},
+		{true, false, EndLeaving},
+	} {
+		basis, err := judgeUnreached(syscall.ECONNREFUSED, test.isLeaving, test.mayRepeat)
+		must.EqOp(t, test.want, basis)
+		if test.want == EndNone {
+			must.ErrorIs(t, err, ErrUnreached)
+			must.ErrorIs(t, err, syscall.ECONNREFUSED)
+			continue
+		}
+		must.NoError(t, err)
+	}
+}
--- a/pkg/upstream/end.go
+++ b/pkg/upstream/end.go
@@ -19,7 +19,7 @@
 	EndStartNotStated EndBasis = "start_not_stated"
 	// EndWithoutRuns means that the endpoint accepts a connection and is of a kind that has no start time.
 	EndWithoutRuns EndBasis = "without_runs"
-	// EndLeaving means that the endpoint is leaving and accepts no connection.
+	// EndLeaving means that the endpoint is leaving and accepts no connection, and that the call can't be repeated.
 	EndLeaving EndBasis = "leaving"
 )
 
@@ -47,12 +47,21 @@
 	}
 	err := e.client.Connect(e.ctx, e.call.Address, dialTimeout)
 	switch {
-	case err != nil && e.ctx.Err() == nil && e.call.IsLeaving != nil && e.call.IsLeaving():
-		return EndLeaving, nil
 	case err != nil:
-		return EndNone, fmt.Errorf("%w: %w", ErrUnreached, err)
+		isLeaving := e.ctx.Err() == nil && e.call.IsLeaving != nil && e.call.IsLeaving()
+		return judgeUnreached(err, isLeaving, e.call.MayRepeat != nil && e.call.MayRepeat())
 	case e.call.ConfirmRun == nil:
 		return EndWithoutRuns, nil
 	}
 	return e.call.ConfirmRun(e.ctx)
 }
+
+// judgeUnreached decides on the answer of an endpoint that accepts no connection after it. One that stops by plan closes its listener
+// before it completes its answers, and one that is killed at the end of its time closes both at once, so the answer isn't known to be
+// whole. It is taken as whole only if the call can't be repeated, because there is no other answer to it.
+func judgeUnreached(err error, isLeaving, mayRepeat bool) (EndBasis, error) {
+	if isLeaving && !mayRepeat {
+		return EndLeaving, nil
+	}
+	return EndNone, fmt.Errorf("%w: %w", ErrUnreached, err)
+}
