A connection attempt that times out doesn't show that a leaving endpoint has stopped by plan

A caller whose request can't be repeated could get a part of an answer as whole if the check's connection to a leaving endpoint failed in any way, also because the link was lost or the VM gone. Only a refused connection is what an endpoint that stops by plan shows: it has closed its listener. After any other failure the answer has failed (502, or a stream that is broken off).

The three cases with another error than a refusal failed before in TestEndOfAnswerOfUnreachedEndpoint. go test -race ./pkg/upstream and TestAnswerOfLeaving, TestAnswersThatEnd of ./platform/standin passed.

--- a/pkg/upstream/confirm_test.go
+++ b/pkg/upstream/confirm_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"syscall"
 	"testing"
 
@@ -62,22 +63,28 @@
 }
 
 // Guards against a part of an answer that counts as whole because its endpoint is leaving, although the request could be sent again, and
-// against refusing the whole answer of an endpoint that stops by plan to a request that can't be.
+// against refusing the whole answer of an endpoint that stops by plan to a request that can't be. A connection that fails otherwise than by
+// a closed listener doesn't show that the endpoint stops.
 func TestEndOfAnswerOfUnreachedEndpoint(t *testing.T) {
+	errTimeout := &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
 	for _, test := range []struct {
+		err                  error
 		isLeaving, mayRepeat bool
 		want                 EndBasis
 	}{
-		{false, false, EndNone},
-		{false, true, EndNone},
-		{true, true, EndNone},
-		{true, false, EndLeaving},
+		{syscall.ECONNREFUSED, false, false, EndNone},
+		{syscall.ECONNREFUSED, false, true, EndNone},
+		{syscall.ECONNREFUSED, true, true, EndNone},
+		{syscall.ECONNREFUSED, true, false, EndLeaving},
+		{errTimeout, true, false, EndNone},
+		{syscall.ECONNRESET, true, false, EndNone},
+		{syscall.EHOSTUNREACH, true, false, EndNone},
 	} {
-		basis, err := judgeUnreached(syscall.ECONNREFUSED, test.isLeaving, test.mayRepeat)
+		basis, err := judgeUnreached(test.err, test.isLeaving, test.mayRepeat)
 		must.EqOp(t, test.want, basis)
 		if test.want == EndNone {
 			must.ErrorIs(t, err, ErrUnreached)
-			must.ErrorIs(t, err, syscall.ECONNREFUSED)
+			must.ErrorIs(t, err, test.err)
 			continue
 		}
 		must.NoError(t, err)
--- a/pkg/upstream/end.go
+++ b/pkg/upstream/end.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"syscall"
 
 	"github.com/lavendershunt/lavendershunt/internal/sleep"
 )
@@ -19,7 +20,7 @@
 	EndStartNotStated EndBasis = "start_not_stated"
 	// EndWithoutRuns means that the endpoint accepts a connection and is of a kind that has no start time.
 	EndWithoutRuns EndBasis = "without_runs"
-	// EndLeaving means that the endpoint is leaving and accepts no connection, and that the call can't be repeated.
+	// EndLeaving means that the endpoint is leaving and refuses connections, and that the call can't be repeated.
 	EndLeaving EndBasis = "leaving"
 )
 
@@ -58,9 +59,10 @@
 
 // judgeUnreached decides on the answer of an endpoint that accepts no connection after it. One that stops by plan closes its listener
 // before it completes its answers, and one that is killed at the end of its time closes both at once, so the answer isn't known to be
-// whole. It is taken as whole only if the call can't be repeated, because there is no other answer to it.
+// whole. It is taken as whole only if the call can't be repeated, because there is no other answer to it. A connection that isn't refused
+// shows neither: the link may be lost.
 func judgeUnreached(err error, isLeaving, mayRepeat bool) (EndBasis, error) {
-	if isLeaving && !mayRepeat {
+	if isLeaving && !mayRepeat && errors.Is(err, syscall.ECONNREFUSED) {
 		return EndLeaving, nil
 	}
 	return EndNone, fmt.Errorf("%w: %w", ErrUnreached, err)
