--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -141,6 +141,7 @@
 	if d := e.decision; d != nil {
 		fields["endpoint"], fields["kv_use"], fields["software"] = d.Chosen, d.KVUse, d.Software
 	}
+	e.addProcessFields(fields)
 	if e.throughRouter != "" {
 		fields["through_router"] = e.throughRouter
 	}
@@ -179,6 +180,8 @@
 		return false
 	case e.route.Streaming && !e.route.Resumable && stream.count > 0:
 		return false
+	case !e.findVersion():
+		return false
 	case time.Until(e.deadline) < 2*minAttemptTime:
 		return false
 	}
@@ -221,6 +224,7 @@
 // beginAttempt resets what is known of the latest attempt.
 func (e *exchange) beginAttempt(stream *eventStream) {
 	e.eventsBefore, e.answerBegun, e.attemptAnswered, e.endsWithConnection, e.attemptErr = stream.count, false, false, false, nil
+	e.process = process{}
 }
 
 // attempt sends the request to one endpoint. The response is nil unless the result is attemptErrorResponse and it may be passed on.
@@ -239,14 +243,21 @@
 	}
 	e.beginAttempt(stream)
 	check := &endCheck{exchange: e, decision: decision, inFlight: inFlight, stream: stream}
-	response, err := e.Client.Send(ctx, upstream.Call{
+	call := upstream.Call{
 		Address: decision.Address, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
 		Header: e.Dialect.Encode(&e.request, dispatch), Body: e.request.Body, ID: e.request.ID, IDHeader: e.Dialect.IDHeader(),
 		IsLeaving: check.isLeaving, MayRepeat: check.mayRepeat, ConfirmRun: check.confirmRun, OnEnd: check.record,
-	})
+	}
+	if e.statesStart() {
+		call.Identify = func(ctx context.Context, send upstream.SendFunc) (int64, error) {
+			return e.identify(ctx, &decision, inFlight, send)
+		}
+		call.Accept = func(run upstream.Run) error { return e.acceptProcess(&decision, run) }
+	}
+	response, err := e.Client.Send(ctx, call)
 	e.attemptErr = err
 	if errors.Is(err, upstream.ErrNotSent) {
-		if !errors.Is(err, upstream.ErrTooManyConns) { // That is this router's limit, not the endpoint's failure.
+		if !errors.Is(err, upstream.ErrTooManyConns) && !errors.Is(err, upstream.ErrRefused) { // These are no failures of the endpoint.
 			end.result = e.failureResult(ctx)
 		}
 		return attemptNotSent, nil
@@ -411,8 +422,8 @@
 func (e *exchange) reportIrregular(stream *eventStream, cause error) {
 	e.Metrics.recordIrregular(cause)
 	fields := log.Fields{
-		"request": e.request.ID, "attempt": e.attempts, "last_event": stream.lastID, "events": stream.count, "partial_bytes": len(stream.partial),
-		"ends_with_connection": e.endsWithConnection,
+		"request": e.request.ID, "attempt": e.attempts, "asked_after": stream.after, "began_with": stream.first, "last_event": stream.lastID,
+		"events": stream.count, "partial_bytes": len(stream.partial), "ends_with_connection": e.endsWithConnection,
 	}
 	if e.decision != nil {
 		fields["endpoint"], fields["software"] = e.decision.Chosen, e.decision.Software
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -20,6 +20,7 @@
 	remote        metric.Int64Counter
 	irregular     metric.Int64Counter
 	ends          metric.Int64Counter
+	processes     metric.Int64Counter
 }
 
 // latencyBucketsSeconds are the histograms' bucket boundaries. They cover the latency objectives and timeouts of
@@ -51,6 +52,9 @@
 	if m.ends, err = meter.Int64Counter("forward_ends_checked", metric.WithDescription("Answers that ended with their connection, by what shows that they are whole, or why nothing does.")); err != nil {
 		return nil, err
 	}
+	if m.processes, err = meter.Int64Counter("forward_stream_processes", metric.WithDescription("Attempts of streams by what proves the software version of the process that got them.")); err != nil {
+		return nil, err
+	}
 	if m.duration, err = meter.Float64Histogram("forward_duration", metric.WithUnit("s"), latencyBucketsSeconds, metric.WithDescription("Time to the end of the answer.")); err != nil {
 		return nil, err
 	}
@@ -114,3 +118,9 @@
 		m.ends.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("result", result))))
 	}
 }
+
+func (m *Metrics) recordProcess(proof versionProof) {
+	if m != nil && m.processes != nil {
+		m.processes.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("proof", string(proof)))))
+	}
+}
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -63,6 +63,9 @@
 	OnBroken func()
 	// StartOf asks a model engine for its start time as a Unix time in ms, 0 if it doesn't say. Optional.
 	StartOf func(ctx context.Context, address string) (int64, error)
+	// Identify asks the model engine at the other end of a connection for its start time as a Unix time in ms, 0 if it doesn't say, by
+	// calls that send sends on that connection. Optional.
+	Identify func(ctx context.Context, endpoint, address string, send upstream.SendFunc) (started int64, err error)
 	// Routers returns the number of routers that share the retry budget.
 	Routers func() int
 	Log     log.Interface
@@ -81,14 +84,16 @@
 	// The log lines of served requests and of failed ones have separate rate limits, so that a burst of served requests
 	// doesn't suppress the lines of failed ones.
 	servedLimiter, unservedLimiter *logging.Limiter
+	otherProcessLimiter            *logging.Limiter
 	// endLimiter limits the lines on answers that ended with their connection.
 	endLimiter *logging.Limiter
 }
 
-// Limits of the log lines for requests that were served and for those that were not.
+// Limits of the log lines for requests that were served, for those that were not, and for endpoints that are not as they are listed.
 const (
-	servedLinesPerSecond   = 50
-	unservedLinesPerSecond = 200
+	servedLinesPerSecond       = 50
+	unservedLinesPerSecond     = 200
+	otherProcessLinesPerSecond = 20
 )
 
 // NewServer returns a Server.
@@ -104,7 +109,8 @@
 		Options: o, buffers: &bufferPool{limit: o.BufferBytes},
 		crashes:       crashes,
 		servedLimiter: logging.NewLimiter(servedLinesPerSecond), unservedLimiter: logging.NewLimiter(unservedLinesPerSecond),
-		endLimiter: logging.NewLimiter(endLinesPerSecond),
+		endLimiter:          logging.NewLimiter(endLinesPerSecond),
+		otherProcessLimiter: logging.NewLimiter(otherProcessLinesPerSecond),
 	}
 }
 
@@ -149,16 +155,18 @@
 	eventsBefore int
 	// features are set by contentFeatures.
 	features []poison.Feature
-	// begun is set once the stream has begun, here or at an earlier attempt of the caller. software is the version of the endpoint's
-	// software that sent its first event.
-	begun    bool
-	software string
+	// begun is set once the stream has begun, here or at an earlier attempt of the caller. software is the version of the software of the
+	// process that sent its first event; if unproven is set, it isn't known and the stream can't be continued.
+	begun, unproven bool
+	software        string
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// delivered is set once a part of an endpoint's answer was written to the caller.
 	delivered bool
 	// decision is the most recent choice of an endpoint, nil if there was none.
 	decision *route.Decision
+	// process is the process that got the latest attempt of a stream at an endpoint that this router has chosen.
+	process process
 	// headerSent is set once the header of a stream was sent to the caller.
 	headerSent bool
 	// firstByteAt is the time at which a buffered response or a stream's first event was relayed.
@@ -418,6 +426,7 @@
 		fields["endpoint"], fields["software"] = e.decision.Chosen, e.decision.Software
 		fields["candidates"], fields["choice"], fields["cached"] = e.decision.Candidates, string(e.decision.Reason), e.decision.Cached()
 	}
+	e.addProcessFields(fields)
 	if e.throughRouter != "" {
 		fields["through_router"] = e.throughRouter
 	}
