The end of an answer is checked against the process of its connection, not against the list entry

A caller's whole stream was broken off, or went through a second endpoint, if it came without a length or chunks from an engine that had been restarted in place while the router had the entry of the earlier process: the check compared the engine's start time with the entry's. Since the process at the other end of a connection is asked first, its own answer is the one to compare with. The entry counts only if the process wasn't known.

--- a/pkg/forward/confirm.go
+++ b/pkg/forward/confirm.go
@@ -58,6 +58,9 @@
 		return upstream.EndNone, err
 	}
 	c.expected, c.stated = c.Placement.endpointStarted(c.inFlight), stated
+	if c.process.run.Started != 0 {
+		c.expected = c.process.run.Started // By the connection that carried the request, whatever the entry says.
+	}
 	return judgeRun(c.expected, c.stated)
 }
 
