--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -85,6 +85,8 @@
 	// doesn't suppress the lines of failed ones.
 	servedLimiter, unservedLimiter *logging.Limiter
 	otherProcessLimiter            *logging.Limiter
+	// endLimiter limits the lines on answers that ended with their connection.
+	endLimiter *logging.Limiter
 }
 
 // Limits of the log lines for requests that were served, for those that were not, and for endpoints that are not as they are listed.
@@ -107,6 +109,7 @@
 		Options: o, buffers: &bufferPool{limit: o.BufferBytes},
 		crashes:       crashes,
 		servedLimiter: logging.NewLimiter(servedLinesPerSecond), unservedLimiter: logging.NewLimiter(unservedLinesPerSecond),
+		endLimiter:          logging.NewLimiter(endLinesPerSecond),
 		otherProcessLimiter: logging.NewLimiter(otherProcessLinesPerSecond),
 	}
 }
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -14,7 +14,6 @@
 	"syscall"
 	"time"
 
-	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/reach"
 )
 
@@ -54,9 +53,13 @@
 	// IsLeaving reports whether the endpoint stops by plan: it may take no more connections while it still completes its answers.
 	// Optional.
 	IsLeaving func() bool
-	// ConfirmRun returns an error if the endpoint that accepts connections at the address now is not the process that got the call.
-	// Optional.
-	ConfirmRun func(ctx context.Context) error
+	// MayRepeat reports whether the call may be sent to another endpoint although this one has run it. Optional.
+	MayRepeat func() bool
+	// ConfirmRun returns an error if the endpoint that accepts connections at the address now is not the process that got the call, and
+	// otherwise what shows that it is. Optional.
+	ConfirmRun func(ctx context.Context) (EndBasis, error)
+	// OnEnd is called after the check of an end that had to be confirmed, with the result. Optional.
+	OnEnd func(EndBasis, error)
 	// Identify asks the process at the other end of a connection for its start time as a Unix time in ms, 0 if it doesn't say, by calls
 	// that send sends on that connection. It is called once for a connection, before the first call that has it. Optional.
 	Identify func(ctx context.Context, send SendFunc) (started int64, err error)
@@ -254,23 +257,6 @@
 	}
 }
 
-// confirmEnd returns an error unless the endpoint still accepts connections after an answer that ended with its connection. The kernel
-// closes the connections of a process that was killed in order, so the end alone doesn't show that the answer is whole.
-func (e *exchange) confirmEnd() error {
-	if !sleep.For(e.ctx, endSettleTime) {
-		return e.ctx.Err()
-	}
-	e.client.Stats.ConfirmedEnds.Add(1)
-	err := e.client.Connect(e.ctx, e.call.Address, dialTimeout)
-	if err != nil && e.ctx.Err() == nil && e.call.IsLeaving != nil && e.call.IsLeaving() {
-		return nil
-	}
-	if err == nil && e.call.ConfirmRun != nil {
-		return e.call.ConfirmRun(e.ctx)
-	}
-	return err
-}
-
 // Statuses of a final response by the protocol. http.ReadResponse accepts any number of three digits.
 const (
 	minFinalStatus = 200
