The end of an answer without a length is compared with the process that sent it, not with the list entry

Callers got a stream broken off, or a second run of it, although its answer was whole: an endpoint that was restarted in place, whose new list entry the router didn't have yet, answered without a length or chunks, and the check of the end found a start time other than that of the entry. The attempt counted as a failure of the endpoint, too. The other way round, with the new entry, a part of an answer of the earlier process passed as whole if the new process accepted connections at its end (by reading).

Cause: confirmRun took the start time of the list entry for that of the process that got the request. It is known now from the connection, so the check uses it; the entry counts only where the process wasn't asked.

Before: go test ./platform/standin -run TestWholeAnswerOfRestarted, "unexpected EOF" at the first such answer. Now it passes, and so do pkg/forward and platform/standin with -race.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -300,7 +300,11 @@
 	if err != nil {
 		return err
 	}
-	if expected := e.Placement.endpointStarted(inFlight); started != 0 && expected != 0 && started != expected {
+	expected := e.process.run.Started
+	if !e.process.run.Known { // The list entry may be that of an earlier process.
+		expected = e.Placement.endpointStarted(inFlight)
+	}
+	if started != 0 && expected != 0 && started != expected {
 		return fmt.Errorf("%w at %d, before at %d", errRestarted, started, expected)
 	}
 	return nil
