A stream of unknown version that another router gets names no version, also to a router of the build before

identifyProcess now names a version only with a proof, as its doc comment said.

Before: go test ./pkg/forward -run TestUnprovenStreamForAnotherRouter, "v1" instead of "". Now it passes; pkg/forward with -race too.

--- a/pkg/forward/process.go
+++ b/pkg/forward/process.go
@@ -39,7 +39,7 @@
 	run upstream.Run
 	// listed is the start time by the list entry by which the endpoint was chosen.
 	listed int64
-	// software is the version of its software, if proof is not notProven.
+	// software is the version of its software, empty if proof is notProven: routers of an earlier build read nothing else.
 	software string
 	proof    versionProof
 }
@@ -50,14 +50,14 @@
 // It answers endpoints that restart under their name and address with another version: a router that has the list entry of the earlier
 // process would join events of two versions.
 func identifyProcess(d *route.Decision, run upstream.Run, find func(started int64) (software string, ok bool)) process {
-	p := process{run: run, listed: d.Started, software: d.Software, proof: notProven}
+	p := process{run: run, listed: d.Started, proof: notProven}
 	switch {
 	case !run.Known:
 	case run.Started == 0 && d.Started == 0:
-		p.proof = assumedFromList
+		p.software, p.proof = d.Software, assumedFromList
 	case run.Started == 0:
 	case run.Started == d.Started:
-		p.proof = provenByStart
+		p.software, p.proof = d.Software, provenByStart
 	default:
 		if software, ok := find(run.Started); ok {
 			p.software, p.proof = software, provenByOtherEntry
