An endpoint with a short idle timeout is asked for its start time on the connection that carries the call

At an endpoint whose answers say "Keep-Alive: timeout=1", each stream began unproven and cost a question and a second connection, and no stream could be continued there: three such endpoints in a row break a stream off, or reject the caller that takes it up. All endpoints of a service have the same timeout mostly, so all of its streams were concerned.

Cause: a connection with an idle timeout of no more than the margin of a second isn't kept after an answer, and identify took a connection that isn't kept for one that the endpoint closes. The call follows the question at once, so the timeout doesn't matter there. putIdle checks it now, and with it also what a refused call gives back.

Before: go test ./pkg/upstream -run TestProcessWithShortIdleTimeout, Run{} instead of Run{Known, 7}. Now it passes; pkg/upstream with -race too.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -304,7 +304,7 @@
 		requestWritten = e.writeErr == nil
 	default:
 	}
-	if !complete || !e.reusable || !contextActive || !requestWritten || e.conn.reader.Buffered() > 0 || e.conn.idleTimeout <= 0 {
+	if !complete || !e.reusable || !contextActive || !requestWritten || e.conn.reader.Buffered() > 0 {
 		_ = e.conn.Close() // The exchange has ended, so an error in closing does not matter.
 		return
 	}
@@ -376,8 +376,8 @@
 	released.idleDeadline = time.Now().Add(released.idleTimeout)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[address]) >= maxIdlePerEndpoint {
-		_ = released.Close() // The pool for this address is full.
+	if released.idleTimeout <= 0 || len(c.idle[address]) >= maxIdlePerEndpoint {
+		_ = released.Close() // The endpoint closes it soon, or the pool for this address is full.
 		return
 	}
 	c.idle[address] = append(c.idle[address], released)
--- a/pkg/upstream/identify_test.go
+++ b/pkg/upstream/identify_test.go
@@ -116,3 +116,21 @@
 	}
 	return n
 }
+
+// Guards against asking on each connection in vain, and refusing all calls that need the answer, at an endpoint that keeps idle connections
+// for a short time only: the call follows at once.
+func TestProcessWithShortIdleTimeoutIsIdentified(t *testing.T) {
+	address := startIdentifiable(t, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 1\r\n\r\n7")
+	c := NewClient()
+	for _, id := range []string{"a", "b"} {
+		call := identifiable(address, id)
+		call.Accept = func(run Run) error {
+			must.Eq(t, Run{Known: true, Started: 7}, run)
+			return nil
+		}
+		_, err := fetch(c, call)
+		must.NoError(t, err)
+	}
+	must.EqOp(t, 2, c.Stats.Dials.Load(), must.Sprint("the connection isn't kept after a call"))
+	must.EqOp(t, 0, connsTo(c, address))
+}
