A refused call doesn't renew the idle timeout of its connection

A request could be sent on a connection that its endpoint was about to close, so that it may have run and its caller got no answer, or 502 if it can't be repeated: a stream that a process must not continue took an idle connection, sent nothing, and gave it back with a new idle deadline, while the timeout of the endpoint went on. By reading; the loss itself wasn't reproduced.

The connection is given back with the deadline that it has. One that was just opened, or over which the process was asked, has its own.

Before: go test ./pkg/upstream -run TestRefusedCallDoesNotRenew, the deadline moved. Now it passes; pkg/upstream with -race too.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -143,7 +143,7 @@
 	}
 	putIdle := func(connection *conn) { c.putIdle(call.Address, connection) }
 	if err := call.accept(connection.run); err != nil {
-		putIdle(connection)
+		c.pool(call.Address, connection) // The endpoint got nothing, so its idle timeout goes on.
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return c.sendOn(ctx, connection, call, putIdle)
@@ -338,6 +338,7 @@
 		return nil, err
 	}
 	opened := newConn(dialled)
+	opened.idleDeadline = time.Now().Add(opened.idleTimeout)
 	opened.closed = sync.OnceFunc(func() { c.counts.remove(address) })
 	return opened, nil
 }
@@ -372,8 +373,14 @@
 	return last
 }
 
+// putIdle keeps a connection that has just been used.
 func (c *Client) putIdle(address string, released *conn) {
 	released.idleDeadline = time.Now().Add(released.idleTimeout)
+	c.pool(address, released)
+}
+
+// pool keeps a connection until its idle deadline.
+func (c *Client) pool(address string, released *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if released.idleTimeout <= 0 || len(c.idle[address]) >= maxIdlePerEndpoint {
--- a/pkg/upstream/identify.go
+++ b/pkg/upstream/identify.go
@@ -43,6 +43,7 @@
 	timedOut := askCtx.Err() != nil && ctx.Err() == nil
 	if err == nil && kept {
 		connection.run, connection.exchanges = Run{Known: true, Started: started}, 0
+		connection.idleDeadline = time.Now().Add(connection.idleTimeout)
 		c.Stats.Identified.Add(1)
 		return connection, nil
 	}
--- a/pkg/upstream/identify_test.go
+++ b/pkg/upstream/identify_test.go
@@ -134,3 +134,19 @@
 	must.EqOp(t, 2, c.Stats.Dials.Load(), must.Sprint("the connection isn't kept after a call"))
 	must.EqOp(t, 0, connsTo(c, address))
 }
+
+// Guards against a call that is sent on a connection which its endpoint is closing: a call that was refused doesn't keep the connection
+// from its idle timeout.
+func TestRefusedCallDoesNotRenewTheIdleTimeout(t *testing.T) {
+	address := startIdentifiable(t, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7")
+	c := NewClient()
+	_, err := fetch(c, identifiable(address, "a"))
+	must.NoError(t, err)
+	deadline := c.idle[address][0].idleDeadline
+	refused := identifiable(address, "b")
+	refused.Accept = func(Run) error { return ErrRefused }
+	_, err = c.Send(t.Context(), refused)
+	must.ErrorIs(t, err, ErrRefused)
+	must.Len(t, 1, c.idle[address])
+	must.Eq(t, deadline, c.idle[address][0].idleDeadline)
+}
