The store gets the version of an unproven stream once it is found

After a power failure of all routers, callers couldn't take up a stream whose version had been found from the list before: the store still had it as unproven, or had lost it with the next write.

Cause: resolve changed the stream by its id only, and the list in order of time kept the unproven one, so streams.own, which compares the two, left it out of the router's object and of later announcements.

Before: go test ./pkg/origin -run TestFoundVersionIsStored, unknown for v2. Now it passes; pkg/origin with -race too.

--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -254,7 +254,7 @@
 			continue
 		}
 		st.Began = Began{Software: seen.software}
-		r.streams.byID[st.id] = st
+		r.streams.add(now, st)
 		r.enqueue(st)
 		signal(r.begun)
 		r.Log.WithFields(log.Fields{"stream": st.id, "endpoint": st.run.Endpoint, "started": st.run.Started, "software": seen.software}).Info("stream_version_found")
--- a/pkg/origin/unproven_test.go
+++ b/pkg/origin/unproven_test.go
@@ -74,3 +74,24 @@
 		must.False(t, ok)
 	})
 }
+
+// Guards against a stream that can't go on after a power failure of all routers although its version was found before: the store still has
+// it as unproven, or has it no more.
+func TestFoundVersionIsStored(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.setSoftware("v1")
+		time.Sleep(MaxStreamAge + maxClockSkew)
+		r := f.router("vm0")
+		r.RecordUnproven("a", "desk", restarted)
+		r.RecordUnproven("other", "desk", Run{Endpoint: "e0", Started: 3})
+		time.Sleep(2 * storeInterval)
+		r.Update(started(restarted, "v2"))
+		time.Sleep(2 * storeInterval)
+		for i := range 3 {
+			f.start(fmt.Sprintf("vm%d", i))
+		}
+		f.setSoftware("v1", "v2")
+		must.Eq(t, found{"v2", SourceStored}, find(f.router("vm2"), "a"))
+		must.Eq(t, found{"", SourceUnknown}, find(f.router("vm2"), "other"))
+	})
+}
