--- a/pkg/origin/unproven_test.go
+++ b/pkg/origin/unproven_test.go
@@ -95,3 +95,19 @@
 		must.Eq(t, found{"", SourceUnknown}, find(f.router("vm2"), "other"))
 	})
 }
+
+// Guards against a router that wasn't told of the stream, asks those that were, and takes their word for no more than that they don't know
+// its version: it would go on at the only version that all of them have seen.
+func TestKeepersTellThatAStreamIsUnproven(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.setSoftware("v1")
+		time.Sleep(MaxStreamAge + maxClockSkew)
+		f.router("vm0").RecordUnproven("a", "desk", restarted)
+		time.Sleep(2 * announceDelay) // The store doesn't have it yet.
+		asking := f.startAt("vm2", true)
+		asking.Update(endpoints("v1"))
+		f.stop("vm0")
+		must.Eq(t, found{"", SourceUnknown}, find(asking, "a"))
+		must.Eq(t, found{"v1", SourceOnly}, find(asking, "b"))
+	})
+}
--- a/pkg/remote/client_test.go
+++ b/pkg/remote/client_test.go
@@ -160,3 +160,23 @@
 	_, ok = c.choose(t.Context(), nil)
 	must.False(t, ok)
 }
+
+// Guards against the stream of a process of unknown version that goes on because the router that got it through another one takes its
+// version for proven.
+func TestHeadTellsWhatIsProven(t *testing.T) {
+	for name, want := range map[string]forward.RemoteProgress{
+		"proven":   {Attempts: 1, Endpoint: "e", Software: "v1"},
+		"unproven": {Attempts: 1, Endpoint: "e", Unproven: true},
+	} {
+		f := &fakeRouter{forward: func(_ context.Context, s sender) error {
+			w := &responseWriter{stream: s, progress: func() forward.RemoteProgress { return want }, header: http.Header{}}
+			err := accept(s)
+			w.WriteHeader(http.StatusOK)
+			return err
+		}}
+		got, err := newTestClient(t, f).Send(t.Context(), forward.RemoteRequest{TimeLeft: time.Second})
+		must.NoError(t, err)
+		must.Eq(t, want, got.Progress(), must.Sprint(name))
+		must.NoError(t, got.Response.Body.Close())
+	}
+}
