Endpoints that must not continue a stream don't make a router count as one without links

While a VM had no links to endpoints, its callers got 503 for requests that other routers could send: one stream that was to be continued met three restarted endpoints at another router, which answered that it had reached none, and so wasn't asked for any request until the next round of questions, up to three routers for one stream.

Cause: an attempt that Call.Accept refuses is an unsent one, and three unsent ones count as a router that reaches no endpoint. One refused process shows that endpoints are reached. The failure is that of the stream then, and is passed on as not run.

Before: go test ./pkg/forward -run TestRefusedProcessesAreReached, Unreached was set. Now it passes.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -95,10 +95,11 @@
 			excluded = append(excluded, e.decision.Chosen)
 		}
 		if result == attemptNotSent {
+			e.refusedProcess = e.refusedProcess || errors.Is(e.attemptErr, upstream.ErrRefused)
 			if unsentAttempts++; unsentAttempts < maxUnsentAttempts || e.mayBeSentRemotely(ctx) {
 				continue
 			}
-			e.unreached = true
+			e.unreached = !e.refusedProcess
 		}
 		if ctx.Err() != nil {
 			e.finishCancelled(ctx)
--- a/pkg/forward/process_test.go
+++ b/pkg/forward/process_test.go
@@ -1,12 +1,20 @@
 package forward
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/shoenig/test/must"
 
 	"github.com/lavendershunt/lavendershunt/pkg/catalog"
 	"github.com/lavendershunt/lavendershunt/pkg/origin"
+	"github.com/lavendershunt/lavendershunt/pkg/outcome"
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
@@ -21,3 +29,38 @@
 	e.recordBegin()
 	must.Eq(t, RemoteProgress{Attempts: 1, Endpoint: "e0", Unproven: true}, (&RemoteExchange{e}).Progress())
 }
+
+// Guards against a router that counts as one without links for all requests of another router, because the endpoints that it reaches
+// must not continue one stream.
+func TestRefusedProcessesAreReached(t *testing.T) {
+	endpoint := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer endpoint.Close()
+	placement := NewPlacement("a", route.Options{})
+	go placement.Run(t.Context())
+	var vms []platform.VM
+	for _, name := range []string{"e0", "e1", "e2", "e3"} {
+		vms = append(vms, platform.VM{
+			Name: name, Role: platform.RoleService, Service: "s", State: platform.VMLive, Address: endpoint.Listener.Addr().String(), Software: "v1", Started: 1,
+		})
+	}
+	placement.Update(vms)
+	e := testExchange(catalog.Route{Semantics: catalog.Idempotent, Streaming: true, Resumable: true, MaxAttempts: 2})
+	e.Log, e.Metrics = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, nil
+	e.Dialect, e.Placement, e.Client = plainDialect{}, placement, upstream.NewClient()
+	e.Identify = func(ctx context.Context, _, address string, send upstream.SendFunc) (int64, error) {
+		response, err := send(ctx, upstream.Call{Address: address, Method: http.MethodGet, Target: "/report", Header: http.Header{}})
+		if err != nil {
+			return 0, err
+		}
+		discardBody(response)
+		return 2, response.Body.Close()
+	}
+	e.request, e.service, e.attempts = Request{ID: "1", Method: "POST", Target: "/a", Host: "h"}, catalog.Service{Name: "s", TokensPerEvent: 1}, 0
+	e.onBehalf, e.begun, e.software, e.deadline = true, true, "v1", time.Now().Add(time.Minute)
+	e.writer = httptest.NewRecorder()
+	e.forward(t.Context())
+	must.NotNil(t, e.failure)
+	must.EqOp(t, outcome.NotRun, e.failure.Outcome)
+	must.EqOp(t, 0, e.attempts)
+	must.False(t, (&RemoteExchange{e}).Unreached())
+}
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -134,6 +134,8 @@
 
 	// unreached is set once the request could not be sent to any of the endpoints that were tried.
 	unreached bool
+	// refusedProcess is set once an endpoint was reached that must not get the request.
+	refusedProcess bool
 	// onBehalf is set if another router has sent the request to this one.
 	onBehalf bool
 	// remoteUnavailable is set once no other router took the request, and throughRouter names the one that did.
