A stream goes on beside restarted endpoints: those that can't continue it don't use up its three unsent attempts

Callers got a stream broken off, or 503 when they took it up, although an endpoint of its version had room: after three restarted endpoints, at each of which the process was refused before anything was sent, the router gave up. The limit of three is for endpoints that can't be reached, each of which may cost a connection timeout. A process that says its start time costs a round trip on a new connection, and nothing on one that was asked before; now eight of them may be refused for a request. One that doesn't say it in time counts as before.

Before: go test ./pkg/forward -run TestStreamGoesOnBesideRestarted, rejected in the first of 8 rounds. Now it passes, and so do pkg/forward and platform/standin with -race.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -23,6 +23,9 @@
 	// maxUnsentAttempts is the number of endpoints to which sending may fail before any byte of the request is sent.
 	// These attempts don't count towards the route's MaxAttempts.
 	maxUnsentAttempts = 3
+	// maxRefusedAttempts is the number of endpoints that may say that they are processes which can't continue the stream. Nothing of the
+	// request is sent to them either.
+	maxRefusedAttempts = 8
 	// minAttemptTime is the lower bound of an attempt's timeout.
 	minAttemptTime = 20 * time.Millisecond
 	// linksRetryAfter is the Retry-After while this VM has lost its links to all endpoints. Other VMs may be well.
@@ -61,7 +64,7 @@
 	var excluded []string
 	stream := newEventStream(e.request.lastEventID())
 	defer func() { e.lastEvent = stream.lastID }()
-	unsentAttempts := 0
+	unsentAttempts, refusedAttempts := 0, 0
 	for {
 		if ctx.Err() != nil {
 			e.finishCancelled(ctx)
@@ -96,7 +99,12 @@
 		}
 		if result == attemptNotSent {
 			e.refusedProcess = e.refusedProcess || errors.Is(e.attemptErr, upstream.ErrRefused)
-			if unsentAttempts++; unsentAttempts < maxUnsentAttempts || e.mayBeSentRemotely(ctx) {
+			if errors.Is(e.attemptErr, errOtherVersion) && e.process.run.Known {
+				refusedAttempts++
+			} else {
+				unsentAttempts++
+			}
+			if unsentAttempts < maxUnsentAttempts && refusedAttempts < maxRefusedAttempts || e.mayBeSentRemotely(ctx) {
 				continue
 			}
 			e.unreached = !e.refusedProcess
--- a/pkg/forward/process_test.go
+++ b/pkg/forward/process_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -30,37 +32,64 @@
 	must.Eq(t, RemoteProgress{Attempts: 1, Endpoint: "e0", Unproven: true}, (&RemoteExchange{e}).Progress())
 }
 
-// Guards against a router that counts as one without links for all requests of another router, because the endpoints that it reaches
-// must not continue one stream.
-func TestRefusedProcessesAreReached(t *testing.T) {
-	endpoint := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	defer endpoint.Close()
+// listRestarted returns an exchange with a stream that has begun at v1, and lists endpoints with v1 of which all but the given number were
+// restarted.
+func listRestarted(t *testing.T, endpoints, proven int) *exchange {
 	placement := NewPlacement("a", route.Options{})
 	go placement.Run(t.Context())
 	var vms []platform.VM
-	for _, name := range []string{"e0", "e1", "e2", "e3"} {
+	started := map[string]int64{}
+	for i := range endpoints {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Id", "1")
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\n") // An error shows at the caller.
+		}))
+		t.Cleanup(server.Close)
+		name := fmt.Sprintf("e%d", i)
+		started[name] = 2
+		if i < proven {
+			started[name] = 1
+		}
 		vms = append(vms, platform.VM{
-			Name: name, Role: platform.RoleService, Service: "s", State: platform.VMLive, Address: endpoint.Listener.Addr().String(), Software: "v1", Started: 1,
+			Name: name, Role: platform.RoleService, Service: "s", State: platform.VMLive, Address: server.Listener.Addr().String(), Software: "v1", Started: 1,
 		})
 	}
 	placement.Update(vms)
 	e := testExchange(catalog.Route{Semantics: catalog.Idempotent, Streaming: true, Resumable: true, MaxAttempts: 2})
-	e.Log, e.Metrics = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, nil
-	e.Dialect, e.Placement, e.Client = plainDialect{}, placement, upstream.NewClient()
-	e.Identify = func(ctx context.Context, _, address string, send upstream.SendFunc) (int64, error) {
+	e.Log, e.Dialect, e.Placement, e.Client = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, plainDialect{}, placement, upstream.NewClient()
+	e.Identify = func(ctx context.Context, endpoint, address string, send upstream.SendFunc) (int64, error) {
 		response, err := send(ctx, upstream.Call{Address: address, Method: http.MethodGet, Target: "/report", Header: http.Header{}})
 		if err != nil {
 			return 0, err
 		}
 		discardBody(response)
-		return 2, response.Body.Close()
+		return started[endpoint], response.Body.Close()
 	}
 	e.request, e.service, e.attempts = Request{ID: "1", Method: "POST", Target: "/a", Host: "h"}, catalog.Service{Name: "s", TokensPerEvent: 1}, 0
-	e.onBehalf, e.begun, e.software, e.deadline = true, true, "v1", time.Now().Add(time.Minute)
+	e.begun, e.software, e.deadline = true, "v1", time.Now().Add(time.Minute)
 	e.writer = httptest.NewRecorder()
+	return e
+}
+
+// Guards against a router that counts as one without links for all requests of another router, because the endpoints that it reaches
+// must not continue one stream.
+func TestRefusedProcessesAreReached(t *testing.T) {
+	e := listRestarted(t, 4, 0)
+	e.onBehalf = true
 	e.forward(t.Context())
 	must.NotNil(t, e.failure)
 	must.EqOp(t, outcome.NotRun, e.failure.Outcome)
 	must.EqOp(t, 0, e.attempts)
 	must.False(t, (&RemoteExchange{e}).Unreached())
 }
+
+// Guards against a stream that is broken off or rejected although an endpoint can continue it, because some others were restarted.
+func TestStreamGoesOnBesideRestartedEndpoints(t *testing.T) {
+	for range 8 {
+		e := listRestarted(t, maxRefusedAttempts, 1)
+		e.forward(t.Context())
+		must.Nil(t, e.failure)
+		must.EqOp(t, "e0", e.decision.Chosen)
+		must.EqOp(t, 1, e.attempts)
+	}
+}
