Other routers are told that a stream may begin at a process of unknown version before the request is sent

Callers could still get a stream joined from two versions after its router was killed: a stream began at a process without a list entry, the router was killed before the keepers of the stream had its announcement (10 ms and a call after the first event), and the router that got the caller next found the service settled at the listed version.

The registry now gets the stream when the process is accepted, which the prefill separates from the first event. If the attempt gives nothing and the stream begins at another process, the others are told the version.

What remains: an answer whose first event takes less than the announcement; and a power failure of all routers before the store has the stream (up to 400 ms, longer while the store is silent), after which the service's record confirms the listed version.

Before: go test ./pkg/forward -run TestOthersAreToldBefore, the first event was written before. The new test of pkg/origin failed with the first change alone (unknown for v1). Now both pass, and so do pkg/forward, pkg/origin and the tests of platform/standin whose names have Restarted, Version, Stream or Unproven, with -race.

--- a/pkg/forward/process.go
+++ b/pkg/forward/process.go
@@ -98,6 +98,10 @@
 	if e.begun && (e.process.proof == notProven || e.process.software != e.software) {
 		return errOtherVersion
 	}
+	if !e.begun && !e.onBehalf && e.Origins != nil && e.process.proof == notProven {
+		// Other routers should know of it before the first event: this one may be killed just after it.
+		e.Origins.RecordUnproven(e.request.ID, e.service.Name, e.processRun())
+	}
 	return nil
 }
 
--- a/pkg/forward/process_test.go
+++ b/pkg/forward/process_test.go
@@ -17,6 +17,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/origin"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
+	"github.com/lavendershunt/lavendershunt/pkg/platform/memstore"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
 )
@@ -32,6 +33,9 @@
 	must.Eq(t, RemoteProgress{Attempts: 1, Endpoint: "e0", Unproven: true}, (&RemoteExchange{e}).Progress())
 }
 
+// prefillTime is the time until the first event of a stream.
+const prefillTime = 50 * time.Millisecond
+
 // listRestarted returns an exchange with a stream that has begun at v1, and lists endpoints with v1 of which all but the given number were
 // restarted.
 func listRestarted(t *testing.T, endpoints, proven int) *exchange {
@@ -40,7 +44,10 @@
 	var vms []platform.VM
 	started := map[string]int64{}
 	for i := range endpoints {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/a" {
+				time.Sleep(prefillTime)
+			}
 			w.Header().Set("Id", "1")
 			_, _ = io.WriteString(w, "id: 1\ndata: a\n\n") // An error shows at the caller.
 		}))
@@ -93,3 +100,54 @@
 		must.EqOp(t, 1, e.attempts)
 	}
 }
+
+// announcements passes on what is announced to another router.
+type announcements chan map[string]origin.Began
+
+func (a announcements) Announce(_ string, began map[string]origin.Began) { a <- began }
+
+func (announcements) Find(context.Context, []string, string, string) origin.Finding {
+	return origin.Finding{}
+}
+
+// Guards against a stream that goes on at another version because its router was killed just after the first event: the others are told
+// before the request is sent that it may begin at a process of unknown version.
+func TestOthersAreToldBeforeAnUnprovenStreamBegins(t *testing.T) {
+	told := make(announcements, 8)
+	e := listRestarted(t, 1, 0)
+	e.Origins = origin.NewRegistry(origin.Options{
+		Store: memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1}).Client("vm0"), VM: "vm0", Log: e.Log, Peers: told,
+		Routers: func() int { return 1 }, Keepers: func(string, int) []string { return []string{"vm1"} }, IsFirst: func(string) bool { return false },
+	})
+	go e.Origins.Run(t.Context())
+	e.begun = false
+	writer := &firstWrite{ResponseWriter: e.writer, before: func() {
+		select {
+		case began := <-told:
+			must.Eq(t, map[string]origin.Began{"1": {Unproven: true}}, began)
+		default:
+			t.Error("the first event is written before the other router is told")
+		}
+	}}
+	e.writer = writer
+	e.forward(t.Context())
+	must.Nil(t, e.failure)
+	must.True(t, e.begun)
+	must.Nil(t, writer.before)
+}
+
+// firstWrite calls a function before the first byte of a body.
+type firstWrite struct {
+	http.ResponseWriter
+	before func()
+}
+
+func (w *firstWrite) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *firstWrite) Write(data []byte) (int, error) {
+	if w.before != nil {
+		w.before()
+		w.before = nil
+	}
+	return w.ResponseWriter.Write(data)
+}
--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -233,8 +233,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st.at = time.Now()
+	wasUnproven := r.streams.byID[st.id].Unproven // Others were told so.
 	r.streams.add(st.at, st)
-	if r.isToldOthers(&st) {
+	if r.isToldOthers(&st) || wasUnproven {
 		r.enqueue(st)
 		signal(r.begun)
 	}
--- a/pkg/origin/unproven_test.go
+++ b/pkg/origin/unproven_test.go
@@ -111,3 +111,20 @@
 		must.Eq(t, found{"v1", SourceOnly}, find(asking, "b"))
 	})
 }
+
+// Guards against a stream that can't be taken up at another router because an attempt that gave nothing was sent to a process of unknown
+// version before the stream began.
+func TestStreamThatBeginsElsewhereIsNotUnproven(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.setSoftware("v1")
+		time.Sleep(MaxStreamAge + maxClockSkew)
+		r := f.router("vm0")
+		r.RecordUnproven("a", "desk", restarted)
+		time.Sleep(time.Second)
+		must.Eq(t, found{"", SourceUnknown}, find(f.router("vm1"), "a"))
+		r.Record("a", "desk", "v1")
+		time.Sleep(time.Second)
+		must.Eq(t, found{"v1", SourceStream}, find(r, "a"))
+		must.Eq(t, found{"v1", SourceStream}, find(f.router("vm1"), "a"))
+	})
+}
