A crash is counted for the process that crashed, not for the one of the list entry

A request that crashes endpoints could reach one more than it should: the same endpoint crashed twice by it, was restarted in between, and the router still had the entry of the first process. Both crashes had the name of that process, so they counted as one.

The name of a run now has the start time that the process has stated on the connection of the attempt; without one, that of the entry, as before (answers that are no streams, and services without load reports).

Before: go test ./pkg/forward -run TestCrashIsThatOfTheProcess, e0@1 for e0@2. Now it passes; pkg/forward, pkg/route and the tests of platform/standin whose names have Crash, Restarted, Dead or Broken pass with -race. The effect on rule-bound counts is by reading.

--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -127,7 +127,7 @@
 	if e.CrashRecords == nil || e.attemptAnswered {
 		return
 	}
-	if run, ok := e.Placement.servingRun(inFlight); ok {
+	if run, ok := e.Placement.servingRun(inFlight, e.process.run.Started); ok {
 		select {
 		case <-e.crashes.report(run, address, e.contentFeatures(), e.answerBegun):
 		case <-time.After(crashCheckWait):
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -83,11 +83,12 @@
 	p.owner.Post(func(t *table) { t.ForgiveFailures(time.Now(), since) })
 }
 
-// servingRun returns a name for the present run of the request's endpoint, which differs after a restart. ok is false if the
-// endpoint is leaving or no longer listed, so that its end is planned, or if its fall is explained otherwise.
-func (p *Placement) servingRun(inFlight *route.InFlightRequest) (run string, ok bool) {
+// servingRun returns a name for the run of the request's endpoint, which differs after a restart; started is the start time that the
+// process has stated, or 0. ok is false if the endpoint is leaving or no longer listed, so that its end is planned, or if its fall is
+// explained otherwise.
+func (p *Placement) servingRun(inFlight *route.InFlightRequest, started int64) (run string, ok bool) {
 	p.owner.Do(func(t *table) {
-		run, ok = inFlight.Run(), t.Serves(inFlight) && !t.IsFallExplained(time.Now(), inFlight)
+		run, ok = inFlight.Run(started), t.Serves(inFlight) && !t.IsFallExplained(time.Now(), inFlight)
 	})
 	return run, ok
 }
--- a/pkg/forward/process_test.go
+++ b/pkg/forward/process_test.go
@@ -11,8 +11,11 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
+	"github.com/lavendershunt/lavendershunt/internal/loopback"
 	"github.com/lavendershunt/lavendershunt/pkg/catalog"
 	"github.com/lavendershunt/lavendershunt/pkg/origin"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
@@ -151,3 +154,34 @@
 	}
 	return w.ResponseWriter.Write(data)
 }
+
+// Guards against two crashes of an endpoint that count as one, because it was restarted between them and the router has the list entry of
+// the first process: a request that crashes endpoints would reach one more.
+func TestCrashIsThatOfTheProcess(t *testing.T) {
+	for name, test := range map[string]struct {
+		run  upstream.Run
+		want string
+	}{
+		"as listed":      {upstream.Run{Known: true, Started: 1}, "e0@1"},
+		"restarted":      {upstream.Run{Known: true, Started: 2}, "e0@2"},
+		"not identified": {upstream.Run{}, "e0@1"},
+		"says no start":  {upstream.Run{Known: true}, "e0@1"},
+	} {
+		lines := memory.New()
+		registry := testRegistry()
+		registry.Log = &log.Logger{Handler: lines, Level: log.InfoLevel}
+		placement := NewPlacement("a", route.Options{})
+		go placement.Run(t.Context())
+		address := loopback.Address() // Nobody listens there.
+		placement.Update([]platform.VM{{Name: "e0", Role: platform.RoleService, Service: "s", State: platform.VMLive, Address: address, Started: 1}})
+		_, inFlight := placement.chooseEndpoint(route.Request{ID: "1", Pool: route.Service("s")})
+		must.NotNil(t, inFlight)
+		e := testExchange(catalog.Route{})
+		e.Placement, e.CrashRecords, e.process = placement, registry, process{run: test.run}
+		e.crashes = &crashDetector{client: upstream.NewClient(), registry: registry, checks: map[string]*crashCheck{}}
+		e.reportBroken(address, inFlight)
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return !registry.IsEmpty() }), wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
+		must.Len(t, 1, lines.Entries, must.Sprint(name))
+		must.Eq(t, any(test.want), lines.Entries[0].Fields["run"], must.Sprint(name))
+	}
+}
--- a/pkg/route/inflight.go
+++ b/pkg/route/inflight.go
@@ -22,9 +22,13 @@
 // VM returns the name of the endpoint's VM.
 func (f *InFlightRequest) VM() string { return f.endpoint.vm.Name }
 
-// Run names the present run of the request's endpoint. The name differs after a restart.
-func (f *InFlightRequest) Run() string {
-	return f.endpoint.vm.Name + "@" + strconv.FormatInt(f.endpoint.vm.Started, 10)
+// Run names the run of the request's endpoint with the start time that its process has stated, or that of its list entry if started is 0.
+// The name differs after a restart.
+func (f *InFlightRequest) Run(started int64) string {
+	if started == 0 {
+		started = f.endpoint.vm.Started
+	}
+	return f.endpoint.vm.Name + "@" + strconv.FormatInt(started, 10)
 }
 
 // WasLeaving reports whether the request's endpoint is leaving, or was when it was last listed. One that is no longer listed may have
