--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -233,8 +233,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st.at = time.Now()
+	wasUnproven := r.streams.byID[st.id].Unproven // Others were told so.
 	r.streams.add(st.at, st)
-	if r.isToldOthers(&st) {
+	if r.isToldOthers(&st) || wasUnproven {
 		r.enqueue(st)
 		signal(r.begun)
 	}
@@ -254,7 +255,7 @@
 			continue
 		}
 		st.Began = Began{Software: seen.software}
-		r.streams.byID[st.id] = st
+		r.streams.add(now, st)
 		r.enqueue(st)
 		signal(r.begun)
 		r.Log.WithFields(log.Fields{"stream": st.id, "endpoint": st.run.Endpoint, "started": st.run.Started, "software": seen.software}).Info("stream_version_found")
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -146,7 +146,7 @@
 	}
 	putIdle := func(connection *conn) { c.putIdle(call.Address, connection) }
 	if err := call.accept(connection.run); err != nil {
-		putIdle(connection)
+		c.pool(call.Address, connection) // The endpoint got nothing, so its idle timeout goes on.
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return c.sendOn(ctx, connection, call, putIdle)
@@ -290,7 +290,7 @@
 		requestWritten = e.writeErr == nil
 	default:
 	}
-	if !complete || !e.reusable || !contextActive || !requestWritten || e.conn.reader.Buffered() > 0 || e.conn.idleTimeout <= 0 {
+	if !complete || !e.reusable || !contextActive || !requestWritten || e.conn.reader.Buffered() > 0 {
 		_ = e.conn.Close() // The exchange has ended, so an error in closing does not matter.
 		return
 	}
@@ -324,6 +324,7 @@
 		return nil, err
 	}
 	opened := newConn(dialled)
+	opened.idleDeadline = time.Now().Add(opened.idleTimeout)
 	opened.closed = sync.OnceFunc(func() { c.counts.remove(address) })
 	return opened, nil
 }
@@ -358,12 +359,18 @@
 	return last
 }
 
+// putIdle keeps a connection that has just been used.
 func (c *Client) putIdle(address string, released *conn) {
 	released.idleDeadline = time.Now().Add(released.idleTimeout)
+	c.pool(address, released)
+}
+
+// pool keeps a connection until its idle deadline.
+func (c *Client) pool(address string, released *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[address]) >= maxIdlePerEndpoint {
-		_ = released.Close() // The pool for this address is full.
+	if released.idleTimeout <= 0 || len(c.idle[address]) >= maxIdlePerEndpoint {
+		_ = released.Close() // The endpoint closes it soon, or the pool for this address is full.
 		return
 	}
 	c.idle[address] = append(c.idle[address], released)
