Ask a process for its start time once more if it closes the connection after its answer

Streams couldn't be continued, and cost their callers a broken-off answer after a break, because an endpoint sends 'Connection: close' with an answer now and then: the start time that it had just stated belongs to a connection that can't carry the request, and the next one wasn't asked.

--- a/pkg/upstream/identify.go
+++ b/pkg/upstream/identify.go
@@ -28,37 +28,60 @@
 // SendFunc sends a call. See Client.Send.
 type SendFunc func(ctx context.Context, call Call) (*Response, error)
 
-// identify asks the process at the other end of a connection, which nothing was sent on for the call. If the process doesn't say its start
-// time or closes the connection, it returns another connection whose process isn't known, provided that the call accepts one. It fails if
-// the connection does.
+// maxQuestions is the number of connections on which a call asks for the start time: an endpoint may close one after its answer.
+const maxQuestions = 2
+
+// identify asks the process at the other end of a connection, which nothing was sent on for the call, and once more on another connection if
+// the process closes it. If the process doesn't say its start time, it returns another connection whose process isn't known, provided
+// that the call accepts one. It fails if a connection does.
 func (c *Client) identify(ctx context.Context, connection *conn, call Call) (*conn, error) {
 	askCtx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
-	answered, kept := false, false
-	started, err := call.Identify(askCtx, func(ctx context.Context, question Call) (*Response, error) {
+	for questions := 1; ; questions++ {
+		kept, answered, err := c.ask(askCtx, connection, call)
+		if err == nil && kept {
+			c.Stats.Identified.Add(1)
+			return connection, nil
+		}
+		_ = connection.Close() // The call was not sent on it.
+		timedOut := askCtx.Err() != nil && ctx.Err() == nil
+		if !answered && !timedOut || errors.Is(err, ErrRefused) {
+			c.Stats.NotIdentified.Add(1)
+			return nil, fmt.Errorf("%w: %w", errNotIdentified, err)
+		}
+		isLast := err != nil || questions == maxQuestions
+		if isLast {
+			if refused := call.accept(Run{}); refused != nil {
+				c.Stats.NotIdentified.Add(1)
+				return nil, errors.Join(refused, err)
+			}
+		}
+		if err := c.reserve(call.Address); err != nil {
+			return nil, err
+		}
+		if connection, err = c.open(ctx, call.Address, dialTimeout); err != nil {
+			return nil, err
+		}
+		if isLast {
+			c.Stats.NotIdentified.Add(1)
+			return connection, nil
+		}
+	}
+}
+
+// ask asks the process at the other end of a connection for its start time. kept is set if the connection can carry a call after the
+// answer, answered if there was one.
+func (c *Client) ask(ctx context.Context, connection *conn, call Call) (kept, answered bool, err error) {
+	started, err := call.Identify(ctx, func(ctx context.Context, question Call) (*Response, error) {
 		response, err := c.sendOn(ctx, connection, question, func(*conn) { kept = true })
 		answered = err == nil
 		return response, err
 	})
-	timedOut := askCtx.Err() != nil && ctx.Err() == nil
 	if err == nil && kept {
 		connection.run, connection.exchanges = Run{Known: true, Started: started}, 0
 		connection.idleDeadline = time.Now().Add(connection.idleTimeout)
-		c.Stats.Identified.Add(1)
-		return connection, nil
-	}
-	_ = connection.Close() // The call was not sent on it.
-	c.Stats.NotIdentified.Add(1)
-	if !answered && !timedOut || errors.Is(err, ErrRefused) {
-		return nil, fmt.Errorf("%w: %w", errNotIdentified, err)
-	}
-	if refused := call.accept(Run{}); refused != nil {
-		return nil, errors.Join(refused, err)
-	}
-	if err := c.reserve(call.Address); err != nil {
-		return nil, err
 	}
-	return c.open(ctx, call.Address, dialTimeout)
+	return kept, answered, err
 }
 
 // accept returns an error if the call must not be sent to the process.
--- a/pkg/upstream/identify_test.go
+++ b/pkg/upstream/identify_test.go
@@ -94,6 +94,28 @@
 	}
 }
 
+// Guards against a process that stays unknown because its endpoint closes a connection after an answer now and then.
+func TestProcessIsAskedAgainAfterItClosedTheConnection(t *testing.T) {
+	questions := 0
+	address, _ := startServer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		readBody(r)
+		if r.URL.Path != startTarget {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", idHeader, r.Header.Get(idHeader))
+			return true
+		}
+		if questions++; questions == 1 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\n7")
+			return false
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7")
+		return true
+	})
+	response, err := NewClient().Send(t.Context(), identifiable(address, "a"))
+	must.NoError(t, err)
+	must.Eq(t, Run{Known: true, Started: 7}, response.Run)
+	must.NoError(t, response.Body.Close())
+}
+
 // Guards against a call that counts as sent, or a connection that stays counted, although the connection failed before it.
 func TestFailureBeforeTheCallIsNotSent(t *testing.T) {
 	address := startIdentifiable(t, "")
