Pause between checks of links while a VM is in doubt

Endpoints and the VM's own link saw connection attempts without a pause: a check went on for as long as the VM was in doubt and not cut off yet, whatever its attempts had shown. Attempts that give no evidence, or an endpoint that is down and fails again for a request right after the check has reached another one, kept the check going.

When the next round is due is now decided in the pure part: at once only if no endpoint was reached and more listed endpoints count as unreachable than before the round, which can happen 24 times at most; otherwise checkInterval after the round began. A cut is found out no later: rounds that show failures follow each other as before, and a round whose attempts time out lasts longer than checkInterval.

TestChecksInDoubtHavePauses shows both cases with a fake clock: 802 attempts, broken off there, before this commit, 82 allowed in 10 s. TestCutIsFoundInTwoRounds passes before and after and bounds the detection.

--- a/pkg/reach/monitor.go
+++ b/pkg/reach/monitor.go
@@ -16,8 +16,6 @@
 const (
 	// connectTimeout bounds a connection attempt of a check. A healthy endpoint accepts within a few ms.
 	connectTimeout = 300 * time.Millisecond
-	// checkInterval is the least time between two checks, also while the VM is cut off.
-	checkInterval = 250 * time.Millisecond
 	// suspicionAge is the time since the last connection from which a suspicion leads to a check.
 	suspicionAge = 500 * time.Millisecond
 	// maxDoubt is how long AwaitCheck waits: two rounds of a check. It looks every doubtPollInterval.
@@ -111,44 +109,34 @@
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
 	tasks.Go(func() { m.owner.Run(ctx) })
-	for {
-		// A VM that is cut off is checked again in any case: its attempts may not count as evidence.
-		if !m.IsCut() {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	for ctx.Err() == nil {
+		// While the VM is cut off or this is in doubt, it is checked in any case: the attempts may not count as evidence.
+		if !m.IsCut() && !m.inDoubt.Load() {
 			select {
 			case <-ctx.Done():
 				return
 			case <-m.wake:
 			}
 		}
-		started := time.Now()
-		m.check(ctx)
-		if !sleep.For(ctx, checkInterval-time.Since(started)) {
+		if !sleep.For(ctx, time.Until(m.runRound(ctx, rng))) {
 			return
 		}
 	}
 }
 
-// check connects to endpoints until one can be reached or the VM counts as cut off.
-func (m *Monitor) check(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	for ctx.Err() == nil {
-		listed := m.Listed()
-		var targets []string
-		m.owner.Do(func(p *Path) { targets = p.Targets(listed, rng) })
-		if len(targets) == 0 {
-			return
-		}
-		var attempts conc.WaitGroup
-		for _, address := range targets {
-			attempts.Go(func() {
-				_ = m.Connect(ctx, address, connectTimeout) // The result comes through Record.
-			})
-		}
-		attempts.Wait()
-		settled := false
-		m.owner.Do(func(p *Path) { settled = p.IsCut() || !p.IsInDoubt() })
-		if settled {
-			return
-		}
+// runRound connects to some endpoints and returns when the next round is due.
+func (m *Monitor) runRound(ctx context.Context, rng *rand.Rand) (next time.Time) {
+	listed := m.Listed()
+	var r Round
+	m.owner.Do(func(p *Path) { r = p.BeginRound(time.Now(), listed, rng) })
+	var attempts conc.WaitGroup
+	for _, address := range r.Targets {
+		attempts.Go(func() {
+			_ = m.Connect(ctx, address, connectTimeout) // The result comes through Record.
+		})
 	}
+	attempts.Wait()
+	m.owner.Do(func(p *Path) { next = p.NextRound(r) })
+	return next
 }
--- a/pkg/reach/path.go
+++ b/pkg/reach/path.go
@@ -13,6 +13,8 @@
 	maxWitnesses = 24
 	// firstTargets is the number of endpoints in the first round of a check. It ends most checks, as one that answers is enough.
 	firstTargets = 2
+	// checkInterval is the least time between two checks, also while the VM is cut off.
+	checkInterval = 250 * time.Millisecond
 )
 
 // Path is what a router knows of its links to the endpoints, from its own connection attempts. It is not safe for concurrent
@@ -98,3 +100,28 @@
 	}
 	return targets[:min(max(n, 0), len(targets))]
 }
+
+// Round is a round of a check: attempts to connect to Targets that begin at the same time.
+type Round struct {
+	Targets []string
+	began   time.Time
+	// listed, connectedAt and witnesses are what was known when the round began.
+	listed      []string
+	connectedAt time.Time
+	witnesses   int
+}
+
+// BeginRound begins a round of a check.
+func (p *Path) BeginRound(now time.Time, listed []string, rng *rand.Rand) Round {
+	return Round{Targets: p.Targets(listed, rng), began: now, listed: listed, connectedAt: p.connectedAt, witnesses: p.witnesses(listed)}
+}
+
+// NextRound returns the earliest time of the next round, after r has ended. A check goes on at once only while each round shows
+// more listed endpoints that can't be reached, so that it needs few rounds. Otherwise it is over, and the next one has to wait: attempts
+// may give no evidence, and a connection may be followed by another failure at once.
+func (p *Path) NextRound(r Round) time.Time {
+	if !p.cut && p.connectedAt.Equal(r.connectedAt) && p.witnesses(r.listed) > r.witnesses {
+		return r.began
+	}
+	return r.began.Add(checkInterval)
+}
