Notice the first restore of the store also by a draw

Organisations could spend more than their budget: a router that saw the first restore of the store from its own draw, before the feed told it a revision, drew at once instead of waiting for what others had drawn. A revision of era 0 didn't count as an answer of the store, because the check for a newer era came first, so the later era looked like the first one that the router had ever seen.

TestFirstRestoreIsNoticedByADraw: before this commit the second router is granted 60,000 tokens of a budget of 100,000 after the first has spent as many; now it waits and is then told that the budget is used up.

--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -164,15 +164,12 @@
 // observeEra begins the time after a restore of the store if the revision is the first one of a new era.
 func (acc *Accounts) observeEra(t *accountTable, now time.Time, revision uint64) {
 	era := platform.Era(revision)
-	if era <= t.era {
-		return
-	}
-	if t.eraKnown {
+	if era > t.era && t.eraKnown {
 		for _, a := range t.accounts {
 			a.restored(now)
 		}
 	}
-	t.era, t.eraKnown = era, true
+	t.era, t.eraKnown = max(t.era, era), t.eraKnown || revision > 0
 }
 
 // StoreReached tells the accounts a revision that the store has reached. If it has come back from an older copy, they write
