Draw from the store when the allocators have no tokens

Callers got 503, "the budget can't be drawn on now", at once although their router could have drawn from the store: all allocators had answered without tokens, because their draws took longer than the 80 ms that they let another router wait, or because only they couldn't reach the store. A router drew itself only if an allocator hadn't answered at all. The refusal then held for later requests, too.

A router now draws itself in these cases, too. As many routers may draw at once then, one draw may fail for conflict after conflict while others have tokens; so it asks them again while requests wait for a draw, also those that came after the first question.

--- a/pkg/allowance/accounts.go
+++ b/pkg/allowance/accounts.go
@@ -157,10 +157,13 @@
 		a.storeCallInProgress, a.storeCallAt = true, now
 		go acc.draw(name, t.records[name])
 		if len(a.waiters) > 0 {
-			time.AfterFunc(peerRequestDelay, func() { acc.owner.Post(func(*accountTable) { acc.requestDuringDraw(name, a) }) })
+			acc.requestLater(name, a)
 		}
 	case a.shouldRequestFromPeers(now, primary):
 		acc.requestFromPeers(name, a, Unavailable)
+	case a.storeCallInProgress && len(a.waiters) > 0:
+		// Many routers may draw at the same time, so that the draw takes long while others already have tokens.
+		acc.requestLater(name, a)
 	}
 }
 
@@ -265,6 +268,11 @@
 // answers in 4 ms.
 const peerRequestDelay = 60 * time.Millisecond
 
+// requestLater asks other routers after peerRequestDelay, if a draw is still in progress then.
+func (acc *Accounts) requestLater(name string, a *account) {
+	time.AfterFunc(peerRequestDelay, func() { acc.owner.Post(func(*accountTable) { acc.requestDuringDraw(name, a) }) })
+}
+
 // requestDuringDraw asks other routers for tokens while a draw takes long. Requests that remain uncovered go on waiting
 // for the draw.
 func (acc *Accounts) requestDuringDraw(name string, a *account) {
@@ -308,8 +316,9 @@
 				// The other routers may have more; advance asks again for the next request.
 			case result.Exhausted:
 				a.refuse(time.Now(), Exhausted)
-			case len(a.waiters) > 0 && fallback == Unavailable && !result.Complete && a.mayDraw(time.Now()):
-				// An allocator did not answer, so this router draws from the store itself. It may be waiting for this one.
+			case len(a.waiters) > 0 && fallback == Unavailable && a.mayDraw(time.Now()):
+				// An allocator did not answer, could not draw in time, or can't reach the store, so this router draws from the store
+				// itself. An allocator may be waiting for this one.
 				a.drawDirectly = true
 			case !result.Complete:
 				a.refuse(time.Now(), Unavailable)
