Allowance: a router that has started asks the others for the draws that it missed

Callers saw: none reported; the model test spends more than an organisation's total. TestRestoredStoreAfterKillsOfAllRouters, seed 86: 24,516 of 20,000 tokens.

Cause: allocators are told of a draw when it is made. One that starts later is told with the next draw only. In seed 86 vm1 draws last at 1.745 s, vm2 restarts at 1.788, the store is restored at 1.871 to a copy of the first instant, and vm1 is killed at 1.983. vm1 and the new vm2 ran side by side for 195 ms, but vm2 knew nothing; 11,604 drawn tokens were forgotten. Seed 174 is the same (31,632 of 20,000). The entry in KNOWN-RED said that all routers that know the draws are killed; that was so only because the living ones weren't told.

The test runs seed 174 as well now, and both with lost answers. startFleet takes changes of the accounts before they run, because the question reads the options right after the start; the checks of its tests are as they were. Not measured: the calls in a large fleet.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS := $(CURDIR)/$(BIN)/tools
 BINARIES := lsrouter lsctl lsload lsplatform lsengine lsservice
 # Pattern of the tests listed in KNOWN-RED.txt, which .ci/run prints.
-KNOWN_RED := ^(TestRestoredStoreAfterKillsInPartitions|TestRestoredStoreAfterKillsOfAllRouters|TestStreamOfRestartedEndpointKeepsItsVersion|TestStreamOrder|TestStreamsOutOfOrderThroughAnotherRouter|TestCutIsCheckedUntilItEnds)$$
+KNOWN_RED := ^(TestRestoredStoreAfterKillsInPartitions|TestStreamOfRestartedEndpointKeepsItsVersion|TestStreamOrder|TestStreamsOutOfOrderThroughAnotherRouter|TestCutIsCheckedUntilItEnds)$$
 RAPID := -rapid.seed=20261204 -rapid.nofailfile
 
 .PHONY: build test demo bench generate format lint generated tools unit clean
--- a/api/ls/allowance/v1/allowancev1connect/allowance.connect.go
+++ b/api/ls/allowance/v1/allowancev1connect/allowance.connect.go
@@ -44,7 +44,8 @@
 type AllowanceServiceClient interface {
 	// Give transfers tokens from the callee's account to the caller.
 	Give(context.Context, *connect.Request[v1.GiveRequest]) (*connect.Response[v1.GiveResponse], error)
-	// Inform tells the callee what routers have drawn, so that it is remembered if the store comes back from an older copy.
+	// Inform tells the callee what routers have drawn, so that it is remembered if the store comes back from an older copy, or asks
+	// it for what it remembers.
 	Inform(context.Context, *connect.Request[v1.InformRequest]) (*connect.Response[v1.InformResponse], error)
 }
 
@@ -94,7 +95,8 @@
 type AllowanceServiceHandler interface {
 	// Give transfers tokens from the callee's account to the caller.
 	Give(context.Context, *connect.Request[v1.GiveRequest]) (*connect.Response[v1.GiveResponse], error)
-	// Inform tells the callee what routers have drawn, so that it is remembered if the store comes back from an older copy.
+	// Inform tells the callee what routers have drawn, so that it is remembered if the store comes back from an older copy, or asks
+	// it for what it remembers.
 	Inform(context.Context, *connect.Request[v1.InformRequest]) (*connect.Response[v1.InformResponse], error)
 }
 
--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -97,6 +97,8 @@
 	// known is the latest state of each era that this router has heard of, and knownAt the time of its last change.
 	known   Draws
 	knownAt time.Time
+	// onlyRecalled is set while known comes only from what other routers remembered when this one had started.
+	onlyRecalled bool
 	// mustReconcile is set after a restore of the store until the record has all draws that this router knows.
 	mustReconcile bool
 	// settledAt is the end of settleTime after a restore. mustSettle is set if this router knows nothing of the time before the
@@ -259,7 +261,7 @@
 // restored begins the time after a restore of the store.
 func (a *account) restored(now time.Time) {
 	a.settledAt = now.Add(settleTime)
-	a.mustReconcile = a.mustReconcile || len(a.known) > 0 && now.Sub(a.knownAt) < maxCopyAge
+	a.mustReconcile = a.mustReconcile || a.hasRecentDraws(now)
 }
 
 // learn adds what routers have drawn.
@@ -351,6 +353,7 @@
 // a draw whose response was lost.
 func (a *account) applyRead(now time.Time, d Draws, writeID string, revision uint64) (recognised bool) {
 	a.learn(now, d)
+	a.onlyRecalled = false
 	if w, ok := a.pendingDraws[writeID]; ok {
 		// This write took effect, so the other pending ones, conditional on the same or an older revision, did not.
 		clear(a.pendingDraws)
@@ -369,7 +372,7 @@
 // applyDraw updates the account after a successful draw of tokens.
 func (a *account) applyDraw(now time.Time, d Draws, tokens int64) {
 	a.learn(now, d)
-	a.mustReconcile = false
+	a.mustReconcile, a.onlyRecalled = false, false
 	clear(a.pendingDraws)
 	if tokens >= a.refuseTokens {
 		a.refusalDuration = 0
--- a/pkg/allowance/accounts.go
+++ b/pkg/allowance/accounts.go
@@ -29,6 +29,10 @@
 	RequestTokens(ctx context.Context, allocators []string, organisation string, shortage Shortage, late func(tokens int64)) RequestResult
 	// Inform tells the other allocators what routers have drawn. It doesn't wait for them.
 	Inform(allocators []string, organisation string, draws Draws)
+	// Routers returns the names of the other routers.
+	Routers() []string
+	// Recall asks another router for the recent draws that it knows, by organisation.
+	Recall(ctx context.Context, router string) (map[string]Draws, error)
 }
 
 // RequestResult is the sum of the answers of other routers to a request for tokens.
@@ -78,6 +82,8 @@
 	// era is the store's newest known era, and eraKnown is set once the store has answered.
 	era      uint64
 	eraKnown bool
+	// recall is what this router has asked others after its start.
+	recall *recall
 	// closing is set when the router stops: free tokens are returned and none are drawn.
 	closing bool
 }
@@ -107,12 +113,15 @@
 
 // NewAccounts returns Accounts whose methods block until Run is called.
 func NewAccounts(o Options) *Accounts {
-	return &Accounts{Options: o, startedAt: time.Now(), owner: task.New(&accountTable{accounts: map[string]*account{}, records: map[string]storedRecord{}})}
+	now := time.Now()
+	table := &accountTable{accounts: map[string]*account{}, records: map[string]storedRecord{}, recall: newRecall(now)}
+	return &Accounts{Options: o, startedAt: now, owner: task.New(table)}
 }
 
 // Run serves the accounts until ctx ends.
 func (acc *Accounts) Run(ctx context.Context) {
 	go acc.tick(ctx)
+	go acc.recallDraws(ctx)
 	acc.owner.Run(ctx)
 }
 
--- a/pkg/allowance/accounts_test.go
+++ b/pkg/allowance/accounts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -117,6 +118,21 @@
 	}
 }
 
+func (p fleetPeers) Routers() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(p.accounts)), func(name string) bool { return name == p.vm })
+}
+
+func (p fleetPeers) Recall(_ context.Context, router string) (map[string]Draws, error) {
+	for _, peer := range p.reachable(p.vm, nil) {
+		if peer.VM == router {
+			return peer.RecentDraws(), nil
+		}
+	}
+	return nil, errors.New("the router can't be reached")
+}
+
 // Guards against spending more than the budget over all routers while writes and answers are lost or late, routers
 // restart, connections between routers fail, and the budget is raised.
 func TestNeverOverspent(t *testing.T) {
@@ -155,12 +171,15 @@
 	}
 }
 
-// Guards against drawing tokens a second time when all routers that know a draw are killed around a restore.
+// Guards against drawing tokens a second time when all routers that were told of a draw are killed around a restore.
 func TestRestoredStoreAfterKillsOfAllRouters(t *testing.T) {
-	const seed = 86
-	var spent, prepaid int64
-	synctest.Test(t, func(t *testing.T) { spent, prepaid = simulateSpending(t, seed, 0, true, false) })
-	must.LessEq(t, prepaid, spent)
+	for _, seed := range []uint64{86, 174} {
+		for _, lost := range []float64{0, 0.2} {
+			var spent, prepaid int64
+			synctest.Test(t, func(t *testing.T) { spent, prepaid = simulateSpending(t, seed, lost, true, false) })
+			must.LessEq(t, prepaid, spent, must.Sprint("seed ", seed, " lost ", lost))
+		}
+	}
 }
 
 // storeCopies takes copies of a store, from which it can be restored.
@@ -272,19 +291,30 @@
 	return spent, prepaid
 }
 
-// startFleet runs accounts on each VM until ctx ends. All VMs are allocators. prepaid is the configured budget.
-func startFleet(ctx context.Context, memory *memstore.Store, vms []string, prepaid int64) *fleet {
+// startFleet runs accounts on each VM until ctx ends. All VMs are allocators. prepaid is the configured budget. configure may change
+// the accounts before they run.
+func startFleet(ctx context.Context, memory *memstore.Store, vms []string, prepaid int64, configure ...func(*Accounts)) *fleet {
 	f := &fleet{accounts: map[string]*Accounts{}, isolated: map[string]bool{}}
 	for _, vm := range vms {
 		f.accounts[vm] = NewAccounts(Options{
 			Store: memory.Client(vm), VM: vm, Instance: vm, Log: discardLog(), Allocators: func(string) []string { return vms }, Prepaid: func(string) int64 { return prepaid },
 			Peers: fleetPeers{fleet: f, vm: vm, random: func() float64 { return 1 }},
 		})
-		go f.accounts[vm].Run(ctx)
+		for _, c := range configure {
+			c(f.accounts[vm])
+		}
+	}
+	for _, acc := range f.accounts {
+		go acc.Run(ctx)
 	}
 	return f
 }
 
+// withAllocators returns a change of accounts that sets the allocators of all organisations.
+func withAllocators(vms ...string) func(*Accounts) {
+	return func(acc *Accounts) { acc.Allocators = func(string) []string { return vms } }
+}
+
 // Guards against refusing requests that the budget covers while the store can't be reached: the tokens that the routers
 // hold must last for a partition of 9 s.
 func TestBridgesPartitionFromStore(t *testing.T) {
@@ -348,10 +378,7 @@
 		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
 		ctx, stop := context.WithCancel(t.Context())
 		vms := []string{"vm1", "vm2", "vm3", "vm4", "vm5"}
-		f := startFleet(ctx, memory, vms, 150_000)
-		for _, vm := range vms {
-			f.accounts[vm].Allocators = func(string) []string { return vms[:3] }
-		}
+		f := startFleet(ctx, memory, vms, 150_000, withAllocators(vms[:3]...))
 		_, err := memory.Inject(memstore.Fault{Kind: memstore.FaultDown, Clients: []string{"vm1"}})
 		must.NoError(t, err)
 		refused := 0
@@ -434,10 +461,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		const prepaid, size = 100_000, 1_000
-		f := startFleet(ctx, memory, []string{"vm1", "vm2"}, prepaid)
-		for _, acc := range f.accounts {
-			acc.Allocators = func(string) []string { return []string{"vm1"} }
-		}
+		f := startFleet(ctx, memory, []string{"vm1", "vm2"}, prepaid, withAllocators("vm1"))
 		idle := f.accounts["vm2"]
 		must.EqOp(t, Granted, idle.Reserve(ctx, organisation, prepaid, size))
 		fault, err := memory.Inject(memstore.Fault{Kind: memstore.FaultSlow, DelayMS: 5000})
@@ -563,7 +587,9 @@
 				Allocators: func(string) []string { return vms }, Prepaid: func(string) int64 { return 10_000 },
 				Peers: fleetPeers{fleet: f, vm: vm, random: func() float64 { return 1 }},
 			})
-			go f.accounts[vm].Run(ctx)
+		}
+		for _, acc := range f.accounts {
+			go acc.Run(ctx)
 		}
 		const requests = 400
 		for i := range requests {
@@ -673,13 +699,13 @@
 		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
 		ctx, stop := context.WithCancel(t.Context())
 		const prepaid, size, perSecond, seconds = 10_000_000, 1_000, 150, 10
-		f := startFleet(ctx, memory, []string{"vm1", "vm2", "vm3"}, prepaid)
+		counted := &countedPeers{}
+		f := startFleet(ctx, memory, []string{"vm1", "vm2", "vm3"}, prepaid, withAllocators("vm1", "vm2"), func(acc *Accounts) {
+			if acc.VM == "vm3" {
+				counted.Peers, acc.Peers = acc.Peers, counted
+			}
+		})
 		busy := f.accounts["vm3"]
-		for _, a := range f.accounts {
-			a.Allocators = func(string) []string { return []string{"vm1", "vm2"} }
-		}
-		counted := &countedPeers{Peers: busy.Peers}
-		busy.Peers = counted
 		for range perSecond * seconds {
 			must.EqOp(t, Granted, busy.Reserve(ctx, organisation, prepaid, size))
 			time.Sleep(time.Second / perSecond)
@@ -747,11 +773,9 @@
 		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
-		f := startFleet(ctx, memory, []string{"vm1", "vm2"}, 100_000)
-		for _, acc := range f.accounts {
-			acc.Allocators = func(string) []string { return []string{"dead", "vm1", "vm2"} }
+		f := startFleet(ctx, memory, []string{"vm1", "vm2"}, 100_000, withAllocators("dead", "vm1", "vm2"), func(acc *Accounts) {
 			acc.Peers = survivorPeers{acc.Peers.(fleetPeers)}
-		}
+		})
 		var callers sync.WaitGroup
 		for _, vm := range []string{"vm1", "vm2"} {
 			for range 3 {
--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -94,7 +94,7 @@
 		switch {
 		case fresh && current.record.undivided:
 			a.known = nil // Routers of an earlier version draw without telling others apart, so only the record counts.
-		case fresh && !isOpen && len(a.known) == 0:
+		case fresh && !isOpen && !a.remembersRestore():
 			// This router was not running before the restore. It waits for what the others remember.
 			a.mustSettle, a.settledAt = true, now.Add(settleTime)
 		}
--- a/pkg/allowance/flows_test.go
+++ b/pkg/allowance/flows_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -59,15 +60,14 @@
 	memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	f := startFleet(ctx, memory, []string{"vm1", "vm2", "vm3"}, prepaid)
-	for i, vm := range []string{"vm1", "vm2", "vm3"} {
-		acc := f.accounts[vm]
-		store := &lossyStore{Store: memory.Client(vm), random: rand.New(rand.NewPCG(seed, uint64(1+i))), lostShare: lost}
+	vms := []string{"vm1", "vm2", "vm3"}
+	f := startFleet(ctx, memory, vms, prepaid, func(acc *Accounts) {
+		store := &lossyStore{Store: memory.Client(acc.VM), random: rand.New(rand.NewPCG(seed, uint64(1+slices.Index(vms, acc.VM)))), lostShare: lost}
 		acc.Store = store
 		if lost > 0 {
-			acc.Peers = fleetPeers{fleet: f, vm: vm, random: store.randomFloat}
+			acc.Peers = fleetPeers{fleet: acc.Peers.(fleetPeers).fleet, vm: acc.VM, random: store.randomFloat}
 		}
-	}
+	})
 	charged := spendAtRandom(ctx, random, f, prepaid)
 	// Draws ahead of need, returns and late answers are over by then.
 	time.Sleep(2 * drawHorizon)
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -53,14 +55,33 @@
 	return connect.NewResponse(&allowancev1.GiveResponse{Tokens: transferred, Exhausted: exhausted}), nil
 }
 
-// Inform implements AllowanceService: it records what routers have drawn.
+// Inform implements AllowanceService: it records what routers have drawn, or returns what this router remembers of it.
 func (s *Service) Inform(_ context.Context, req *connect.Request[allowancev1.InformRequest]) (*connect.Response[allowancev1.InformResponse], error) {
+	response := &allowancev1.InformResponse{}
+	if req.Msg.GetRecall() {
+		for organisation, draws := range s.accounts.RecentDraws() {
+			response.Organisations = append(response.Organisations, &allowancev1.OrganisationDraws{Organisation: organisation, Eras: encodeDraws(draws)})
+		}
+		return connect.NewResponse(response), nil
+	}
+	s.accounts.Learn(req.Msg.GetOrganisation(), decodeDraws(req.Msg.GetEras()))
+	return connect.NewResponse(response), nil
+}
+
+func encodeDraws(draws Draws) []*allowancev1.EraDraws {
+	var eras []*allowancev1.EraDraws
+	for era, e := range draws {
+		eras = append(eras, &allowancev1.EraDraws{Era: era, Writes: e.Writes, Drawn: e.Drawn})
+	}
+	return eras
+}
+
+func decodeDraws(eras []*allowancev1.EraDraws) Draws {
 	draws := Draws{}
-	for _, e := range req.Msg.GetEras() {
+	for _, e := range eras {
 		draws[e.GetEra()] = EraDraws{Writes: e.GetWrites(), Drawn: e.GetDrawn()}
 	}
-	s.accounts.Learn(req.Msg.GetOrganisation(), draws)
-	return connect.NewResponse(&allowancev1.InformResponse{}), nil
+	return draws
 }
 
 // RemotePeers implements Peers over the network.
@@ -103,10 +124,7 @@
 
 // Inform implements Peers.
 func (r *RemotePeers) Inform(allocators []string, organisation string, draws Draws) {
-	request := &allowancev1.InformRequest{Organisation: organisation}
-	for era, e := range draws {
-		request.Eras = append(request.Eras, &allowancev1.EraDraws{Era: era, Writes: e.Writes, Drawn: e.Drawn})
-	}
+	request := &allowancev1.InformRequest{Organisation: organisation, Eras: encodeDraws(draws)}
 	for _, p := range r.orderPeers(allocators) {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), informTimeout)
@@ -118,6 +136,26 @@
 	}
 }
 
+// Routers implements Peers.
+func (r *RemotePeers) Routers() []string { return slices.Collect(maps.Keys(r.Addresses())) }
+
+// Recall implements Peers. A router of an earlier version returns nothing.
+func (r *RemotePeers) Recall(ctx context.Context, router string) (map[string]Draws, error) {
+	address, ok := r.Addresses()[router]
+	if !ok {
+		return nil, fmt.Errorf("allowance: the address of %s is not known", router)
+	}
+	response, err := r.client(peer{router, address}).Inform(ctx, connect.NewRequest(&allowancev1.InformRequest{Recall: true}))
+	if err != nil {
+		return nil, err
+	}
+	recalled := map[string]Draws{}
+	for _, o := range response.Msg.GetOrganisations() {
+		recalled[o.GetOrganisation()] = decodeDraws(o.GetEras())
+	}
+	return recalled, nil
+}
+
 func (r *RemotePeers) client(p peer) allowancev1connect.AllowanceServiceClient {
 	return allowancev1connect.NewAllowanceServiceClient(r.Client, "http://"+p.address, connect.WithReadMaxBytes(peerhttp.MaxMessageBytes))
 }
