--- a/pkg/allowance/slowallocator_test.go
+++ b/pkg/allowance/slowallocator_test.go
@@ -35,6 +35,8 @@
 	return result
 }
 
+func withServedPeers(acc *Accounts) { acc.Peers = servedPeers{acc.Peers.(fleetPeers)} }
+
 // Guards against refusing requests whose budget the router could draw itself: all allocators have answered, but without tokens, because
 // their draws took longer than they let another router wait, or because only they can't reach the store.
 func TestDrawsItselfIfAllocatorsHaveNoTokens(t *testing.T) {
@@ -47,11 +49,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
 				ctx, stop := context.WithCancel(t.Context())
-				f := startFleet(ctx, memory, []string{"vm1", "vm2", "vm3"}, 100_000)
-				for _, acc := range f.accounts {
-					acc.Allocators = func(string) []string { return allocators }
-					acc.Peers = servedPeers{acc.Peers.(fleetPeers)}
-				}
+				f := startFleet(ctx, memory, []string{"vm1", "vm2", "vm3"}, 100_000, withAllocators(allocators...), withServedPeers)
 				_, err := memory.Inject(fault)
 				must.NoError(t, err)
 				verdict := f.accounts["vm3"].Reserve(ctx, organisation, 100_000, 140)
@@ -74,11 +72,7 @@
 		for i := range routers {
 			vms = append(vms, fmt.Sprintf("vm%d", i+1))
 		}
-		f := startFleet(ctx, memory, vms, prepaid)
-		for _, acc := range f.accounts {
-			acc.Allocators = func(string) []string { return vms[:4] }
-			acc.Peers = servedPeers{acc.Peers.(fleetPeers)}
-		}
+		f := startFleet(ctx, memory, vms, prepaid, withAllocators(vms[:4]...), withServedPeers)
 		_, err := memory.Inject(memstore.Fault{Kind: memstore.FaultSlow, DelayMS: 250})
 		must.NoError(t, err)
 		var refused, late atomic.Int64
