--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -118,7 +118,12 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, response, err := r.requestReport(ctx, address, r.client.Send)
-	if err != nil && response != nil && (response.Status == http.StatusNotFound || response.Status == http.StatusNotImplemented) {
+	return statedStart(report, response, err)
+}
+
+// statedStart returns the start time that an engine has stated, by what requestReport has returned.
+func statedStart(report route.LoadReport, response *upstream.Response, err error) (int64, error) {
+	if response != nil && (response.Status == http.StatusNotFound || response.Status == http.StatusNotImplemented) {
 		return 0, nil
 	}
 	return report.Started, err
@@ -131,10 +136,7 @@
 	if err == nil {
 		r.placement.Report(endpoint, report)
 	}
-	if response != nil && (response.Status == http.StatusNotFound || response.Status == http.StatusNotImplemented) {
-		return 0, nil
-	}
-	return report.Started, err
+	return statedStart(report, response, err)
 }
 
 // fetchReport asks for an engine's load report and records what the answer says besides.
