A router that no other one answers asks the store whether its view of the endpoints is current

A view that is some seconds old proves nothing about a stream that began since. The store is now asked at that moment, by a watch from the router's revision that ends at once: without an answer, or with changes, the stream doesn't go on there. It costs a call only for streams that are taken up while no other router answers.

TestOnlyTheStoreConfirmsObjects; the registry's part was covered by TestRouterWithOldViewDoesNotGuess.

--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -34,8 +34,6 @@
 )
 
 const (
-	// maxViewAge is the age from which what a router knows of the endpoints may lack some. A quiet watch is answered every 3 s.
-	maxViewAge = 5 * time.Second
 	// drainServingTime is how long new requests are still accepted after SIGTERM. Callers stop using the router after
 	// other routers have left it out of their address answers, which takes about one renewal interval.
 	drainServingTime = 2500 * time.Millisecond
@@ -173,13 +171,10 @@
 	})
 	r.origins = origin.NewRegistry(origin.Options{
 		Store: r.breaker, VM: s.VM, Log: logger, Routers: r.roster.Count, FirstStart: s.FirstStart,
-		Keepers: func(stream string, n int) []string { return r.roster.PreferenceList("stream/"+stream, n) },
-		IsFirst: func(key string) bool { return r.roster.PreferenceList(key, 1)[0] == s.VM },
-		Peers:   &origin.RemotePeers{Addresses: r.roster.Peers, Client: peers, Log: logger},
-		IsViewCurrent: func() bool {
-			age, known := r.endpointFeed.Age()
-			return known && age <= maxViewAge
-		},
+		Keepers:       func(stream string, n int) []string { return r.roster.PreferenceList("stream/"+stream, n) },
+		IsFirst:       func(key string) bool { return r.roster.PreferenceList(key, 1)[0] == s.VM },
+		Peers:         &origin.RemotePeers{Addresses: r.roster.Peers, Client: peers, Log: logger},
+		IsViewCurrent: func(ctx context.Context) bool { return r.endpointFeed.Confirm(ctx) },
 	})
 	r.callerConns = newCallerConns(r.limits, maxCallerConns(s.Descriptors), logger)
 	r.newFeeds(peers)
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -23,6 +23,8 @@
 	// catchUpWait is how long the store holds the watch that replaces one that was given up: it shows soon that the objects are
 	// up to date.
 	catchUpWait = 10 * time.Millisecond
+	// confirmWait is how long the store holds a watch that only asks whether there are changes.
+	confirmWait = time.Millisecond
 	// directWatchTime is how long a router watches the store itself after it could follow no other router.
 	directWatchTime = 10 * time.Second
 	// leaderRetryPause is the time after which a router that could follow no other router tries again.
@@ -296,6 +298,20 @@
 // before the first one. It may be called at any time.
 func (f *Feed) Age() (time.Duration, bool) { return f.hub.age() }
 
+// Confirm asks the store whether the consumer has all objects as they are now. It returns false without an answer.
+func (f *Feed) Confirm(ctx context.Context) bool {
+	revision, loaded := f.hub.loadedRevision()
+	if !loaded {
+		return false
+	}
+	changes, _, err := f.Store.Poll(ctx, f.Kind+"/", revision, confirmWait)
+	if err != nil || len(changes) > 0 {
+		f.Log.WithFields(log.Fields{"kind": f.Kind, "revision": platform.FormatRevision(revision), "changes": len(changes)}).WithError(err).Info("objects_not_confirmed")
+		return false
+	}
+	return true
+}
+
 // sinceContact returns the time since the last answer of the store, 0 before the first one.
 func (f *Feed) sinceContact() time.Duration {
 	if f.contact.IsZero() {
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -375,3 +375,33 @@
 	must.EqOp(t, 1, store.lists.Load(), must.Sprint("the store is not read again"))
 	must.Positive(t, answers.Load())
 }
+
+// Guards against taking objects for current because the store answered a short time ago: it has others by now, or doesn't answer.
+func TestOnlyTheStoreConfirmsObjects(t *testing.T) {
+	memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+	store := memory.Client("vm1")
+	consumer := &memoryConsumer{}
+	f := testFeed(testStore{store}, consumer, nil)
+	must.False(t, f.Confirm(t.Context()), must.Sprint("before the first list"))
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.Run(ctx)
+	}()
+	_, err := store.Put(t.Context(), "servers/a", []byte("1"), 0)
+	must.NoError(t, err)
+	eventually(t, "the object arrives", func() bool { return consumer.hasObjects(map[string]string{"servers/a": "1"}) })
+	must.True(t, f.Confirm(t.Context()))
+	stop()
+	<-ended
+	_, err = store.Put(t.Context(), "others/a", []byte("1"), 0)
+	must.NoError(t, err)
+	must.True(t, f.Confirm(t.Context()), must.Sprint("only another kind has changed"))
+	_, err = store.Put(t.Context(), "servers/b", []byte("1"), 0)
+	must.NoError(t, err)
+	must.False(t, f.Confirm(t.Context()), must.Sprint("there is an object that the consumer lacks"))
+	_, err = memory.Inject(memstore.Fault{Kind: memstore.FaultDown})
+	must.NoError(t, err)
+	must.False(t, f.Confirm(t.Context()), must.Sprint("the store is down"))
+}
--- a/pkg/feed/hub.go
+++ b/pkg/feed/hub.go
@@ -182,6 +182,13 @@
 	return h.revision, time.Since(h.contact)
 }
 
+// loadedRevision returns the revision of the objects, and false if no list has been read yet.
+func (h *hub) loadedRevision() (uint64, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.revision, h.loaded
+}
+
 // age returns the time since the last answer of the store, and false if no list has been read yet.
 func (h *hub) age() (time.Duration, bool) {
 	h.mu.Lock()
--- a/pkg/origin/registry.go
+++ b/pkg/origin/registry.go
@@ -72,8 +72,8 @@
 	// IsFirst reports whether this router is the first of those that are alive for the key. One router writes a service's record.
 	IsFirst func(key string) bool
 	Peers   Peers
-	// IsViewCurrent reports whether this router knows the endpoints as the store has them, give or take a few seconds. Optional.
-	IsViewCurrent func() bool
+	// IsViewCurrent asks the store whether this router knows the endpoints as they are now. Optional.
+	IsViewCurrent func(ctx context.Context) bool
 }
 
 // Peers calls other routers by name.
@@ -304,7 +304,7 @@
 	if peers.Found {
 		return peers.Software, SourcePeer
 	}
-	isTrusted := !peers.Mixed && (peers.Answered || r.IsViewCurrent == nil || r.IsViewCurrent())
+	isTrusted := !peers.Mixed && (peers.Answered || r.isViewCurrent(ctx))
 	r.mu.Lock()
 	software, settled := r.service(serviceName).settled(time.Now())
 	r.mu.Unlock()
@@ -327,6 +327,15 @@
 	return "", SourceUnknown
 }
 
+func (r *Registry) isViewCurrent(ctx context.Context) bool {
+	if r.IsViewCurrent == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return r.IsViewCurrent(ctx)
+}
+
 // whereBegan returns the version at which a stream began, or SourceUnknown if it is unproven.
 func (r *Registry) whereBegan(id string, b Began, source Source) (string, Source) {
 	if b.Unproven {
--- a/pkg/origin/staleview_test.go
+++ b/pkg/origin/staleview_test.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -39,10 +40,12 @@
 		f.setSoftware("v1")
 		time.Sleep(MaxStreamAge + maxClockSkew)
 		must.Eq(t, found{"v1", SourceOnly}, find(f.router("vm1"), "a"))
-		f.router("vm1").IsViewCurrent = func() bool { return false }
+		f.router("vm1").IsViewCurrent = func(context.Context) bool { return false }
 		must.Eq(t, found{"v1", SourceOnly}, find(f.router("vm1"), "a"), must.Sprint("other routers know of one version only, as while the store is silent for all"))
 		f.unreachable["vm1"] = true
 		must.Eq(t, found{"", SourceUnknown}, find(f.router("vm1"), "a"), must.Sprint("no router can be asked"))
+		f.router("vm1").IsViewCurrent = func(context.Context) bool { return true }
+		must.Eq(t, found{"v1", SourceOnly}, find(f.router("vm1"), "a"), must.Sprint("the store confirms the endpoints"))
 		f.unreachable["vm1"] = false
 		f.router("vm0").Update(endpoints("v1", "v1.1"))
 		must.Eq(t, found{"", SourceUnknown}, find(f.router("vm1"), "a"), must.Sprint("another router has seen two versions"))
