A stream that another router forwards stays at its service after its route has moved

A caller got pieces of two services in one answer: a router that had lost its links to endpoints sent the rest of a stream through another router, which chose the service anew by its later configuration. Software versions were compared across the two services.

The request now names the service of a stream that has begun; a router of an earlier build ignores the field.

--- a/pkg/forward/remote.go
+++ b/pkg/forward/remote.go
@@ -48,6 +48,8 @@
 	// Begun is set if the stream has begun at an endpoint whose software has the version Software.
 	Begun    bool
 	Software string
+	// Service is the service that is to continue a stream that has begun, empty from a router of an earlier build.
+	Service string
 }
 
 // RemoteProgress tells how far another router has come with a request.
@@ -87,7 +89,7 @@
 	request := RemoteRequest{
 		Method: e.request.Method, Target: e.request.Target, Host: e.request.Host, Header: e.incoming, Body: e.request.Body,
 		TimeLeft: time.Until(e.deadline), ConfigVersion: e.config.Version, Attempts: e.attempts, LastEvent: e.request.LastEvent,
-		Begun: e.begun, Software: e.software,
+		Begun: e.begun, Software: e.software, Service: e.service.Name,
 	}
 	if stream.lastID != noEvent {
 		request.LastEvent = strconv.FormatInt(stream.lastID, 10)
@@ -175,12 +177,28 @@
 	}
 	e.deadline = e.arrivedAt.Add(r.TimeLeft)
 	e.attempts, e.begun, e.software, e.request.LastEvent = r.Attempts, r.Begun, r.Software, r.LastEvent
+	if failure := e.keepService(r); failure != nil {
+		return nil, failure
+	}
 	if failure := e.checkContent(); failure != nil {
 		return nil, failure
 	}
 	return &RemoteExchange{e}, nil
 }
 
+// keepService makes a stream that has begun go on at its service, which the route may not use any more by a later configuration.
+func (e *exchange) keepService(r RemoteRequest) *outcome.Failure {
+	if !r.Begun || r.Service == "" {
+		return nil
+	}
+	service, ok := e.config.Service(r.Service)
+	if !ok {
+		return outcome.NotRunf(outcome.ReasonNoEndpoint, longRetryAfter, "service %q is not configured any more", r.Service)
+	}
+	e.service = service
+	return nil
+}
+
 // Serve sends the request to endpoints and writes an endpoint's answer to w. It returns nil after a whole answer, and otherwise
 // the failure; an answer may have begun then.
 func (x *RemoteExchange) Serve(ctx context.Context, w http.ResponseWriter) *outcome.Failure {
--- a/pkg/remote/service.go
+++ b/pkg/remote/service.go
@@ -110,7 +110,7 @@
 	return &forwardv1.ForwardRequest{
 		Method: r.Method, Target: r.Target, Host: r.Host, Headers: encodeHeader(r.Header), Body: r.Body,
 		TimeLeftMs: uint32(max(0, r.TimeLeft.Milliseconds())), ConfigVersion: r.ConfigVersion, Attempts: uint32(r.Attempts),
-		LastEvent: r.LastEvent, Begun: r.Begun, Software: r.Software,
+		LastEvent: r.LastEvent, Begun: r.Begun, Software: r.Software, Service: r.Service,
 	}
 }
 
@@ -118,7 +118,7 @@
 	return forward.RemoteRequest{
 		Method: m.GetMethod(), Target: m.GetTarget(), Host: m.GetHost(), Header: decodeHeader(m.GetHeaders()), Body: m.GetBody(),
 		TimeLeft: time.Duration(m.GetTimeLeftMs()) * time.Millisecond, ConfigVersion: m.GetConfigVersion(), Attempts: int(m.GetAttempts()),
-		LastEvent: m.GetLastEvent(), Begun: m.GetBegun(), Software: m.GetSoftware(),
+		LastEvent: m.GetLastEvent(), Begun: m.GetBegun(), Software: m.GetSoftware(), Service: m.GetService(),
 	}
 }
 
