--- a/pkg/allowance/firstera_test.go
+++ b/pkg/allowance/firstera_test.go
@@ -20,11 +20,10 @@
 		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
-		f := startFleet(ctx, memory, []string{"vm1", "vm2"}, prepaid)
+		f := startFleet(ctx, memory, []string{"vm1", "vm2"}, prepaid, func(acc *Accounts) { withAllocators(acc.VM)(acc) })
+		f.mu.Lock()
 		f.isolated["vm1"] = true
-		for vm, acc := range f.accounts {
-			acc.Allocators = func(string) []string { return []string{vm} }
-		}
+		f.mu.Unlock()
 		must.EqOp(t, Granted, f.accounts["vm1"].Reserve(ctx, organisation, prepaid, 100))
 		older := memory.Copy()
 		must.EqOp(t, Granted, f.accounts["vm2"].Reserve(ctx, organisation, prepaid, most))
