--- a/pkg/forward/process.go
+++ b/pkg/forward/process.go
@@ -44,8 +44,8 @@
 	proof    versionProof
 }
 
-// identifyProcess finds the software version of a process. find returns the version of the endpoint's run that was started at the time
-// by any list entry.
+// identifyProcess finds the software version of a process. find looks for a list entry of the endpoint, present or earlier, with the start
+// time, and returns its version.
 //
 // It answers endpoints that restart under their name and address with another version: a router that has the list entry of the earlier
 // process would join events of two versions.
--- a/pkg/forward/resume.go
+++ b/pkg/forward/resume.go
@@ -33,7 +33,7 @@
 		return
 	}
 	e.begun, e.unproven, e.software = true, e.process.proof == notProven, e.process.software
-	if e.process.proof == "" { // The service's endpoints state no start time.
+	if e.process.proof == "" { // The service's endpoints can't be asked for their start time.
 		e.software = e.decision.Software
 	}
 	switch {
@@ -53,8 +53,8 @@
 	return origin.Run{Endpoint: e.decision.Chosen, Started: e.process.run.Started}
 }
 
-// findVersion looks for the version of a stream that began at an unproven one, because a list entry of its process may have arrived, and
-// reports whether the stream can be continued.
+// findVersion reports whether the stream can be continued: its version is known, or a list entry of the process at which it began has
+// arrived since.
 func (e *exchange) findVersion() bool {
 	if !e.begun || !e.unproven {
 		return true
