A connection attempt that times out while answers arrive is no evidence of lost links

Cause: their links were full, connections to 24 endpoints timed out within 300 ms, and the callers' bytes alone no longer filled the link while its queue drained. A VM that takes itself for cut off closes its idle connections and rejects all requests; the rejected requests come back with their bodies and keep the link full. Change: bytes of any endpoint that arrive during an attempt show that the links are there.

--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -15,7 +15,7 @@
 func (r *Router) newLinks(peers connect.HTTPClient) {
 	r.links = reach.NewMonitor(reach.MonitorOptions{Listed: r.listedAddresses, Connect: r.client.Connect, Changed: r.linksChanged, Log: r.log})
 	r.client.OnAttempt = func(a reach.Attempt) {
-		if isLinkEvidence(a, r.linkMeter) {
+		if isLinkEvidence(a, r.linkMeter, r.client.ReceivedSince) {
 			r.links.Record(a)
 		}
 	}
@@ -31,9 +31,13 @@
 }
 
 // isLinkEvidence reports whether a connection attempt tells whether the VM has lost its links. An attempt that times out while
-// callers fill the VM's own link doesn't.
-func isLinkEvidence(a reach.Attempt, link *linkMeter) bool {
-	return a.Connected || a.Refused || link == nil || !link.isFull(a.Ended, a.Ended.Sub(a.Started))
+// callers fill the VM's own link doesn't, and neither does one during which bytes of an endpoint arrived: the queue of a full link
+// outlasts the bytes that callers sent.
+func isLinkEvidence(a reach.Attempt, link *linkMeter, receivedSince func(time.Time) bool) bool {
+	if a.Connected || a.Refused {
+		return true
+	}
+	return !receivedSince(a.Started) && (link == nil || !link.isFull(a.Ended, a.Ended.Sub(a.Started)))
 }
 
 // liveAddresses returns the distinct addresses of the endpoints that are not leaving, in order.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -100,7 +100,9 @@
 	MaxConns int
 	counts   connCounts
 	delay    delayMeter
-	mu       sync.Mutex
+	// receivedAt is the time of the last bytes of an endpoint in Unix nanoseconds, 0 before the first ones.
+	receivedAt atomic.Int64
+	mu         sync.Mutex
 	// idle holds the idle connections by address.
 	idle map[string][]*conn
 }
@@ -169,6 +171,10 @@
 // LinkDelay estimates how long packets wait in the VM's link, in both directions together. It is 0 without an estimate.
 func (c *Client) LinkDelay() time.Duration { return c.delay.estimate(time.Now()) }
 
+// ReceivedSince reports whether bytes of an endpoint have arrived at the time or later. It answers a full link, on which new connections
+// time out while answers still come: the links aren't lost then.
+func (c *Client) ReceivedSince(t time.Time) bool { return c.receivedAt.Load() >= t.UnixNano() }
+
 // SetLinksLost tells the client that the VM has lost its links to all endpoints, or has them back. Connection attempts say
 // nothing about the delay of packets meanwhile.
 func (c *Client) SetLinksLost(lost bool) { c.delay.setPaused(lost) }
@@ -323,7 +329,7 @@
 		c.counts.remove(address)
 		return nil, err
 	}
-	opened := newConn(dialled)
+	opened := newConn(receivingConn{Conn: dialled, receivedAt: &c.receivedAt})
 	opened.idleDeadline = time.Now().Add(opened.idleTimeout)
 	opened.closed = sync.OnceFunc(func() { c.counts.remove(address) })
 	return opened, nil
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -56,6 +57,22 @@
 // stop ends the head: a body has limits of its own.
 func (l *headLimit) stop() { l.active = false }
 
+// receivingConn records when bytes of an endpoint arrive.
+type receivingConn struct {
+	net.Conn
+	// receivedAt is a Unix time in nanoseconds.
+	receivedAt *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c receivingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.receivedAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 // conn is a connection to one endpoint. It carries one exchange at a time.
 type conn struct {
 	net.Conn
@@ -88,7 +105,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(syscall.Conn)
+	source := c.Conn
+	if receiving, ok := source.(receivingConn); ok {
+		source = receiving.Conn
+	}
+	tcp, ok := source.(syscall.Conn)
 	if !ok {
 		return true
 	}
