A router that the store rejects follows others that watch it

Cause: a leader whose calls to the store fail tries only the store again, and passes its age on to its followers. Change: it follows the other leaders until the store answers it; its calls to the store stay closed meanwhile (circuit breaker). A router whose objects are too old to be followed says so before it sends them all.

--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -64,9 +64,11 @@
 func (r *Router) newFeeds(peers feed.PeerClient) {
 	options := feed.Options{
 		Log: r.log, Client: peers, AwaitRetry: r.contact.Sleep, LeaderAnswered: r.contact.LeaderAnswered, Contacted: r.catchUps.contacted,
-		WatchWait:  r.byFleetSize(watchWaitSmallFleet, feed.LeaderWait),
-		WatchPause: r.byFleetSize(watchPauseSmallFleet, watchPauseLargeFleet),
-		Leaders:    func() []string { return r.roster.Leaders(maxSmallFleet, leadersPerZone) },
+		WatchWait:     r.byFleetSize(watchWaitSmallFleet, feed.LeaderWait),
+		WatchPause:    r.byFleetSize(watchPauseSmallFleet, watchPauseLargeFleet),
+		Leaders:       func() []string { return r.roster.Leaders(maxSmallFleet, leadersPerZone) },
+		Substitutes:   func() []string { return r.roster.Substitutes(maxSmallFleet, leadersPerZone) },
+		StoreReturned: r.contact.Returned,
 		MaxDirectDelay: func() time.Duration {
 			return time.Duration(r.roster.Count()) * time.Second / directReadsPerSecond
 		},
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -69,7 +69,12 @@
 	// Leaders returns the peer addresses of the routers to follow. If it returns none, this router watches the store.
 	// Optional.
 	Leaders func() []string
-	// Client calls other routers. Needed with Leaders.
+	// Substitutes returns the peer addresses of other routers that watch the store, for a router that watches it and gets no answer: the
+	// store may reject or not reach this router alone. Optional.
+	Substitutes func() []string
+	// StoreReturned returns a channel that is closed when the store answers this router again. Needed with Substitutes.
+	StoreReturned func() <-chan struct{}
+	// Client calls other routers. Needed with Leaders and Substitutes.
 	Client PeerClient
 	// StoreReached is called with the first revision of the store and with the first one after each restore from an older copy.
 	// Optional.
@@ -101,6 +106,8 @@
 	following bool
 	// isLed is set while another router is followed.
 	isLed bool
+	// isSubstituted is set while that router is one of Substitutes.
+	isSubstituted bool
 	// isGivenUp and isFailed say how the last call to the store ended.
 	isGivenUp, isFailed bool
 	fallback            fallback
@@ -123,7 +130,9 @@
 		switch {
 		case ctx.Err() != nil:
 		case len(leaders) == 0:
-			f.readStore(ctx, directUntil)
+			if !f.readStore(ctx, directUntil) {
+				f.followSubstitutes(ctx)
+			}
 		case f.fallback.isDue(time.Now(), f.MaxDirectDelay(), rand.Float64()):
 			directUntil = time.Now().Add(directWatchTime)
 			if !f.readStore(ctx, directUntil) {
@@ -135,6 +144,26 @@
 	}
 }
 
+// followSubstitutes follows other routers that watch the store until it answers this router again, or until each of them has failed.
+func (f *Feed) followSubstitutes(ctx context.Context) {
+	if f.Substitutes == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	returned := f.StoreReturned()
+	go func() {
+		select {
+		case <-returned:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	f.isSubstituted = true
+	defer func() { f.isSubstituted = false }()
+	f.followLeaders(ctx, f.Substitutes())
+}
+
 // followLeaders follows one router after the other until each of them has failed.
 func (f *Feed) followLeaders(ctx context.Context, leaders []string) {
 	for _, address := range leaders {
@@ -193,7 +222,7 @@
 		f.Contacted(f.Kind, f.contactCause(), f.contact)
 	}
 	f.isGivenUp, f.isFailed = false, false
-	if f.storeLost {
+	if f.storeLost && !f.isSubstituted {
 		f.setLost(false)
 		f.Log.WithField("kind", f.Kind).Info("store_regained")
 	}
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -405,3 +405,44 @@
 	must.NoError(t, err)
 	must.False(t, f.Confirm(t.Context()), must.Sprint("the store is down"))
 }
+
+// Guards against a router that watches the store and knows no changes while the store rejects it alone, although others that watch the
+// store know them: it would send to endpoints that left seconds ago, and so would those that follow it.
+func TestWatcherFollowsOthersWhileTheStoreRejectsIt(t *testing.T) {
+	memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	other := testFeed(memory.Client("other"), &memoryConsumer{}, nil)
+	go other.Run(ctx)
+	mux := http.NewServeMux()
+	mux.Handle(NewService(other).Handler())
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	m := &memoryConsumer{}
+	returned := make(chan struct{})
+	f := testFeed(memory.Client("rejected"), m, nil)
+	f.Substitutes = func() []string { return []string{"127.0.0.1:1", strings.TrimPrefix(server.URL, "http://")} }
+	f.StoreReturned = func() <-chan struct{} { return returned }
+	var lost atomic.Bool
+	f.SetStoreLost = lost.Store
+	want := map[string]string{}
+	write := func(value string) {
+		o, err := memory.Client("operator").Put(ctx, "servers/"+value, []byte(value), 0)
+		must.NoError(t, err)
+		want[o.Key] = value
+	}
+	write("a")
+	go f.Run(ctx)
+	eventually(t, "the store is read", func() bool { return m.hasObjects(want) })
+	_, err := memory.Inject(memstore.Fault{Kind: memstore.FaultDown, Clients: []string{"rejected"}})
+	must.NoError(t, err)
+	write("b")
+	eventually(t, "a change comes through the other router", func() bool { return m.hasObjects(want) })
+	must.True(t, lost.Load(), must.Sprint("calls to the store are still known to fail"))
+	memory.Clear(0)
+	close(returned)
+	eventually(t, "the store is read again", func() bool { return !lost.Load() })
+	server.CloseClientConnections()
+	write("c")
+	eventually(t, "changes come from the store", func() bool { return m.hasObjects(want) })
+}
--- a/pkg/feed/peer.go
+++ b/pkg/feed/peer.go
@@ -70,6 +70,11 @@
 	if !ok {
 		return connect.NewError(connect.CodeUnavailable, errors.New("feed: nothing has been read yet"))
 	}
+	if _, age := f.hub.revisionAndAge(); age > f.maxAge() {
+		// The follower would reject the objects, which may be many.
+		f.hub.unsubscribe(follower)
+		return connect.NewError(connect.CodeUnavailable, fmt.Errorf("%w: age %s", ErrStaleLeader, age))
+	}
 	defer f.hub.unsubscribe(follower)
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
--- a/pkg/roster/leaders.go
+++ b/pkg/roster/leaders.go
@@ -37,6 +37,31 @@
 	return addresses
 }
 
+// Substitutes returns the peer addresses of the routers that a leader may follow while the store answers others and not it: the other
+// leaders of its zone, and then as many of each other zone. It returns none if the fleet has at most smallFleet routers.
+func (r *Roster) Substitutes(smallFleet, perZone int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.view.members)+1 <= smallFleet {
+		return nil
+	}
+	byZone := map[string][]Record{}
+	for _, m := range r.aliveRecords(func(m Record) bool { return m.name == r.name || m.State == Ready }) {
+		byZone[m.Zone] = append(byZone[m.Zone], m)
+	}
+	zones := rendezvous.Rank(r.name, slices.Collect(maps.Keys(byZone)))
+	slices.SortStableFunc(zones, func(a, b string) int { return cmp.Compare(rank(a == r.self.Zone), rank(b == r.self.Zone)) })
+	var addresses []string
+	for _, zone := range zones {
+		for _, m := range zoneLeaders(zone, byZone[zone], perZone) {
+			if m.name != r.name {
+				addresses = append(addresses, m.Peer)
+			}
+		}
+	}
+	return addresses
+}
+
 // AnyReady reports whether another router is ready.
 func (r *Roster) AnyReady() bool {
 	r.mu.Lock()
@@ -70,9 +95,9 @@
 	return ranked[:min(n, len(ranked))]
 }
 
-// rank orders primary routers before the others.
-func rank(primary bool) int {
-	if primary {
+// rank orders what comes first before the others.
+func rank(first bool) int {
+	if first {
 		return 0
 	}
 	return 1
