--- a/pkg/forward/confirm.go
+++ b/pkg/forward/confirm.go
@@ -109,6 +109,8 @@
 		return "failed_start_not_stated"
 	case errors.Is(err, errStartNotKnown):
 		return "failed_start_not_known"
+	case errors.Is(err, upstream.ErrRequestNotWritten):
+		return "failed_request_not_written"
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		return "failed_cancelled"
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -191,6 +191,8 @@
 	// written is closed when writing the request has ended, with the error writeErr.
 	written  chan struct{}
 	writeErr error
+	// status is the status of the response.
+	status int
 	// reusable is set if the response allows another request on the connection.
 	reusable bool
 }
@@ -252,7 +254,7 @@
 			}
 			continue
 		}
-		e.reusable = !r.Close
+		e.reusable, e.status = !r.Close, r.StatusCode
 		e.conn.applyKeepAlive(r.Header)
 		body := &responseBody{ReadCloser: r.Body, release: e.release}
 		endsWithConnection := r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -99,24 +99,45 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, idleTimeout: defaultIdleTimeout, closed: func() {}}
 }
 
-// canReuse reports whether an idle connection is open and has no unread bytes. Bytes that arrive while no request is in
-// progress are not a response to any request.
-func (c *conn) canReuse() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
+// socket returns the connection's socket, nil if it has none.
+func (c *conn) socket() (syscall.RawConn, error) {
 	source := c.Conn
 	if receiving, ok := source.(receivingConn); ok {
 		source = receiving.Conn
 	}
-	tcp, ok := source.(syscall.Conn)
-	if !ok {
-		return true
+	if tcp, ok := source.(syscall.Conn); ok {
+		return tcp.SyscallConn()
+	}
+	return nil, nil
+}
+
+// pendingError returns the error that the kernel has for the socket and has not reported yet, such as a reset after the last write.
+func (c *conn) pendingError() error {
+	raw, err := c.socket()
+	if raw == nil || err != nil {
+		return err
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
+	number := 0
+	controlErr := raw.Control(func(fd uintptr) { number, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR) })
+	if err := errors.Join(controlErr, err); err != nil {
+		return err
+	}
+	if number != 0 {
+		return syscall.Errno(number)
+	}
+	return nil
+}
+
+// canReuse reports whether an idle connection is open and has no unread bytes. Bytes that arrive while no request is in
+// progress are not a response to any request.
+func (c *conn) canReuse() bool {
+	if c.reader.Buffered() > 0 {
 		return false
 	}
+	raw, err := c.socket()
+	if raw == nil || err != nil {
+		return err == nil
+	}
 	open := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
