--- a/pkg/entry/callerconns.go
+++ b/pkg/entry/callerconns.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -14,7 +17,9 @@
 
 	"github.com/lavendershunt/lavendershunt/internal/sleep"
 	"github.com/lavendershunt/lavendershunt/pkg/catalog"
+	"github.com/lavendershunt/lavendershunt/pkg/forward"
 	"github.com/lavendershunt/lavendershunt/pkg/logging"
+	"github.com/lavendershunt/lavendershunt/pkg/memory"
 )
 
 const (
@@ -30,17 +35,45 @@
 	// roomShare is the share of the largest number of connections that is made free at a time, so that a router at that number doesn't
 	// sort its connections for each new one.
 	roomShare = 1.0 / 32
+	// connBytes is what an idle connection of a caller takes: two buffers of net/http, its goroutine's stack and the socket.
+	connBytes = 20 << 10
+	// connMemoryShare is the share of the process's memory that connections of callers may take.
+	connMemoryShare = 0.35
+	// bufferedHeadBytes is the part of a head that fits into the buffer of its connection. What exceeds it is counted in the account.
+	bufferedHeadBytes = 4 << 10
+	// writeStall is how long a caller may take to read writeBytes of an answer. It then gets at least 1.6 kB a second, and a stream that
+	// its caller doesn't read ends.
+	writeStall = 10 * time.Second
+	writeBytes = 16 << 10
+	// What the kernel may hold for a connection of a caller in each direction: socketBufferShare of the process's memory within these
+	// limits. The kernel takes twice as much with its own data.
+	socketBufferShare = 1.0 / 2048
+	minSocketBuffer   = 32 << 10
+	maxSocketBuffer   = 256 << 10
 	// fullLinesPerSecond limits the log lines of a router at the largest number of connections.
 	fullLinesPerSecond = 1
 )
 
-// maxCallerConns returns the number of callers' connections that a process with the number of descriptors may hold, 0 if it has no
-// limit.
-func maxCallerConns(descriptors int) int {
-	if descriptors <= 0 {
+// maxCallerConns returns the number of callers' connections that a process with the number of descriptors and so much memory in bytes
+// may hold, 0 if it has no limit. A limit of 0 doesn't apply.
+func maxCallerConns(descriptors int, memoryBytes int64) int {
+	most := 0
+	if descriptors > 0 {
+		most = max(1, int(callerDescriptorShare*float64(descriptors-fileDescriptors)))
+	}
+	if memoryBytes > 0 {
+		byMemory := max(1, int(connMemoryShare*float64(memoryBytes)/connBytes))
+		most = min(cmp.Or(most, byMemory), byMemory)
+	}
+	return most
+}
+
+// socketBuffer returns the size in bytes of each buffer that the kernel has for a caller's connection, 0 for its own choice.
+func socketBuffer(memoryBytes int64) int {
+	if memoryBytes <= 0 {
 		return 0
 	}
-	return max(1, int(callerDescriptorShare*float64(descriptors-fileDescriptors)))
+	return min(maxSocketBuffer, max(minSocketBuffer, int(socketBufferShare*float64(memoryBytes))))
 }
 
 // maxEndpointConns returns the number of connections to endpoints that a process with the number of descriptors may hold, 0 if it has
@@ -120,19 +153,28 @@
 	log log.Interface
 	// full limits the log lines of makeRoom.
 	full *logging.Limiter
+	// account counts the heads that don't fit into their connection's buffer, and refusals those of which it had no room. socketBuffer is
+	// the size of the kernel's buffers, 0 for its own choice.
+	account      *memory.Account
+	refusals     *memory.Refusals
+	socketBuffer int
 
 	mu    sync.Mutex
 	conns map[net.Conn]*connState
 }
 
 func newCallerConns(limits func() catalog.Limits, most int, logger log.Interface) *callerConns {
-	return &callerConns{limits: limits, max: most, log: logger, full: logging.NewLimiter(fullLinesPerSecond), conns: map[net.Conn]*connState{}}
+	return &callerConns{
+		limits: limits, max: most, log: logger, full: logging.NewLimiter(fullLinesPerSecond), conns: map[net.Conn]*connState{},
+		account: memory.NewAccount(memory.Limits{}), refusals: &memory.Refusals{},
+	}
 }
 
 // attach makes c limit the connections of the server, whose listener must be one of listen. The server's own limits are fixed and are
 // switched off.
 func (c *callerConns) attach(s *http.Server) {
 	s.ConnState, s.IdleTimeout, s.ReadHeaderTimeout = c.Observe, -1, -1
+	s.ConnContext = forward.WithConn
 }
 
 // listen returns a listener whose connections tell c when the head of a later request begins.
@@ -149,29 +191,108 @@
 	if err != nil {
 		return nil, err
 	}
-	return &headConn{Conn: accepted, conns: l.conns}, nil
+	if n := l.conns.socketBuffer; n > 0 {
+		setBuffers(accepted, n)
+	}
+	h := &headConn{Conn: accepted, conns: l.conns, held: l.conns.account.Open(addressOf(accepted), "")}
+	h.inHead.Store(true)
+	return h, nil
 }
 
-// headConn is a connection that tells when the head of a later request begins.
+// addressOf returns the IP address of the other end, an invalid one if it has none.
+func addressOf(c net.Conn) netip.Addr {
+	if tcp, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		return tcp.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
+// headConn is a connection that tells when the head of a later request begins, counts heads in the account, and fails writes that the
+// caller doesn't read.
 type headConn struct {
 	net.Conn
 	conns *callerConns
 	// idle is set while no byte of the next request has been read. It spares a lock for most reads.
 	idle atomic.Bool
+	// inHead is set while a head is read, headBytes is what has come of it, and held is what of that is in the account.
+	inHead    atomic.Bool
+	headBytes atomic.Int64
+	held      *memory.Holding
 }
 
+// errHeadRefused ends a connection for whose head there is no memory. The server has read no request from it.
+var errHeadRefused = errors.New("entry: no memory is left for the head of a request")
+
 // Read implements net.Conn.
 func (h *headConn) Read(p []byte) (int, error) {
 	n, err := h.Conn.Read(p)
 	if n > 0 && h.idle.CompareAndSwap(true, false) {
 		h.conns.beginHead(h)
 	}
+	if n > 0 && h.inHead.Load() && h.headBytes.Add(int64(n)) > bufferedHeadBytes {
+		if full := h.held.Grow(int64(n)); full != nil {
+			h.conns.recordRefusal(addressOf(h.Conn), full)
+			return 0, &net.OpError{Op: "read", Err: errHeadRefused} // After any other error the server answers with 400.
+		}
+	}
 	return n, err
 }
 
+// Write implements net.Conn. It writes in parts, each of which the caller has writeStall to take.
+func (h *headConn) Write(p []byte) (written int, err error) {
+	for {
+		part := p[written:min(len(p), written+writeBytes)]
+		if err := h.Conn.SetWriteDeadline(time.Now().Add(writeStall)); err != nil {
+			return written, err
+		}
+		n, err := h.Conn.Write(part)
+		written += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			h.conns.recordRefusal(addressOf(h.Conn), errNotRead)
+		}
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// errNotRead is the cause of the end of a connection whose caller reads nothing.
+var errNotRead = errors.New("entry: the caller doesn't read the answer")
+
+// setHead records whether a head is read now. The memory of a head is given back after its request.
+func (h *headConn) setHead(state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		h.inHead.Store(false)
+	case http.StateIdle:
+		if h.headBytes.Swap(0) > bufferedHeadBytes {
+			h.held.Close()
+		}
+		h.inHead.Store(true)
+	case http.StateClosed, http.StateHijacked:
+		h.held.Close()
+	}
+}
+
+// recordRefusal counts a connection that is ended for what its caller does, and logs one for an address in a period.
+func (c *callerConns) recordRefusal(address netip.Addr, cause error) {
+	reason := "head_memory_full"
+	if errors.Is(cause, errNotRead) {
+		reason = "answer_not_read"
+	}
+	if count, ok := c.refusals.Record(address, reason, time.Now()); ok {
+		used := c.account.Stats()
+		c.log.WithFields(log.Fields{"caller": address.String(), "reason": reason, "refusals": count, "used": used.Used, "limit": used.Total}).
+			WithError(cause).Warn("caller_refused")
+	}
+}
+
 // SetLinger sets what Close does with unsent bytes, as net.TCPConn does.
 func (h *headConn) SetLinger(seconds int) error { return setLinger(h.Conn, seconds) }
 
+// CloseWrite ends what is sent to the caller, as net.TCPConn does.
+func (h *headConn) CloseWrite() error { return closeWrite(h.Conn) }
+
 // beginHead records the first bytes of a later request's head.
 func (c *callerConns) beginHead(conn net.Conn) {
 	c.mu.Lock()
@@ -184,6 +305,9 @@
 
 // Observe is the ConnState hook of the callers' server.
 func (c *callerConns) Observe(conn net.Conn, state http.ConnState) {
+	if h, ok := conn.(*headConn); ok {
+		h.setHead(state)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
--- a/pkg/entry/callerconns_test.go
+++ b/pkg/entry/callerconns_test.go
@@ -266,7 +266,7 @@
 	must.EqOp(t, 0, connShare(0, 8), must.Sprint("no limit is known"))
 	must.EqOp(t, 0, maxEndpointConns(0))
 	for _, descriptors := range []int{400, 4100, 8192} {
-		callers, endpoints := maxCallerConns(descriptors), maxEndpointConns(descriptors)
+		callers, endpoints := maxCallerConns(descriptors, 0), maxEndpointConns(descriptors)
 		must.Less(t, descriptors-fileDescriptors, callers+endpoints)
 		must.GreaterEq(t, (descriptors-fileDescriptors)/10, descriptors-fileDescriptors-callers-endpoints)
 	}
--- a/pkg/entry/callerlistener.go
+++ b/pkg/entry/callerlistener.go
@@ -177,6 +177,18 @@
 // SetLinger sets what Close does with unsent bytes, as net.TCPConn does: with 0 seconds it resets the connection.
 func (c *callerConn) SetLinger(seconds int) error { return setLinger(c.Conn, seconds) }
 
+// CloseWrite ends what is sent to the caller, as net.TCPConn does.
+func (c *callerConn) CloseWrite() error { return closeWrite(c.Conn) }
+
+// closeWrite calls the method of the connection if it has one.
+func closeWrite(c net.Conn) error {
+	half, ok := c.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
 // setLinger calls the method of the connection if it has one.
 func setLinger(c net.Conn, seconds int) error {
 	tcp, ok := c.(interface{ SetLinger(seconds int) error })
@@ -185,3 +197,14 @@
 	}
 	return tcp.SetLinger(seconds)
 }
+
+// setBuffers sets the size of the kernel's buffers of a connection if it has any.
+func setBuffers(c net.Conn, n int) {
+	if metered, ok := c.(*callerConn); ok {
+		c = metered.Conn
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(n) // Both fail on a closed connection only, whose first read fails too.
+		_ = tcp.SetWriteBuffer(n)
+	}
+}
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -20,6 +20,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/contact"
 	"github.com/lavendershunt/lavendershunt/pkg/feed"
 	"github.com/lavendershunt/lavendershunt/pkg/forward"
+	"github.com/lavendershunt/lavendershunt/pkg/memory"
 	"github.com/lavendershunt/lavendershunt/pkg/origin"
 	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
@@ -162,6 +163,8 @@
 	})
 	instruments := telemetry.NewInstruments(r.metrics.Meter)
 	r.accounts.RegisterMetrics(instruments)
+	account, refusals := memory.NewAccount(memory.LimitsFor(s.MemoryBytes)), &memory.Refusals{}
+	memory.RegisterMetrics(instruments, account, refusals)
 	if err := instruments.Err(); err != nil {
 		return nil, err
 	}
@@ -176,7 +179,8 @@
 		Peers:         &origin.RemotePeers{Addresses: r.roster.Peers, Client: peers, Log: logger},
 		IsViewCurrent: func(ctx context.Context) bool { return r.endpointFeed.Confirm(ctx) },
 	})
-	r.callerConns = newCallerConns(r.limits, maxCallerConns(s.Descriptors), logger)
+	r.callerConns = newCallerConns(r.limits, maxCallerConns(s.Descriptors, s.MemoryBytes), logger)
+	r.callerConns.account, r.callerConns.refusals, r.callerConns.socketBuffer = account, refusals, socketBuffer(s.MemoryBytes)
 	r.newFeeds(peers)
 	r.newLinks(peers)
 	r.server = forward.NewServer(forward.Options{
@@ -186,7 +190,7 @@
 		Remote: r.remote, OnBroken: r.links.Suspect,
 		StartOf: r.startOf, Identify: r.identify,
 		Routers: r.roster.Count, Log: logger, Metrics: metrics,
-		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)),
+		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)), Memory: account, Refusals: refusals,
 	})
 	return r, nil
 }
--- /dev/null
+++ b/pkg/forward/body.go
@@ -0,0 +1,185 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/lavendershunt/lavendershunt/pkg/catalog"
+	"github.com/lavendershunt/lavendershunt/pkg/memory"
+	"github.com/lavendershunt/lavendershunt/pkg/outcome"
+)
+
+const (
+	// firstBodyBytes is the size of a body's buffer before it grows, however much is announced.
+	firstBodyBytes = 16 << 10
+	// A body must come in with leastBodyPace, in bytes a second, after bodyGrace. The deadline of the request bounds it besides, for
+	// most routes much earlier.
+	leastBodyPace = 1 << 10
+	bodyGrace     = 10 * time.Second
+	// lingerTime bounds the time in which the rest of a refused body is read, so that the caller gets the refusal.
+	lingerTime = 500 * time.Millisecond
+	// maxLingerBytes bounds what is read in that time.
+	maxLingerBytes = 256 << 10
+	// maxDiscardedBytes is the largest body that is read for keeping the connection after a refusal.
+	maxDiscardedBytes = 64 << 10
+)
+
+// errBodyTooLarge means that a body is larger than its limit.
+var errBodyTooLarge = errors.New("forward: the body is too large")
+
+// readBody reads a body up to its end. The buffer grows with what has come, and each growth is counted in held first; what is counted
+// at the return is the buffer. announced is the length that the caller stated, below 0 if none. beforeRead is called with the number
+// of bytes that have come.
+func readBody(r io.Reader, announced, limit int64, held *memory.Holding, beforeRead func(received int)) ([]byte, error) {
+	// One byte more than the limit shows that the body exceeds it.
+	most := limit + 1
+	if announced >= 0 {
+		most = announced
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			if announced >= 0 && int64(len(body)) == announced {
+				return body, nil
+			}
+			next := min(max(firstBodyBytes, 2*int64(cap(body))), most)
+			if err := held.Grow(next); err != nil {
+				return nil, err
+			}
+			grown := make([]byte, len(body), next)
+			copy(grown, body)
+			held.Shrink(int64(cap(body)))
+			body = grown
+		}
+		beforeRead(len(body))
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, errBodyTooLarge
+		case err == io.EOF && int64(len(body)) < announced:
+			return nil, io.ErrUnexpectedEOF
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// bodyDeadline returns the time by which more of a body must come, after the number of bytes that have come since started.
+func bodyDeadline(started time.Time, received int, deadline time.Time) time.Time {
+	due := started.Add(bodyGrace + time.Duration(float64(received)/leastBodyPace*float64(time.Second)))
+	if due.Before(deadline) {
+		return due
+	}
+	return deadline
+}
+
+func maxBodyBytes(l catalog.Limits) int64 {
+	if l.MaxBodyBytes <= 0 {
+		return defaultMaxBodyBytes
+	}
+	return l.MaxBodyBytes
+}
+
+// receiveBody reads the body of a request that is to be served.
+func (e *exchange) receiveBody(r *http.Request) *outcome.Failure {
+	limit := maxBodyBytes(e.config.Limits)
+	tooLarge := outcome.NotRunf(outcome.ReasonTooLarge, 0, "the body is larger than %d bytes", limit)
+	switch {
+	case r.ContentLength > limit:
+		return tooLarge
+	case r.ContentLength == 0:
+		return nil
+	case e.onBehalf:
+		return e.takeBody()
+	}
+	control := http.NewResponseController(e.writer)
+	started, ended := time.Now(), atomic.Bool{}
+	e.held.Arrive(func() {
+		ended.Store(true)
+		_ = control.SetReadDeadline(time.Unix(1, 0)) // On an error the connection is closed already.
+	})
+	body, err := readBody(r.Body, r.ContentLength, limit, e.held, func(received int) {
+		if !ended.Load() {
+			_ = control.SetReadDeadline(bodyDeadline(started, received, e.deadline)) // As above.
+		}
+	})
+	e.held.Arrived()
+	switch {
+	case err == nil:
+		_ = control.SetReadDeadline(time.Time{}) // As above.
+		e.request.Body, e.bodyUnread = body, false
+		return nil
+	case errors.Is(err, errBodyTooLarge):
+		return tooLarge
+	case errors.Is(err, memory.ErrFull), errors.Is(err, memory.ErrShare), ended.Load():
+		return outcome.NotRunf(outcome.ReasonNoMemory, shortRetryAfter, "no memory is left for the body")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return outcome.NotRunf(outcome.ReasonBodyLate, shortRetryAfter, "the body has not come in time")
+	}
+	return outcome.NotRunf(outcome.ReasonBadRequest, 0, "reading the body: %v", err)
+}
+
+// takeBody takes the body that another router has sent, which is in memory.
+func (e *exchange) takeBody() *outcome.Failure {
+	if err := e.held.Grow(int64(len(e.peerBody))); err != nil {
+		return outcome.NotRunf(outcome.ReasonNoMemory, shortRetryAfter, "no memory is left for the body")
+	}
+	e.request.Body = e.peerBody
+	return nil
+}
+
+type connKey struct{}
+
+// WithConn returns the context for the requests of a caller's connection. A refusal of a request whose body has not been read then
+// reaches the caller: closing a connection with unread bytes resets it, and the reset may overtake the refusal.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// refuseUnread refuses a request whose body has not been read to its end. A short body is read for a time, so that the connection can be
+// kept. Otherwise the connection is closed after the refusal, once the caller has had the time to read it.
+func (e *exchange) refuseUnread(r *http.Request, f *outcome.Failure) {
+	control := http.NewResponseController(e.writer)
+	_ = control.SetReadDeadline(time.Now().Add(lingerTime)) // On an error the connection is closed already.
+	if r.ContentLength >= 0 && r.ContentLength <= maxDiscardedBytes && r.Header.Get("Expect") == "" {
+		if n, err := io.Copy(io.Discard, r.Body); err == nil && n <= r.ContentLength {
+			_ = control.SetReadDeadline(time.Time{}) // As above.
+			e.refuse(f)
+			return
+		}
+	}
+	e.writer.Header().Set("Connection", "close")
+	e.refuse(f)
+	conn, ok := r.Context().Value(connKey{}).(net.Conn)
+	if !ok || control.Flush() != nil {
+		return
+	}
+	if half, ok := conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(lingerTime))                                                               // As above.
+	_, _ = io.CopyBuffer(io.Discard, onlyReader{io.LimitReader(conn, maxLingerBytes)}, make([]byte, firstBufferBytes)) // Its end is that of the connection.
+}
+
+// onlyReader hides the other methods of a reader, so that io.CopyBuffer uses its buffer.
+type onlyReader struct{ io.Reader }
+
+// headBytes returns the size of a request's head, at most what the caller has sent.
+func headBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return n
+}
--- a/pkg/forward/buffer.go
+++ b/pkg/forward/buffer.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"sync/atomic"
+
+	"github.com/lavendershunt/lavendershunt/pkg/memory"
 )
 
 const (
@@ -40,9 +43,9 @@
 
 func (p *bufferPool) release(n int64) { p.used.Add(-n) }
 
-// readAll reads a response until its end. It returns the number of bytes that it has reserved, which the caller has to
-// release even after an error.
-func (p *bufferPool) readAll(r io.Reader) (body []byte, reserved int64, err error) {
+// readAll reads a response until its end, and counts its buffer in held as well. It returns the number of bytes that it has reserved,
+// which the caller has to release even after an error.
+func (p *bufferPool) readAll(r io.Reader, held *memory.Holding) (body []byte, reserved int64, err error) {
 	for {
 		if len(body) == cap(body) {
 			// One byte more than the limit shows that the response exceeds it.
@@ -50,9 +53,14 @@
 			if !p.reserve(int64(next)) {
 				return nil, reserved, errBuffersFull
 			}
+			if err := held.Grow(int64(next)); err != nil {
+				p.release(int64(next))
+				return nil, reserved, fmt.Errorf("%w: %w", errBuffersFull, err)
+			}
 			grown := make([]byte, len(body), next)
 			copy(grown, body)
 			p.release(reserved)
+			held.Shrink(reserved)
 			body, reserved = grown, int64(next)
 		}
 		n, err := r.Read(body[len(body):cap(body)])
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -31,6 +31,9 @@
 	linksRetryAfter = 500 * time.Millisecond
 	// relayBufferBytes is the read buffer of a stream, enough for a few events.
 	relayBufferBytes = 4 << 10
+	// slowWrite is the time of a write from which the caller counts as slow: the read from the endpoint stops meanwhile, and endpoints
+	// cut off answers that stay unread for some seconds.
+	slowWrite = time.Second
 )
 
 // bufferedResponse is a complete non-streaming response of an endpoint.
@@ -185,6 +188,8 @@
 		return false
 	case result == attemptNotSent:
 		return false
+	case errors.Is(e.attemptErr, errBuffersFull):
+		return false // There is no memory for another endpoint's answer either.
 	case result != attemptRejected && e.route.Semantics != catalog.Idempotent:
 		return false
 	case e.route.Streaming && !e.route.Resumable && stream.count > 0:
@@ -313,9 +318,10 @@
 	return result
 }
 
-// failureResult returns whether a failed attempt counts against the endpoint: it doesn't if ctx has ended.
+// failureResult returns whether a failed attempt counts against the endpoint: it doesn't if ctx has ended, if this router had no memory
+// for the answer, or if its caller read so slowly that the endpoint may have cut it off.
 func (e *exchange) failureResult(ctx context.Context) route.Result {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(e.attemptErr, errBuffersFull) || e.slowCaller {
 		return route.Cancelled
 	}
 	return route.Failed
@@ -350,9 +356,10 @@
 	case verdictStream:
 		return e.relayStream(response, inFlight, stream), nil
 	}
-	body, reserved, err := e.buffers.readAll(response.Body)
+	body, reserved, err := e.buffers.readAll(response.Body, e.held)
 	e.bufferedBytes += reserved
 	if err != nil {
+		e.attemptErr = err
 		e.Log.WithFields(log.Fields{"request": e.request.ID, "status": response.Status, "bytes": reserved}).WithError(err).Info("answer_incomplete")
 		return attemptFailed, nil
 	}
@@ -452,6 +459,8 @@
 
 // writeStreamData writes data to the caller and flushes it. It returns false if the caller has disconnected.
 func (e *exchange) writeStreamData(data []byte) bool {
+	started := time.Now()
+	defer func() { e.slowCaller = e.slowCaller || time.Since(started) >= slowWrite }()
 	if _, err := e.writer.Write(data); err != nil {
 		return false
 	}
--- a/pkg/forward/remote.go
+++ b/pkg/forward/remote.go
@@ -171,7 +171,13 @@
 			return nil, ErrOlderConfiguration
 		}
 	}
-	e := &exchange{Server: s, arrivedAt: time.Now(), onBehalf: true}
+	e := &exchange{Server: s, arrivedAt: time.Now(), onBehalf: true, peerBody: r.Body}
+	admitted := false
+	defer func() {
+		if !admitted {
+			e.release()
+		}
+	}()
 	if failure := e.admit(r.httpRequest(ctx)); failure != nil {
 		return nil, failure
 	}
@@ -183,9 +189,13 @@
 	if failure := e.checkContent(); failure != nil {
 		return nil, failure
 	}
+	admitted = true
 	return &RemoteExchange{e}, nil
 }
 
+// Close gives back what is held for the request. It must be called after Serve, or instead of it.
+func (x *RemoteExchange) Close() { x.e.release() }
+
 // keepService makes a stream that has begun go on at its service, which the route may not use any more by a later configuration.
 func (e *exchange) keepService(r RemoteRequest) *outcome.Failure {
 	if !r.Begun || r.Service == "" {
@@ -207,7 +217,6 @@
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	e.Retries.RecordRequest(e.service.Name, time.Now())
-	defer func() { e.buffers.release(e.bufferedBytes) }()
 	e.forward(ctx)
 	if e.failure == nil && e.incomplete {
 		e.failure = outcome.Unknownf(outcome.ReasonEndpointFailed, 0, "the answer broke off")
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -15,6 +15,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/allowance"
 	"github.com/lavendershunt/lavendershunt/pkg/catalog"
 	"github.com/lavendershunt/lavendershunt/pkg/logging"
+	"github.com/lavendershunt/lavendershunt/pkg/memory"
 	"github.com/lavendershunt/lavendershunt/pkg/origin"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/poison"
@@ -72,6 +73,10 @@
 	Metrics *Metrics
 	// BufferBytes limits the memory of all responses that are buffered at the same time; 0 means a default.
 	BufferBytes int64
+	// Memory is the account of what is held for callers; nil means that there is no limit.
+	Memory *memory.Account
+	// Refusals counts and logs callers that were refused by their limits. Optional.
+	Refusals *memory.Refusals
 }
 
 // Server is the http.Handler of callers' requests. It is safe for concurrent use.
@@ -101,6 +106,12 @@
 	if o.BufferBytes <= 0 {
 		o.BufferBytes = defaultBufferBytes
 	}
+	if o.Memory == nil {
+		o.Memory = memory.NewAccount(memory.Limits{})
+	}
+	if o.Refusals == nil {
+		o.Refusals = &memory.Refusals{}
+	}
 	crashes := &crashDetector{client: o.Client, registry: o.CrashRecords, checks: map[string]*crashCheck{}}
 	if o.Remote != nil {
 		crashes.linksLost = o.Remote.AwaitCheck
@@ -182,6 +193,15 @@
 	chargedTokens int64
 	// bufferedBytes is the number of bytes reserved for buffered responses.
 	bufferedBytes int64
+	// address is the caller's, invalid for a request of another router. held is what this router holds for the request; nil until it is
+	// admitted.
+	address netip.Addr
+	held    *memory.Holding
+	// bodyUnread is set while a part of the body may be unread, and peerBody is the body that another router has sent.
+	bodyUnread bool
+	peerBody   []byte
+	// slowCaller is set once the caller took slowWrite to read a part of the answer.
+	slowCaller bool
 	// incomplete is set if a response that has begun can't be completed.
 	incomplete bool
 }
@@ -190,13 +210,13 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	e := &exchange{Server: s, writer: w, arrivedAt: time.Now()}
+	e := &exchange{Server: s, writer: w, arrivedAt: time.Now(), address: callerAddress(r.RemoteAddr), bodyUnread: r.ContentLength != 0}
 	if s.draining.Load() || len(r.TransferEncoding) > 0 {
 		// Prevents request smuggling: a chunked request may also carry a Content-Length, and the bytes that follow
 		// its body may then be meant as part of it.
 		w.Header().Set("Connection", "close")
 	}
-	defer func() { e.buffers.release(e.bufferedBytes) }()
+	defer e.release()
 	e.serve(r)
 	e.recordResult(r.Context())
 	if e.incomplete {
@@ -204,6 +224,22 @@
 	}
 }
 
+// callerAddress returns the IP address of a caller, an invalid one if it can't be read.
+func callerAddress(remote string) netip.Addr {
+	address, err := netip.ParseAddrPort(remote)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return address.Addr().Unmap()
+}
+
+// release gives back what is held for the request.
+func (e *exchange) release() {
+	e.buffers.release(e.bufferedBytes)
+	e.bufferedBytes = 0
+	e.held.Close()
+}
+
 // abort closes the caller's connection without ending the response, so that it doesn't look complete. A response to HTTP/1.0 has no
 // chunks and ends with its connection, which is reset.
 func (e *exchange) abort(r *http.Request) {
@@ -228,6 +264,11 @@
 
 func (e *exchange) serve(r *http.Request) {
 	if failure := e.admit(r); failure != nil {
+		e.recordRefusal(failure)
+		if e.bodyUnread {
+			e.refuseUnread(r, failure)
+			return
+		}
 		e.refuse(failure)
 		return
 	}
@@ -266,7 +307,8 @@
 	e.forward(ctx)
 }
 
-// admit reads the request, finds its route, organisation and service, and sets its deadline.
+// admit finds the request's route, organisation and service, and sets its deadline. Then it reads the body: a request that won't be
+// served takes no memory for one.
 func (e *exchange) admit(r *http.Request) *outcome.Failure {
 	e.incoming = r.Header
 	var err error
@@ -277,8 +319,8 @@
 	if e.config == nil {
 		return outcome.NotRunf(outcome.ReasonNotConfigured, longRetryAfter, "no configuration has been read yet")
 	}
-	if failure := e.readBody(r); failure != nil {
-		return failure
+	if limit := e.config.Limits.MaxHeaderBytes; limit > 0 && headBytes(r) > limit {
+		return outcome.NotRunf(outcome.ReasonHeadTooLarge, 0, "the head is larger than %d bytes", limit)
 	}
 	failure := e.authorise()
 	if failure != nil {
@@ -306,31 +348,17 @@
 		limit = min(limit, e.request.TimeLeft)
 	}
 	e.deadline = e.arrivedAt.Add(timeAtRouter(limit, e.Client.LinkDelay()))
-	return nil
+	e.openHolding()
+	return e.receiveBody(r)
 }
 
-func (e *exchange) readBody(r *http.Request) *outcome.Failure {
-	limit := e.config.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if r.ContentLength > limit {
-		return outcome.NotRunf(outcome.ReasonTooLarge, 0, "the body is larger than %d bytes", limit)
-	}
-	var err error
-	if r.ContentLength > 0 {
-		e.request.Body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, e.request.Body)
-	} else {
-		e.request.Body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
-	}
-	if err != nil {
-		return outcome.NotRunf(outcome.ReasonBadRequest, 0, "reading the body: %v", err)
-	}
-	if int64(len(e.request.Body)) > limit {
-		return outcome.NotRunf(outcome.ReasonTooLarge, 0, "the body is larger than %d bytes", limit)
+// openHolding opens what is held for the request once its organisation is known.
+func (e *exchange) openHolding() {
+	organisation := ""
+	if e.org != nil {
+		organisation = e.org.Name
 	}
-	return nil
+	e.held = e.Memory.Open(e.address, organisation)
 }
 
 // authorise finds the route and organisation of the request and checks its key.
@@ -392,6 +420,22 @@
 	_, _ = e.writer.Write(body) // An error means that the caller has disconnected; the request ends here in either case.
 }
 
+// recordRefusal counts a refusal for what the caller sends, and logs one for an address in a period.
+func (e *exchange) recordRefusal(f *outcome.Failure) {
+	switch f.Reason {
+	case outcome.ReasonNoMemory, outcome.ReasonBodyLate, outcome.ReasonTooLarge, outcome.ReasonHeadTooLarge:
+	default:
+		return
+	}
+	count, ok := e.Refusals.Record(e.address, string(f.Reason), time.Now())
+	if ok {
+		used := e.Memory.Stats()
+		e.Log.WithFields(log.Fields{
+			"caller": e.address.String(), "reason": string(f.Reason), "refusals": count, "used": used.Used, "limit": used.Total,
+		}).Warn("caller_refused")
+	}
+}
+
 // recordResult writes the request's log line and metrics.
 func (e *exchange) recordResult(ctx context.Context) {
 	now := time.Now()
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -48,6 +48,10 @@
 	ReasonEndpointFailed      Reason = "endpoint_failed"
 	ReasonEndpointTimeout     Reason = "endpoint_timeout"
 	ReasonNotBilled           Reason = "bill_not_durable"
+	ReasonHeadTooLarge        Reason = "head_too_large"
+	// ReasonNoMemory means that the router can't hold the request's body, and ReasonBodyLate that the body didn't come in time.
+	ReasonNoMemory Reason = "memory_full"
+	ReasonBodyLate Reason = "body_late"
 )
 
 var statusByReason = map[Reason]int{
@@ -56,6 +60,7 @@
 	ReasonForbidden:        http.StatusForbidden,
 	ReasonNotFound:         http.StatusNotFound,
 	ReasonTooLarge:         http.StatusRequestEntityTooLarge,
+	ReasonHeadTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
 	ReasonKeyReused:        http.StatusConflict,
 	ReasonBudgetExhausted:  http.StatusPaymentRequired,
 	ReasonBudgetUnknown:    http.StatusPaymentRequired,
--- a/pkg/remote/service.go
+++ b/pkg/remote/service.go
@@ -42,6 +42,9 @@
 	if err != nil && !errors.As(err, &failure) {
 		return connect.NewError(connect.CodeUnavailable, err)
 	}
+	if exchange != nil {
+		defer exchange.Close()
+	}
 	if err := stream.Send(&forwardv1.ForwardResponse{Part: &forwardv1.ForwardResponse_Accepted{Accepted: &forwardv1.Accepted{}}}); err != nil {
 		return err
 	}
