--- a/pkg/entry/callerconns.go
+++ b/pkg/entry/callerconns.go
@@ -68,6 +68,16 @@
 	return most
 }
 
+// maxQuestionConns returns the number of connections for address lookups and readiness checks: a quarter of those of callers, which
+// open one for some seconds of use.
+func maxQuestionConns(descriptors int, memoryBytes int64) int {
+	const share = 4
+	if most := maxCallerConns(descriptors, memoryBytes); most > 0 {
+		return max(1, most/share)
+	}
+	return 0
+}
+
 // socketBuffer returns the size in bytes of each buffer that the kernel has for a caller's connection, 0 for its own choice.
 func socketBuffer(memoryBytes int64) int {
 	if memoryBytes <= 0 {
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -46,6 +46,8 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is larger than the limit that the configuration states to callers.
 	maxHeaderBytes = 64 << 10
+	// maxQuestionHeaderBytes is the size limit of the head of an address lookup or a readiness check.
+	maxQuestionHeaderBytes = 8 << 10
 	// activePollInterval is the time between two checks whether requests are still in progress.
 	activePollInterval = 20 * time.Millisecond
 	// memoryLimitShare is the garbage collector's soft memory limit as a share of the process's memory limit.
@@ -111,9 +113,11 @@
 	services    atomic.Pointer[map[string]string]
 	links       *reach.Monitor
 	callerConns *callerConns
-	remote      *remote.Client
-	metrics     *telemetry.Metrics
-	draining    atomic.Bool
+	// questionConns are the connections for address lookups and readiness checks.
+	questionConns *callerConns
+	remote        *remote.Client
+	metrics       *telemetry.Metrics
+	draining      atomic.Bool
 
 	configFeed, endpointFeed, rosterFeed, crashFeed *feed.Feed
 }
@@ -181,6 +185,8 @@
 	})
 	r.callerConns = newCallerConns(r.limits, maxCallerConns(s.Descriptors, s.MemoryBytes), logger)
 	r.callerConns.account, r.callerConns.refusals, r.callerConns.socketBuffer = account, refusals, socketBuffer(s.MemoryBytes)
+	r.questionConns = newCallerConns(r.limits, maxQuestionConns(s.Descriptors, s.MemoryBytes), logger)
+	r.questionConns.account, r.questionConns.refusals, r.questionConns.socketBuffer = account, refusals, minSocketBuffer
 	r.newFeeds(peers)
 	r.newLinks(peers)
 	r.server = forward.NewServer(forward.Options{
@@ -279,6 +285,7 @@
 	tasks.Go(func() { r.remote.Run(backgroundCtx) })
 
 	tasks.Go(func() { r.callerConns.run(backgroundCtx) })
+	tasks.Go(func() { r.questionConns.run(backgroundCtx) })
 
 	callers := r.newHTTPServer(r.server)
 	r.callerConns.attach(callers)
@@ -288,12 +295,14 @@
 	listeners := []struct {
 		address string
 		server  *http.Server
+		// conns limits the connections, nil for none.
+		conns *callerConns
 	}{
-		{r.settings.CallerAddress, callers},
-		{r.settings.ReadyAddress, r.newHTTPServer(http.HandlerFunc(r.serveReady))},
-		{r.settings.LookupAddress, r.newHTTPServer(http.HandlerFunc(r.serveLookup))},
-		{r.settings.PeerAddress, peers},
-		{r.settings.MetricsAddress, r.newHTTPServer(r.metrics.Handler)},
+		{r.settings.CallerAddress, callers, r.callerConns},
+		{r.settings.ReadyAddress, r.newQuestionServer(r.serveReady), r.questionConns},
+		{r.settings.LookupAddress, r.newQuestionServer(r.serveLookup), r.questionConns},
+		{r.settings.PeerAddress, peers, nil},
+		{r.settings.MetricsAddress, r.newHTTPServer(r.metrics.Handler), nil},
 	}
 	for _, l := range listeners {
 		if l.address == "" {
@@ -309,8 +318,8 @@
 			tasks.Go(func() { metered.run(backgroundCtx) })
 			listener = metered
 		}
-		if l.server == callers {
-			listener = r.callerConns.listen(listener)
+		if l.conns != nil {
+			listener = l.conns.listen(listener)
 		}
 		tasks.Go(func() {
 			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -401,6 +410,15 @@
 	}
 }
 
+// newQuestionServer returns a server for questions without a body. What anybody sends there beyond is read for a short time only, and
+// the connections idle for longest make room for others.
+func (r *Router) newQuestionServer(answer http.HandlerFunc) *http.Server {
+	s := r.newHTTPServer(answer)
+	r.questionConns.attach(s)
+	s.ReadTimeout, s.MaxHeaderBytes = readHeaderTimeout, maxQuestionHeaderBytes
+	return s
+}
+
 // drain removes the router from address answers, serves for drainServingTime, and then waits until the requests in
 // progress have ended, at most until exitMargin before the end of the grace time. Finally it returns unused tokens.
 func (r *Router) drain(callers *http.Server) {
--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -103,13 +103,15 @@
 	}
 	control := http.NewResponseController(e.writer)
 	started, ended := time.Now(), atomic.Bool{}
+	endRead := func() { _ = control.SetReadDeadline(time.Unix(1, 0)) } // On an error the connection is closed already.
 	e.held.Arrive(func() {
 		ended.Store(true)
-		_ = control.SetReadDeadline(time.Unix(1, 0)) // On an error the connection is closed already.
+		endRead()
 	})
 	body, err := readBody(r.Body, r.ContentLength, limit, e.held, func(received int) {
-		if !ended.Load() {
-			_ = control.SetReadDeadline(bodyDeadline(started, received, e.deadline)) // As above.
+		_ = control.SetReadDeadline(bodyDeadline(started, received, e.deadline)) // As above.
+		if ended.Load() {
+			endRead()
 		}
 	})
 	e.held.Arrived()
--- a/pkg/forward/remote.go
+++ b/pkg/forward/remote.go
@@ -73,6 +73,10 @@
 	Progress func() RemoteProgress
 }
 
+// messageCopies is how often the message to another router holds the body besides the request: encoded, and in the buffer of the
+// connection.
+const messageCopies = 2
+
 // needsRemote reports whether the next attempt is made by another router.
 func (e *exchange) needsRemote() bool {
 	return e.Remote != nil && !e.onBehalf && !e.remoteUnavailable && e.Remote.IsNeeded()
@@ -95,6 +99,11 @@
 		request.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
 	e.beginAttempt(stream)
+	copies := int64(messageCopies * len(request.Body))
+	if err := e.held.Grow(copies); err != nil {
+		return attemptNotSent, nil, outcome.NotRunf(outcome.ReasonNoMemory, shortRetryAfter, "no memory is left for the message to another router")
+	}
+	defer e.held.Shrink(copies)
 	sentAt := time.Now()
 	response, err := e.Remote.Send(ctx, request)
 	e.attemptErr = err
--- a/pkg/memory/account.go
+++ b/pkg/memory/account.go
@@ -61,6 +61,7 @@
 	}
 	a := h.account
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	u := usage{total: a.used, address: noShare, organisation: noShare, holding: h.bytes}
 	if h.address.IsValid() {
 		u.address = a.addresses[h.address]
@@ -70,15 +71,10 @@
 	}
 	err := a.limits.check(u, n)
 	if err != nil {
-		end := a.evict(h, err)
-		a.mu.Unlock()
-		if end != nil {
-			end()
-		}
+		a.evict(h, err)
 		return err
 	}
 	h.add(n)
-	a.mu.Unlock()
 	return nil
 }
 
@@ -103,8 +99,8 @@
 	h.add(-h.bytes)
 }
 
-// Arrive marks the bytes of the holding as still coming in. end is called, at most once, if others need the room; it must make Arrived
-// or Close be called soon, and must not block.
+// Arrive marks the bytes of the holding as still coming in. end is called, at most once and never after Arrived has returned, if others
+// need the room; it must make Arrived or Close be called soon, and must not block nor use the account.
 func (h *Holding) Arrive(end func()) {
 	if h == nil {
 		return
@@ -159,12 +155,12 @@
 	}
 }
 
-// evict chooses the holding to be ended after h was refused with cause, and returns its end, nil if there is none. Of those that still
-// arrive it is the one with the fewest bytes a second; for ErrShare one of the same caller. mu must be held.
-func (a *Account) evict(h *Holding, cause error) (end func()) {
+// evict ends a holding after h was refused with cause. Of those that still arrive it is the one with the fewest bytes a second; for
+// ErrShare one of the same caller. mu must be held.
+func (a *Account) evict(h *Holding, cause error) {
 	now := a.now()
 	if now.Sub(a.evictedAt) < evictInterval {
-		return nil
+		return
 	}
 	var slowest *Holding
 	slowestPace := 0.0
@@ -173,18 +169,18 @@
 		if other == h || age < evictAfter || cause == ErrShare && !other.isOf(h) {
 			continue
 		}
-		// The most bytes go first among those that have stopped: the pace falls with their age, so that all reach it.
+		// The pace of one that has stopped falls with its age, however much it holds.
 		if pace := float64(other.bytes) / age.Seconds(); slowest == nil || pace < slowestPace {
 			slowest, slowestPace = other, pace
 		}
 	}
 	if slowest == nil {
-		return nil
+		return
 	}
 	a.evictedAt = now
 	a.evicted++
 	delete(a.arriving, slowest)
-	return slowest.end
+	slowest.end()
 }
 
 // isOf reports whether the holding counts against a share of h.
