An operator's order to empty an availability zone is followed

Change: where the settings have bounds.evacuate_ms, a feed of the kind runs beside the others, with one leader in each zone and watches of half the bound, and pkg/evacuation turns it into the set of zones. pkg/route closes the endpoints of such a zone at the one gate (isWithdrawn): for choices, retries, streams that are taken up, the last resort and requests of other routers; if nothing else is left the reason is zones_evacuated and the caller is told to come back in a second. A router is neither ready nor sends anything before it has read the orders once, and keeps what it knows while it can't read the store. Load reports of such engines stop; requests in progress go on.

--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -34,7 +34,7 @@
 	mux.Handle(allowance.NewService(r.accounts).Handler())
 	mux.Handle(origin.NewService(r.origins).Handler())
 	mux.Handle(remote.NewService(r.server).Handler())
-	mux.Handle(feed.NewService(r.configFeed, r.endpointFeed, r.rosterFeed, r.crashFeed).Handler())
+	mux.Handle(feed.NewService(r.feeds()...).Handler())
 	return mux
 }
 
@@ -59,8 +59,8 @@
 	watchPauseLargeFleet = 500 * time.Millisecond
 )
 
-// newFeeds creates the feeds of the configuration, of the endpoints, of the routers' records and of their crash records. In
-// a large fleet the leaders of an availability zone read the store and pass the changes on to the others in it.
+// newFeeds creates the feeds of the configuration, of the endpoints, of the routers' records and of their crash records, and, if
+// there are any, of the orders to empty zones. In a large fleet the leaders of an availability zone read the store and pass the changes on to the others in it.
 func (r *Router) newFeeds(peers feed.PeerClient) {
 	options := feed.Options{
 		Log: r.log, Client: peers, AwaitRetry: r.contact.Sleep, LeaderAnswered: r.contact.LeaderAnswered, Contacted: r.catchUps.contacted,
@@ -83,6 +83,33 @@
 	records.StaleListInterval = roster.ListInterval
 	crashes.Kind, crashes.Store, crashes.Consumer = poison.RegistryKind, r.breaker, r.crashes
 	r.configFeed, r.endpointFeed, r.rosterFeed, r.crashFeed = feed.New(config), feed.New(endpoints), feed.New(records), feed.New(crashes)
+	if r.evacuations != nil {
+		r.evacuationFeed = feed.New(r.evacuationOptions(options))
+	}
+}
+
+// evacuationOptions returns the options of the feed of the orders to empty zones, from those of all feeds.
+func (r *Router) evacuationOptions(o feed.Options) feed.Options {
+	wait := evacuationWatch(r.settings.Evacuate)
+	o.Kind, o.Store, o.Consumer = r.adapter.EvacuationKind, r.breaker, r.evacuations
+	o.WatchWait = func() time.Duration { return wait }
+	o.MaxLeaderAge = wait + evacuationAnswerTime
+	o.Leaders = func() []string { return r.roster.Leaders(maxSmallFleet, evacuationLeadersPerZone) }
+	o.StoreReached = r.evacuations.reached
+	o.Contacted = func(kind, cause string, at time.Time) {
+		r.catchUps.contacted(kind, cause, at)
+		r.evacuations.contacted(at)
+	}
+	return o
+}
+
+// feeds returns all feeds of the router.
+func (r *Router) feeds() []*feed.Feed {
+	feeds := []*feed.Feed{r.configFeed, r.endpointFeed, r.rosterFeed, r.crashFeed}
+	if r.evacuationFeed != nil {
+		feeds = append(feeds, r.evacuationFeed)
+	}
+	return feeds
 }
 
 // runFeeds feeds the router until ctx ends. The routers' records come first, because they tell whom to follow.
@@ -102,9 +129,11 @@
 			break
 		}
 	}
-	tasks.Go(func() { r.configFeed.Run(ctx) })
-	tasks.Go(func() { r.endpointFeed.Run(ctx) })
-	tasks.Go(func() { r.crashFeed.Run(ctx) })
+	for _, f := range r.feeds() {
+		if f != r.rosterFeed {
+			tasks.Go(func() { f.Run(ctx) })
+		}
+	}
 }
 
 // fleetStart is what a starting router knows of the others.
--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// polledEngines returns the live model engines ordered by name. If there are more than maxPolledEngines, it returns only those
+// polledEngines returns the live model engines outside of evacuated zones ordered by name. If there are more than maxPolledEngines, it returns only those
 // whose limits may have ended.
 func (r *Router) polledEngines() []platform.VM {
 	config := r.config.Current()
@@ -61,7 +61,7 @@
 	}
 	var engines []platform.VM
 	for _, vm := range r.endpoints.list() {
-		if s, ok := config.Service(vm.Service); ok && s.TokensPerEvent > 0 && vm.State == platform.VMLive {
+		if s, ok := config.Service(vm.Service); ok && s.TokensPerEvent > 0 && vm.State == platform.VMLive && !r.isEvacuated(vm.Zone) {
 			engines = append(engines, vm)
 		}
 	}
@@ -72,6 +72,11 @@
 	return engines
 }
 
+// isEvacuated reports whether nothing is sent to the zone.
+func (r *Router) isEvacuated(zone string) bool {
+	return r.evacuations != nil && r.evacuations.isEvacuated(zone)
+}
+
 // withStaleLimits returns at most maxLimitPolls of the engines whose limits have not been named for limitPollAge.
 func (r *Router) withStaleLimits(engines []platform.VM) []platform.VM {
 	stale := r.placement.StaleLimits(limitPollAge)
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -76,6 +76,8 @@
 	DecodeEndpoint endpointDecoder
 	// EndpointKind is the kind of the endpoints' objects, ConfigKind that of the configuration's.
 	EndpointKind, ConfigKind string
+	// EvacuationKind is the kind of the orders that nothing is sent to an availability zone. The names of the objects are the zones'.
+	EvacuationKind string
 	// ReportPath is the path of the engines' load reports, and DecodeReport decodes a report.
 	ReportPath   string
 	DecodeReport func([]byte) (route.LoadReport, error)
@@ -95,13 +97,15 @@
 	log       log.Interface
 	config    *configuration
 	endpoints *endpointSet
-	placement *forward.Placement
-	server    *forward.Server
-	accounts  *allowance.Accounts
-	roster    *roster.Roster
-	crashes   *poison.Registry
-	origins   *origin.Registry
-	client    *upstream.Client
+	// evacuations is nil if there are no orders to empty a zone.
+	evacuations *evacuations
+	placement   *forward.Placement
+	server      *forward.Server
+	accounts    *allowance.Accounts
+	roster      *roster.Roster
+	crashes     *poison.Registry
+	origins     *origin.Registry
+	client      *upstream.Client
 	// linkMeter is nil if the bandwidth of the VM's link isn't known.
 	linkMeter *linkMeter
 	// liveEndpoints holds the liveAddresses of the endpoints that were published last.
@@ -115,6 +119,8 @@
 	draining    atomic.Bool
 
 	configFeed, endpointFeed, rosterFeed, crashFeed *feed.Feed
+	// evacuationFeed is nil without evacuations.
+	evacuationFeed *feed.Feed
 }
 
 // New creates a router. It also sets the memory limit and garbage collection target of the Go runtime.
@@ -145,7 +151,9 @@
 	if a.DialEndpoint != nil {
 		r.client.DialContext = a.DialEndpoint
 	}
-	r.placement = forward.NewPlacement(s.Zone, routeOptions)
+	placing := routeOptions
+	placing.AwaitEvacuations = s.Evacuate > 0
+	r.placement = forward.NewPlacement(s.Zone, placing)
 	r.placement.LimitShare = r.limitShare
 	r.placement.BrittleShare = r.brittleShare
 	r.config = newConfiguration(a.ConfigKey, a.DecodeConfig, r.breaker, s.ConfigApply, logger)
@@ -162,6 +170,10 @@
 	})
 	instruments := telemetry.NewInstruments(r.metrics.Meter)
 	r.accounts.RegisterMetrics(instruments)
+	if s.Evacuate > 0 {
+		r.evacuations = newEvacuations(a.EvacuationKind, logger, r.placement.SetEvacuated)
+		r.evacuations.registerMetrics(instruments)
+	}
 	if err := instruments.Err(); err != nil {
 		return nil, err
 	}
@@ -347,6 +359,8 @@
 		return errNoConfiguration
 	case !r.endpoints.isLoaded():
 		return errors.New("the endpoints have not been read yet")
+	case r.evacuations != nil && !r.evacuations.isLoaded():
+		return errors.New("the orders to empty availability zones have not been read yet")
 	case !r.crashes.IsLoaded():
 		return errors.New("the crash records have not been read yet")
 	case r.callerConns.isFull():
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -53,6 +53,9 @@
 	Grace time.Duration
 	// ConfigApply is the time within which a new configuration must be in force; 0 means a default.
 	ConfigApply time.Duration
+	// Evacuate is the time within which routers send nothing more to a zone that an operator has ordered to be empty; 0 means that
+	// there are no such orders.
+	Evacuate time.Duration
 	// AddressTTL is the longest time for which callers may use an address answer.
 	AddressTTL time.Duration
 	Retry      retry.Limits
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -63,6 +63,9 @@
 	// StaleListInterval replaces the watch by stale lists, with this time between two of them. It suits objects that change
 	// all the time and may be seen late. Optional.
 	StaleListInterval time.Duration
+	// MaxLeaderAge replaces MaxAge as the time since the store's last answer to a leader above which it isn't followed. It has to exceed
+	// WatchWait. Optional.
+	MaxLeaderAge time.Duration
 	// MaxDirectDelay returns the longest time for which a router that can follow no other router puts off reading the store
 	// itself, so that a large fleet doesn't do so at once. Needed with Leaders.
 	MaxDirectDelay func() time.Duration
--- a/pkg/feed/peer.go
+++ b/pkg/feed/peer.go
@@ -30,7 +30,7 @@
 	// minCompressedBytes is the size from which a value is compressed for followers.
 	minCompressedBytes = 16 << 10
 	// MaxAge is the time since the store's last answer to a leader above which the leader isn't followed, unless it reads
-	// stale lists. Then it may miss staleListsToMiss of them.
+	// stale lists, of which it may miss staleListsToMiss, or its feed has a MaxLeaderAge.
 	MaxAge           = 1700 * time.Millisecond
 	staleListsToMiss = 3
 )
@@ -181,7 +181,12 @@
 }
 
 // maxAge returns the time since the store's last answer to a leader above which the leader isn't followed.
-func (f *Feed) maxAge() time.Duration { return max(MaxAge, staleListsToMiss*f.StaleListInterval) }
+func (f *Feed) maxAge() time.Duration {
+	if f.MaxLeaderAge > 0 {
+		return f.MaxLeaderAge
+	}
+	return max(MaxAge, staleListsToMiss*f.StaleListInterval)
+}
 
 // applyMessage passes a leader's message to the consumer. A leader may be some changes behind the one that this router
 // followed before: then only its later changes count, so that nothing goes back.
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -48,6 +48,12 @@
 	p.owner.Do(func(t *table) { t.Update(time.Now(), vms, nil) })
 }
 
+// SetEvacuated replaces the set of zones whose endpoints get no requests by an operator's order.
+func (p *Placement) SetEvacuated(zones []string) (state route.EvacuatedState) {
+	p.owner.Do(func(t *table) { state = t.SetEvacuated(time.Now(), zones) })
+	return state
+}
+
 // Report records an engine's load report as received now.
 func (p *Placement) Report(vm string, r route.LoadReport) {
 	p.owner.Post(func(t *table) { t.Report(time.Now(), vm, r) })
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -85,7 +85,7 @@
 	for _, i := range rng.Perm(len(p.all)) {
 		e := p.all[i]
 		load := float64(e.inFlight) / float64(max(1, e.vm.MaxInFlight))
-		if _, _, stated := t.statedWait(now, e); stated || e.isLeaving() || t.isQueueFull(now, e) || load >= overloadRatio || !isUsable(e, r) {
+		if _, _, stated := t.statedWait(now, e); stated || e.isWithdrawn() || t.isQueueFull(now, e) || load >= overloadRatio || !isUsable(e, r) {
 			continue
 		}
 		if e.isUnhealthy(now) {
@@ -114,6 +114,10 @@
 	for _, e := range p.all {
 		switch {
 		case e.isLeaving():
+		case e.evacuated:
+			if reason == ReasonNoEndpoint {
+				reason = ReasonEvacuated
+			}
 		case !e.isUnhealthy(now):
 			return ReasonFull, retryAfter
 		default:
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -50,7 +50,9 @@
 	ReasonLastResort Reason = "last_resort"
 	// ReasonNoEndpoint means that the pool has no endpoint, or all are leaving.
 	ReasonNoEndpoint Reason = "no_endpoint"
-	// ReasonUnhealthy means that all endpoints that are not leaving are excluded after failures or quarantined.
+	// ReasonEvacuated means that all endpoints that are not leaving are in zones that get nothing by an operator's order.
+	ReasonEvacuated Reason = "zones_evacuated"
+	// ReasonUnhealthy means that all endpoints that are neither leaving nor evacuated are excluded after failures or quarantined.
 	ReasonUnhealthy Reason = "endpoints_unhealthy"
 	// ReasonFull means that there are healthy endpoints, but all of them are at their limit.
 	ReasonFull Reason = "endpoints_full"
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -14,8 +14,10 @@
 	// markedLeaving is set by an operator's leaving mark.
 	markedLeaving bool
 	// announced is what the endpoint's answers said of this run, nil if they said nothing.
-	announced   *announcement
-	removed     bool
+	announced *announcement
+	removed   bool
+	// evacuated is set while the endpoint's zone gets nothing by an operator's order.
+	evacuated   bool
 	memberships []membership
 
 	// This router's requests in progress, the suspects among them, and their prompt tokens that are still to be computed.
@@ -60,7 +62,8 @@
 	if e.removed {
 		return
 	}
-	closed := e.isLeaving() || e.isUnhealthy(now) || e.announced.isPaused(now)
+	e.evacuated = t.isEvacuated(e.vm.Zone)
+	closed := e.isWithdrawn() || e.isUnhealthy(now) || e.announced.isPaused(now)
 	if !closed && t.isQueueFull(now, e) {
 		closed = true
 		t.scheduleStaleRecheck(e)
--- a/pkg/route/options.go
+++ b/pkg/route/options.go
@@ -15,7 +15,9 @@
 	// its cache, because all routers send the prefix there. It suits a router that receives only a small share of a
 	// prefix's requests.
 	AssumeRingCacheHit bool
-	// LastResort allows the choice of a closed endpoint when no open one is usable, unless it is leaving or this router
+	// AwaitEvacuations keeps all endpoints closed until the first SetEvacuated.
+	AwaitEvacuations bool
+	// LastResort allows the choice of a closed endpoint when no open one is usable, unless it is leaving or evacuated or this router
 	// has twice its limit in progress there.
 	LastResort bool
 	// PrefillTokensPerMS is the assumed prefill speed of an engine in prompt tokens per ms.
--- a/pkg/route/pause.go
+++ b/pkg/route/pause.go
@@ -110,7 +110,7 @@
 // states anything.
 func (t *Table) shortestStatedWait(now time.Time, p *pool) (shortest time.Duration, reason Reason, ok bool) {
 	for _, e := range p.all {
-		if e.isLeaving() || e.isUnhealthy(now) {
+		if e.isWithdrawn() || e.isUnhealthy(now) {
 			continue
 		}
 		if wait, r, stated := t.statedWait(now, e); stated && (!ok || wait < shortest) {
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -22,6 +22,9 @@
 	pools     map[Pool]*pool
 	prefix    prefixIndex
 	rechecks  recheckHeap
+	// evacuated are the zones that get nothing by an operator's order; ordersKnown is set by the first SetEvacuated.
+	evacuated   map[string]bool
+	ordersKnown bool
 	// announcements holds what endpoints said of their runs, also of those that are not listed at present.
 	announcements map[runID]*announcement
 	// meanPrefillTokens is the average number of uncached prompt tokens of a request.
@@ -82,6 +85,8 @@
 	Total int
 	// Open endpoints can take work.
 	Open int
+	// Evacuated endpoints are not leaving, but in a zone that gets nothing by an operator's order.
+	Evacuated int
 	// NotLeaving endpoints are not leaving, whether healthy or not.
 	NotLeaving int
 }
@@ -96,19 +101,27 @@
 	for _, e := range p.all {
 		if !e.isLeaving() {
 			state.NotLeaving++
+			if e.evacuated {
+				state.Evacuated++
+			}
 		}
 	}
 	return state
 }
 
-// CountByState returns the number of endpoints by state: open, full, unhealthy or leaving. Its cost is linear in the
-// endpoints.
+// CountByState returns the number of endpoints by state: open, full, unhealthy, leaving or, with Options.AwaitEvacuations, evacuated.
+// Its cost is linear in the endpoints.
 func (t *Table) CountByState(now time.Time) map[string]int64 {
 	counts := map[string]int64{"open": 0, "full": 0, "unhealthy": 0, "leaving": 0}
+	if t.options.AwaitEvacuations {
+		counts["evacuated"] = 0
+	}
 	for _, e := range t.endpoints {
 		switch {
 		case e.isLeaving():
 			counts["leaving"]++
+		case e.evacuated:
+			counts["evacuated"]++
 		case e.isUnhealthy(now):
 			counts["unhealthy"]++
 		case e.isFull(now, t.options.StaleAfter):
