Requests run only in the regions that their route and organisation allow

Change: catalog.HomesOf is what both allow; endpoints outside are not usable for any choice, a request that another router sends goes only to routers in its homes, and address answers for a host name routers in the homes of its routes or in the caller's region while one is ready there. The settings' zones map zones to regions. Without allowed_regions nothing changes: lsentry's location still has no region, so regions don't count in an endpoint's distance.

Two calls in TestUnansweredQuestionsDontEndForwardingAtOnce get the new argument.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -53,6 +53,8 @@
 	// Public routes need no key.
 	Public   bool
 	Backends []Backend
+	// AllowedRegions are the regions in which its requests may run, any if there are none.
+	AllowedRegions []string
 }
 
 // Organisation owns keys and a prepaid budget.
@@ -65,6 +67,8 @@
 	// Prepaid is the number of tokens that the organisation may use. It applies only if Limited is set.
 	Prepaid int64
 	Limited bool
+	// AllowedRegions are the regions in which its requests may run, any if there are none.
+	AllowedRegions []string
 }
 
 // Service describes a service, which is offered by the endpoints with its name.
--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -44,6 +44,15 @@
 // endpointDecoder decodes an endpoint's object in the store.
 type endpointDecoder func(platform.Object) (platform.VM, error)
 
+// inRegions returns a decoder that also sets the region of an endpoint's zone, if it is known.
+func (s Settings) inRegions(decode endpointDecoder) endpointDecoder {
+	return func(o platform.Object) (platform.VM, error) {
+		vm, err := decode(o)
+		vm.Region = s.Regions[vm.Zone]
+		return vm, err
+	}
+}
+
 // endpointSet is the set of registered endpoints. It is safe for concurrent use.
 type endpointSet struct {
 	decode endpointDecoder
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -50,8 +50,8 @@
 
 func (r *Router) primaryPeers() []remote.Peer {
 	var list []remote.Peer
-	for name, address := range r.roster.PrimaryPeers() {
-		list = append(list, remote.Peer{Name: name, Address: address})
+	for _, p := range r.roster.PrimaryPeers() {
+		list = append(list, remote.Peer{Name: p.Name, Address: p.Address, Region: r.settings.Regions[p.Zone]})
 	}
 	return list
 }
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -158,7 +158,7 @@
 	r.placement.BrittleShare = r.brittleShare
 	r.config = newConfiguration(a.ConfigKey, a.DecodeConfig, r.breaker, s.ConfigApply, logger)
 	r.config.age = func() (time.Duration, bool) { return r.configFeed.Age() }
-	r.endpoints = newEndpointSet(a.DecodeEndpoint, logger, r.updateEndpoints)
+	r.endpoints = newEndpointSet(s.inRegions(a.DecodeEndpoint), logger, r.updateEndpoints)
 	r.endpoints.lastSilence = r.contact.LastSilence
 	r.roster = roster.New(r.breaker, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting, Capacity: s.capacity()}, logger)
 	peers := newPeerClient()
@@ -387,7 +387,8 @@
 		http.NotFound(w, request)
 		return
 	}
-	addresses := r.roster.Addresses(request.URL.Query().Get("zone"), maxAddresses)
+	query := request.URL.Query()
+	addresses := r.roster.AddressesIn(r.zonesFor(query.Get("name"), query.Get("region")), query.Get("zone"), maxAddresses)
 	if len(addresses) == 0 {
 		http.Error(w, "no router is known to be ready", http.StatusServiceUnavailable)
 		return
@@ -402,6 +403,19 @@
 	_, _ = w.Write(body) // On an error the caller repeats the lookup.
 }
 
+// zonesFor returns a function that reports whether a caller in the region may be sent to a zone for a host: if the requests of the host
+// have homes, only to these, or to its own region, because their bodies go there.
+func (r *Router) zonesFor(host, region string) func(zone string) bool {
+	var homes catalog.Homes
+	if c := r.config.Current(); c != nil {
+		homes = c.HostHomes(host)
+	}
+	return func(zone string) bool {
+		in := r.settings.Regions[zone]
+		return homes.Allow(in) || in != "" && in == region
+	}
+}
+
 // addressTTL is how long callers may use an address answer, unless the platform's limit is lower.
 const addressTTL = 3 * time.Second
 
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -27,6 +27,9 @@
 // empty optional address disables its listener.
 type Settings struct {
 	VM, Zone string
+	// Regions maps the availability zones to their regions. Optional; without it no zone is a home of requests that may run in some
+	// regions only.
+	Regions map[string]string
 	// CallerAddress is for callers' requests, ReadyAddress for the platform's readiness checks.
 	CallerAddress, ReadyAddress string
 	// LookupAddress is for callers that look up the addresses of routers. Optional.
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -169,6 +169,8 @@
 
 func (e *exchange) placementRequest(excluded []string) route.Request {
 	r := route.Request{ID: e.request.ID, Pool: route.Service(e.service.Name), Exclude: excluded, WithSoftware: e.begun, Software: e.software}
+	homes := e.homes()
+	r.InRegions, r.Regions = homes.Restricted, homes.Regions
 	if p := e.request.Prompt; p != nil {
 		r.PromptTokens, r.OutputTokens = int(p.Tokens), int(p.MaxOutput)
 		r.Blocks, r.BlockEnds = p.sharedPrefixes()
@@ -176,6 +178,9 @@
 	return r
 }
 
+// homes returns the regions in which the request may run.
+func (e *exchange) homes() catalog.Homes { return catalog.HomesOf(e.route, e.org) }
+
 // canRetry reports whether the request may be sent to another endpoint. A request that an endpoint may have run is sent
 // again only if it is idempotent, and a stream of which the caller has events only if it is resumable. If canRetry
 // returns true, it has counted a retry against the shared budget.
--- a/pkg/forward/remote.go
+++ b/pkg/forward/remote.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lavendershunt/lavendershunt/pkg/catalog"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
@@ -48,6 +49,8 @@
 	// Begun is set if the stream has begun at an endpoint whose software has the version Software.
 	Begun    bool
 	Software string
+	// Homes are the regions of the routers that may get the request.
+	Homes catalog.Homes
 	// Service is the service that is to continue a stream that has begun, empty from a router of an earlier build.
 	Service string
 }
@@ -89,7 +92,7 @@
 	request := RemoteRequest{
 		Method: e.request.Method, Target: e.request.Target, Host: e.request.Host, Header: e.incoming, Body: e.request.Body,
 		TimeLeft: time.Until(e.deadline), ConfigVersion: e.config.Version, Attempts: e.attempts, LastEvent: e.request.LastEvent,
-		Begun: e.begun, Software: e.software, Service: e.service.Name,
+		Begun: e.begun, Software: e.software, Service: e.service.Name, Homes: e.homes(),
 	}
 	if stream.lastID != noEvent {
 		request.LastEvent = strconv.FormatInt(stream.lastID, 10)
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -450,6 +450,9 @@
 	if e.org != nil {
 		fields["organisation"] = e.org.Name
 	}
+	if homes := e.homes(); homes.Restricted {
+		fields["homes"] = homes.Regions
+	}
 	if p := e.request.Prompt; p != nil {
 		fields["tokens"], fields["spent"] = p.maxTokens(), e.chargedTokens
 	}
--- a/pkg/remote/client.go
+++ b/pkg/remote/client.go
@@ -18,6 +18,7 @@
 	forwardv1 "github.com/lavendershunt/lavendershunt/api/ls/forward/v1"
 	"github.com/lavendershunt/lavendershunt/api/ls/forward/v1/forwardv1connect"
 	"github.com/lavendershunt/lavendershunt/internal/sleep"
+	"github.com/lavendershunt/lavendershunt/pkg/catalog"
 	"github.com/lavendershunt/lavendershunt/pkg/forward"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
@@ -43,8 +44,8 @@
 // errNoAcceptance means that another router neither accepted nor declined a request in time.
 var errNoAcceptance = errors.New("remote: the other router doesn't accept the request in time")
 
-// Peer is another router.
-type Peer struct{ Name, Address string }
+// Peer is another router. Region is that of its VM, empty if it isn't known.
+type Peer struct{ Name, Address, Region string }
 
 // Options contains the dependencies of a Client.
 type Options struct {
@@ -171,8 +172,8 @@
 	delete(c.able, p)
 }
 
-// choose returns a router that can forward, after the first round of questions.
-func (c *Client) choose(ctx context.Context, declined map[string]bool) (Peer, bool) {
+// choose returns a router in one of the homes that can forward, after the first round of questions.
+func (c *Client) choose(ctx context.Context, homes catalog.Homes, declined map[string]bool) (Peer, bool) {
 	c.mu.Lock()
 	round := c.round
 	c.mu.Unlock()
@@ -186,7 +187,7 @@
 	defer c.mu.Unlock()
 	var candidates []Peer
 	for p := range c.able {
-		if !declined[p.Name] {
+		if !declined[p.Name] && homes.Allow(p.Region) {
 			candidates = append(candidates, p)
 		}
 	}
@@ -201,7 +202,7 @@
 	declined := map[string]bool{}
 	var last error
 	for range maxTries {
-		peer, ok := c.choose(ctx, declined)
+		peer, ok := c.choose(ctx, r.Homes, declined)
 		if !ok {
 			break
 		}
--- a/pkg/remote/client_test.go
+++ b/pkg/remote/client_test.go
@@ -18,6 +18,7 @@
 	forwardv1 "github.com/lavendershunt/lavendershunt/api/ls/forward/v1"
 	"github.com/lavendershunt/lavendershunt/api/ls/forward/v1/forwardv1connect"
 	"github.com/lavendershunt/lavendershunt/internal/loopback"
+	"github.com/lavendershunt/lavendershunt/pkg/catalog"
 	"github.com/lavendershunt/lavendershunt/pkg/forward"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
@@ -66,7 +67,6 @@
 		Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
 	})
 	c.setAble(Peer{Name: "other", Address: address}, true)
-	close(c.round)
 	return c
 }
 
@@ -151,13 +151,30 @@
 	c := newClientOf(loopback.Address())
 	c.Peers = func() []Peer { return []Peer{{Name: "other", Address: loopback.Address()}} } // Nobody answers there.
 	c.ask(t.Context())
-	_, ok := c.choose(t.Context(), nil)
+	_, ok := c.choose(t.Context(), catalog.Homes{}, nil)
 	must.True(t, ok)
 	for p := range c.able {
 		c.able[p] = time.Now().Add(-2 * ableRetention)
 	}
 	c.ask(t.Context())
-	_, ok = c.choose(t.Context(), nil)
+	_, ok = c.choose(t.Context(), catalog.Homes{}, nil)
+	must.False(t, ok)
+}
+
+// Guards against a request whose body is sent to a router outside of its homes, or to one whose region isn't known.
+func TestRequestIsSentToRoutersInItsHomes(t *testing.T) {
+	c := newClientOf(loopback.Address())
+	c.able[Peer{Name: "away", Region: "r1"}], c.able[Peer{Name: "unknown"}] = time.Now(), time.Now()
+	homes := catalog.Homes{Restricted: true, Regions: []string{"r2", "r3"}}
+	_, ok := c.choose(t.Context(), homes, nil)
+	must.False(t, ok)
+	c.able[Peer{Name: "home", Region: "r2"}] = time.Now()
+	for range 20 {
+		peer, ok := c.choose(t.Context(), homes, nil)
+		must.True(t, ok)
+		must.EqOp(t, "home", peer.Name)
+	}
+	_, ok = c.choose(t.Context(), homes, map[string]bool{"home": true})
 	must.False(t, ok)
 }
 
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -316,16 +316,19 @@
 	return len(selectPrimaries(r.aliveRecords(func(m Record) bool { return m.State != Leaving })))
 }
 
-// PrimaryPeers returns the peer addresses of the other primary routers that are alive and not leaving, by name.
-func (r *Roster) PrimaryPeers() map[string]string {
+// Peer is another router.
+type Peer struct{ Name, Address, Zone string }
+
+// PrimaryPeers returns the other primary routers that are alive and not leaving.
+func (r *Roster) PrimaryPeers() []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	records := r.aliveRecords(func(m Record) bool { return m.State != Leaving && m.Peer != "" && m.name != r.name })
-	addresses := make(map[string]string, len(records))
+	var peers []Peer
 	for _, m := range selectPrimaries(records) {
-		addresses[m.name] = m.Peer
+		peers = append(peers, Peer{Name: m.name, Address: m.Peer, Zone: m.Zone})
 	}
-	return addresses
+	return peers
 }
 
 // PreferenceList returns the names of at most n routers, ranked for the key by rendezvous hashing over the primary
@@ -373,9 +376,18 @@
 // have lost their links to the endpoints are left out while there are others. If no router is ready, it returns the addresses of
 // those that are starting.
 func (r *Roster) Addresses(zone string, limit int) []string {
+	return r.AddressesIn(func(string) bool { return true }, zone, limit)
+}
+
+// AddressesIn is Addresses for the routers in the zones for which isAllowed returns true, or for all if none of these is ready.
+func (r *Roster) AddressesIn(isAllowed func(zone string) bool, zone string, limit int) []string {
 	r.mu.Lock()
 	records := r.aliveRecords(func(Record) bool { return true })
 	r.mu.Unlock()
+	allowed := slices.DeleteFunc(slices.Clone(records), func(m Record) bool { return !isAllowed(m.Zone) })
+	if slices.ContainsFunc(allowed, func(m Record) bool { return m.State == Ready && m.Address != "" }) {
+		records = allowed
+	}
 	linked := slices.DeleteFunc(slices.Clone(records), func(m Record) bool { return m.NoLinks })
 	for _, some := range [][]Record{linked, records} {
 		if addresses := selectAddresses(some, Ready, zone, limit); len(addresses) > 0 {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -82,6 +82,18 @@
 	must.Eq(t, []string{"starting"}, r.Addresses("a", 64))
 }
 
+// Guards against callers that are sent to other zones than those allowed while a router is ready there, and against no answer if none is.
+func TestAddressesInAllowedZones(t *testing.T) {
+	r := newTestRoster(0)
+	members := map[string]member{"near": {record: newRecord("b", "near", Ready)}, "far": {record: newRecord("c", "far", Ready)}}
+	r.view.applyList(time.Now(), r.self, members)
+	inC := func(zone string) bool { return zone == "c" }
+	must.Eq(t, []string{"far"}, r.AddressesIn(inC, "b", 64))
+	members["far"] = member{record: newRecord("c", "far", Starting), revision: 1}
+	r.view.applyList(time.Now(), r.self, members)
+	must.EqOp(t, "near", r.AddressesIn(inC, "b", 64)[0])
+}
+
 // Guards against callers that are sent to a VM which has lost its links to the endpoints, and against no answer if all have.
 func TestAddressesLeaveOutRoutersWithoutLinks(t *testing.T) {
 	r := newTestRoster(3)
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -191,7 +191,7 @@
 }
 
 func isUsable(e *endpoint, r *Request) bool {
-	if r.WithSoftware && e.vm.Software != r.Software {
+	if r.WithSoftware && e.vm.Software != r.Software || r.InRegions && !slices.Contains(r.Regions, e.vm.Region) {
 		return false
 	}
 	return !(r.Suspect && e.suspects > 0) && !slices.Contains(r.Exclude, e.vm.Name)
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -36,6 +36,9 @@
 	// WithSoftware restricts the choice to endpoints whose software has the version Software.
 	WithSoftware bool
 	Software     string
+	// InRegions restricts the choice to endpoints in the Regions, which may be none.
+	InRegions bool
+	Regions   []string
 }
 
 // Reason is why an endpoint was chosen, or why none was.
@@ -62,8 +65,8 @@
 	ReasonBrittle Reason = "endpoints_brittle"
 	// ReasonPaused means that the endpoints that could take the request have asked for a time without any.
 	ReasonPaused Reason = "endpoints_paused"
-	// ReasonExcluded means that the request excludes all open endpoints, is a suspect and all others run one too, or needs software
-	// that none of them has.
+	// ReasonExcluded means that the request excludes all open endpoints, is a suspect and all others run one too, needs software
+	// that none of them has, or may not run in their regions.
 	ReasonExcluded Reason = "endpoints_excluded_by_request"
 )
 
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -8,7 +8,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
-// Location is the region and availability zone of a router.
+// Location is the region and availability zone of a router. Without a region, that of an endpoint doesn't matter for its distance.
 type Location struct {
 	Region string
 	Zone   string
@@ -203,7 +203,7 @@
 
 func (t *Table) distanceMS(vm platform.VM) float64 {
 	switch {
-	case vm.Region != t.location.Region:
+	case t.location.Region != "" && vm.Region != t.location.Region:
 		return t.options.RegionDistanceMS
 	case vm.Zone != t.location.Zone:
 		return t.options.ZoneDistanceMS
