--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -97,6 +97,7 @@
 	o.WatchWait = func() time.Duration { return wait }
 	o.MaxLeaderAge = wait + evacuationAnswerTime
 	o.Leaders = func() []string { return r.roster.Leaders(maxSmallFleet, evacuationLeadersPerZone) }
+	o.Substitutes = func() []string { return r.roster.Substitutes(maxSmallFleet, evacuationLeadersPerZone) }
 	o.StoreReached = r.evacuations.reached
 	o.Contacted = func(kind, cause string, at time.Time) {
 		r.catchUps.contacted(kind, cause, at)
