--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -79,6 +79,8 @@
 	DecodeEndpoint endpointDecoder
 	// EndpointKind is the kind of the endpoints' objects, ConfigKind that of the configuration's.
 	EndpointKind, ConfigKind string
+	// EvacuationKind is the kind of the orders that nothing is sent to an availability zone. The names of the objects are the zones'.
+	EvacuationKind string
 	// ReportPath is the path of the engines' load reports, and DecodeReport decodes a report.
 	ReportPath   string
 	DecodeReport func([]byte) (route.LoadReport, error)
@@ -98,13 +100,15 @@
 	log       log.Interface
 	config    *configuration
 	endpoints *endpointSet
-	placement *forward.Placement
-	server    *forward.Server
-	accounts  *allowance.Accounts
-	roster    *roster.Roster
-	crashes   *poison.Registry
-	origins   *origin.Registry
-	client    *upstream.Client
+	// evacuations is nil if there are no orders to empty a zone.
+	evacuations *evacuations
+	placement   *forward.Placement
+	server      *forward.Server
+	accounts    *allowance.Accounts
+	roster      *roster.Roster
+	crashes     *poison.Registry
+	origins     *origin.Registry
+	client      *upstream.Client
 	// linkMeter is nil if the bandwidth of the VM's link isn't known.
 	linkMeter *linkMeter
 	// liveEndpoints holds the liveAddresses of the endpoints that were published last.
@@ -120,6 +124,8 @@
 	draining      atomic.Bool
 
 	configFeed, endpointFeed, rosterFeed, crashFeed *feed.Feed
+	// evacuationFeed is nil without evacuations.
+	evacuationFeed *feed.Feed
 }
 
 // New creates a router. It also sets the memory limit and garbage collection target of the Go runtime.
@@ -150,12 +156,14 @@
 	if a.DialEndpoint != nil {
 		r.client.DialContext = a.DialEndpoint
 	}
-	r.placement = forward.NewPlacement(s.Zone, routeOptions)
+	placing := routeOptions
+	placing.AwaitEvacuations = s.Evacuate > 0
+	r.placement = forward.NewPlacement(s.Zone, placing)
 	r.placement.LimitShare = r.limitShare
 	r.placement.BrittleShare = r.brittleShare
 	r.config = newConfiguration(a.ConfigKey, a.DecodeConfig, r.breaker, s.ConfigApply, logger)
 	r.config.age = func() (time.Duration, bool) { return r.configFeed.Age() }
-	r.endpoints = newEndpointSet(a.DecodeEndpoint, logger, r.updateEndpoints)
+	r.endpoints = newEndpointSet(s.inRegions(a.DecodeEndpoint), logger, r.updateEndpoints)
 	r.endpoints.lastSilence = r.contact.LastSilence
 	r.roster = roster.New(r.breaker, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting, Capacity: s.capacity()}, logger)
 	peers := newPeerClient()
@@ -169,6 +177,10 @@
 	r.accounts.RegisterMetrics(instruments)
 	account, refusals := memory.NewAccount(memory.LimitsFor(s.MemoryBytes)), &memory.Refusals{}
 	memory.RegisterMetrics(instruments, account, refusals)
+	if s.Evacuate > 0 {
+		r.evacuations = newEvacuations(a.EvacuationKind, logger, r.placement.SetEvacuated)
+		r.evacuations.registerMetrics(instruments)
+	}
 	if err := instruments.Err(); err != nil {
 		return nil, err
 	}
@@ -360,6 +372,8 @@
 		return errNoConfiguration
 	case !r.endpoints.isLoaded():
 		return errors.New("the endpoints have not been read yet")
+	case r.evacuations != nil && !r.evacuations.isLoaded():
+		return errors.New("the orders to empty availability zones have not been read yet")
 	case !r.crashes.IsLoaded():
 		return errors.New("the crash records have not been read yet")
 	case r.callerConns.isFull():
@@ -386,7 +400,8 @@
 		http.NotFound(w, request)
 		return
 	}
-	addresses := r.roster.Addresses(request.URL.Query().Get("zone"), maxAddresses)
+	query := request.URL.Query()
+	addresses := r.roster.AddressesIn(r.zonesFor(query.Get("name"), query.Get("region")), query.Get("zone"), maxAddresses)
 	if len(addresses) == 0 {
 		http.Error(w, "no router is known to be ready", http.StatusServiceUnavailable)
 		return
@@ -401,6 +416,19 @@
 	_, _ = w.Write(body) // On an error the caller repeats the lookup.
 }
 
+// zonesFor returns a function that reports whether a caller in the region may be sent to a zone for a host: if the requests of the host
+// have homes, only to these, or to its own region, because their bodies go there.
+func (r *Router) zonesFor(host, region string) func(zone string) bool {
+	var homes catalog.Homes
+	if c := r.config.Current(); c != nil {
+		homes = c.HostHomes(host)
+	}
+	return func(zone string) bool {
+		in := r.settings.Regions[zone]
+		return homes.Allow(in) || in != "" && in == region
+	}
+}
+
 // addressTTL is how long callers may use an address answer, unless the platform's limit is lower.
 const addressTTL = 3 * time.Second
 
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -36,6 +36,9 @@
 	// WithSoftware restricts the choice to endpoints whose software has the version Software.
 	WithSoftware bool
 	Software     string
+	// InRegions restricts the choice to endpoints in the Regions, which may be none.
+	InRegions bool
+	Regions   []string
 }
 
 // Reason is why an endpoint was chosen, or why none was.
@@ -50,7 +53,9 @@
 	ReasonLastResort Reason = "last_resort"
 	// ReasonNoEndpoint means that the pool has no endpoint, or all are leaving.
 	ReasonNoEndpoint Reason = "no_endpoint"
-	// ReasonUnhealthy means that all endpoints that are not leaving are excluded after failures or quarantined.
+	// ReasonEvacuated means that all endpoints that are not leaving are in zones that get nothing by an operator's order.
+	ReasonEvacuated Reason = "zones_evacuated"
+	// ReasonUnhealthy means that all endpoints that are neither leaving nor evacuated are excluded after failures or quarantined.
 	ReasonUnhealthy Reason = "endpoints_unhealthy"
 	// ReasonFull means that there are healthy endpoints, but all of them are at their limit.
 	ReasonFull Reason = "endpoints_full"
@@ -60,8 +65,8 @@
 	ReasonBrittle Reason = "endpoints_brittle"
 	// ReasonPaused means that the endpoints that could take the request have asked for a time without any.
 	ReasonPaused Reason = "endpoints_paused"
-	// ReasonExcluded means that the request excludes all open endpoints, is a suspect and all others run one too, or needs software
-	// that none of them has.
+	// ReasonExcluded means that the request excludes all open endpoints, is a suspect and all others run one too, needs software
+	// that none of them has, or may not run in their regions.
 	ReasonExcluded Reason = "endpoints_excluded_by_request"
 )
 
