allowance: a router that reaches the store draws for those that don't

An allocator that can't draw now looks for a router that reaches the store: probes of four routers at once, each once a search, with growing pauses while the store is silent for all. It names the router in its answers, and the others ask that one. The router found draws as for any other, so drawn stays at most prepaid. Earlier builds ignore the new fields and count as not reaching the store.

--- a/pkg/allowance/accounts.go
+++ b/pkg/allowance/accounts.go
@@ -31,6 +31,8 @@
 	Inform(allocators []string, organisation string, draws Draws)
 	// Routers returns the names of the other routers.
 	Routers() []string
+	// Helper returns a router that reaches the store, or an empty string and looks for one.
+	Helper(organisation string) string
 	// Recall asks another router for the recent draws that it knows, by organisation.
 	Recall(ctx context.Context, router string) (map[string]Draws, error)
 }
@@ -298,7 +300,8 @@
 func (acc *Accounts) requestFromPeers(name string, a *account, fallback Verdict) {
 	a.peerRequestInProgress = true
 	allocators := acc.Allocators(name)
-	shortage := a.peerShortage(time.Now(), fallback == Unavailable && !acc.isPrimary(name))
+	ahead := fallback == Unavailable && (!acc.isPrimary(name) || !a.mayDraw(time.Now()))
+	shortage := a.peerShortage(time.Now(), ahead)
 	shortage.NoDraw = fallback == Exhausted
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), peerRequestTimeout)
--- a/pkg/allowance/accounts_test.go
+++ b/pkg/allowance/accounts_test.go
@@ -118,6 +118,8 @@
 	}
 }
 
+func (fleetPeers) Helper(string) string { return "" }
+
 func (p fleetPeers) Routers() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/allowance/peers.go
+++ b/pkg/allowance/peers.go
@@ -51,8 +51,15 @@
 	ctx, cancel := context.WithTimeout(ctx, peerDrawTimeout)
 	defer cancel()
 	m := req.Msg
+	if m.GetProbe() {
+		return connect.NewResponse(&allowancev1.GiveResponse{ReachesStore: s.accounts.reachesStore(ctx, m.GetOrganisation())}), nil
+	}
 	transferred, exhausted := s.accounts.TransferOut(ctx, m.GetOrganisation(), m.GetNeed(), m.GetWant(), m.GetDraw())
-	return connect.NewResponse(&allowancev1.GiveResponse{Tokens: transferred, Exhausted: exhausted}), nil
+	response := &allowancev1.GiveResponse{Tokens: transferred, Exhausted: exhausted}
+	if m.GetDraw() && transferred < m.GetNeed() && !exhausted {
+		response.Helper = s.accounts.Peers.Helper(m.GetOrganisation())
+	}
+	return connect.NewResponse(response), nil
 }
 
 // Inform implements AllowanceService: it records what routers have drawn, or returns what this router remembers of it.
@@ -94,6 +101,8 @@
 	mu sync.Mutex
 	// unresponsiveUntil holds the routers that did not answer, with the time until which others are asked before them.
 	unresponsiveUntil map[string]time.Time
+	// search finds a router that reaches the store while the allocators don't.
+	search helperSearch
 }
 
 var _ Peers = (*RemotePeers)(nil)
@@ -118,6 +127,9 @@
 			break
 		}
 	}
+	if !shortage.NoDraw && !result.Exhausted && result.Tokens < shortage.Total && ctx.Err() == nil {
+		r.requestFromHelper(ctx, &result, allocators, organisation, shortage, late)
+	}
 	result.Complete = result.Complete && ctx.Err() == nil
 	return result
 }
@@ -202,6 +214,8 @@
 	tokens    int64
 	exhausted bool
 	answered  bool
+	// helper is another router that reaches the store, as this one knows.
+	helper string
 }
 
 // requestFromBatch asks some routers at the same time for what the result doesn't cover yet and adds their answers to
@@ -228,6 +242,7 @@
 		case a := <-answers:
 			delete(unanswered, a.from)
 			r.recordAnswer(a.from, a.answered)
+			r.learnHelper(a.helper)
 			result.Tokens += a.tokens
 			result.Exhausted = result.Exhausted || a.exhausted
 			result.Complete = result.Complete && a.answered
@@ -260,5 +275,5 @@
 		r.Log.WithFields(log.Fields{"peer": p.name, "organisation": request.GetOrganisation()}).WithError(err).Info("allowance_peer_silent")
 		return peerAnswer{from: p.name}
 	}
-	return peerAnswer{from: p.name, tokens: max(0, response.Msg.GetTokens()), exhausted: response.Msg.GetExhausted(), answered: true}
+	return peerAnswer{from: p.name, tokens: max(0, response.Msg.GetTokens()), exhausted: response.Msg.GetExhausted(), answered: true, helper: response.Msg.GetHelper()}
 }
