--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -11,6 +11,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
 const (
@@ -84,8 +86,9 @@
 // pendingDraw is a draw without an answer from the store: it may or may not have taken effect.
 type pendingDraw struct {
 	amount int64
-	// baseRevision is the revision that the write was conditional on.
+	// baseRevision is the revision that the write was conditional on, and era the one to which it counts.
 	baseRevision uint64
+	era          uint64
 }
 
 // account is one organisation's budget as this router sees it. It does no I/O and reads no clock.
@@ -296,7 +299,7 @@
 		return false
 	}
 	// Drawing fewer tokens than an average request needs is not worth a call.
-	return float64(a.drawAmount(now)) >= max(1, a.meanRequestTokens())
+	return float64(a.drawAmount(now, primary)) >= max(1, a.meanRequestTokens())
 }
 
 // shouldRequestFromPeers reports whether the account should ask other routers now: because the store can't be reached,
@@ -334,8 +337,9 @@
 	return s
 }
 
-// drawAmount returns how much to draw from the remainder, 0 if it doesn't cover the first waiting request.
-func (a *account) drawAmount(now time.Time) int64 {
+// drawAmount returns how much to draw from the remainder, 0 if it doesn't cover the first waiting request. Only the primary allocator
+// draws for the whole fleet; another router would hold tokens that nobody asks it for and that its end takes along.
+func (a *account) drawAmount(now time.Time, primary bool) int64 {
 	remainder := a.prepaid - a.drawn
 	need := max(0, a.shortage())
 	if len(a.waiters) > 0 && need > remainder {
@@ -345,8 +349,11 @@
 	if need > remainder || remainder <= 0 {
 		return 0
 	}
-	ahead := min(a.target(now)-a.free, int64(maxDrawShare*float64(remainder)))
-	return min(remainder, max(need, ahead))
+	target := a.target(now)
+	if !primary {
+		target = min(target, a.askTarget(now))
+	}
+	return min(remainder, max(need, min(target-a.free, int64(maxDrawShare*float64(remainder)))))
 }
 
 // applyRead updates the account from the store's object: writeID is this router's last write in it. It reports whether that is
@@ -357,6 +364,10 @@
 	if w, ok := a.pendingDraws[writeID]; ok {
 		// This write took effect, so the other pending ones, conditional on the same or an older revision, did not.
 		clear(a.pendingDraws)
+		if platform.Era(revision) != w.era {
+			// The store was restored meanwhile, perhaps before the write: a later state of its era may replace it.
+			return true
+		}
 		a.flows.drawn += w.amount
 		a.credit(w.amount)
 		return true
--- a/pkg/allowance/accounts_test.go
+++ b/pkg/allowance/accounts_test.go
@@ -184,6 +184,18 @@
 	}
 }
 
+// Guards against drawing tokens a second time at a router whose first news of the store comes after a restore: it found a record that
+// another one had written again already, and drew before a router that was cut off from the others had written what it knew.
+func TestFirstNewsAfterARestore(t *testing.T) {
+	for _, seed := range []uint64{129, 437} {
+		for _, lost := range []float64{0, 0.2} {
+			var spent, prepaid int64
+			synctest.Test(t, func(t *testing.T) { spent, prepaid = simulateSpending(t, seed, lost, true, false) })
+			must.LessEq(t, prepaid, spent, must.Sprint("seed ", seed, " lost ", lost))
+		}
+	}
+}
+
 // storeCopies takes copies of a store, from which it can be restored.
 type storeCopies struct {
 	memory  *memstore.Store
--- a/pkg/allowance/draw.go
+++ b/pkg/allowance/draw.go
@@ -104,6 +104,9 @@
 				"organisation": name, "revision": platform.FormatRevision(current.revision), "drawn": current.record.Drawn, "drawn_known": a.known.total(), "free": a.free,
 			}).Warn("allowance_record_older")
 		}
+		if w, ok := a.pendingDraws[current.record.LastWrites[acc.VM]]; ok && w.era != platform.Era(current.revision) {
+			acc.logGivenUp(name, w.amount, w.era, current.revision)
+		}
 		if (fresh || current.revision > 0) && a.applyRead(now, current.record.Eras, current.record.LastWrites[acc.VM], current.revision) {
 			acc.Peers.Inform(acc.Allocators(name), name, a.known)
 		}
@@ -117,7 +120,7 @@
 		current.record = current.record.with(a.known)
 		t.records[name] = current
 		if mayDraw {
-			p.amount = a.drawAmount(now)
+			p.amount = a.drawAmount(now, acc.isPrimary(name))
 		}
 		mustRead := !fresh && (a.mustReconcile || a.mustSettle)
 		switch {
@@ -130,7 +133,7 @@
 			p.next = current.record.after(write{
 				vm: acc.VM, id: p.writeID, era: p.era, amount: p.amount, at: now, demand: int64(a.demandRate(now)), held: max(0, p.amount-a.shortage()),
 			})
-			a.pendingDraws[p.writeID] = pendingDraw{amount: p.amount, baseRevision: current.revision}
+			a.pendingDraws[p.writeID] = pendingDraw{amount: p.amount, baseRevision: current.revision, era: p.era}
 		case mustRead, len(a.waiters) > 0 && !fresh:
 			p.step = stepGet
 		default:
@@ -161,10 +164,11 @@
 	}).Warn("allowance_estimated")
 }
 
-// observeEra begins the time after a restore of the store if the revision is the first one of a new era.
+// observeEra begins the time after a restore of the store if the revision is the first one of a new era. A router whose first news of
+// the store is the answer to a draw can't tell how long ago the last restore was, so it waits as well.
 func (acc *Accounts) observeEra(t *accountTable, now time.Time, revision uint64) {
 	era := platform.Era(revision)
-	if era > t.era && t.eraKnown {
+	if era > t.era {
 		for _, a := range t.accounts {
 			a.restored(now)
 		}
@@ -176,6 +180,9 @@
 // again what they have drawn since.
 func (acc *Accounts) StoreReached(revision uint64) {
 	acc.owner.Post(func(t *accountTable) {
+		if !t.eraKnown {
+			t.era = platform.Era(revision) // The router has just started.
+		}
 		acc.observeEra(t, time.Now(), revision)
 		t.eraKnown = true
 		for name, a := range t.accounts {
@@ -190,7 +197,11 @@
 // meanwhile. A later state of that era may replace it, so the tokens must not be used.
 func (acc *Accounts) giveUpDraw(name string, p drawPlan, revision uint64) {
 	acc.owner.Do(func(t *accountTable) { delete(t.account(name).pendingDraws, p.writeID) })
-	acc.Log.WithFields(log.Fields{"organisation": name, "tokens": p.amount, "era": p.era, "revision": platform.FormatRevision(revision)}).Warn("allowance_draw_given_up")
+	acc.logGivenUp(name, p.amount, p.era, revision)
+}
+
+func (acc *Accounts) logGivenUp(name string, tokens int64, era, revision uint64) {
+	acc.Log.WithFields(log.Fields{"organisation": name, "tokens": tokens, "era": era, "revision": platform.FormatRevision(revision)}).Warn("allowance_draw_given_up")
 }
 
 func (acc *Accounts) putRecord(name string, r record, revision uint64) (platform.Object, error) {
--- a/pkg/allowance/firstera_test.go
+++ b/pkg/allowance/firstera_test.go
@@ -34,3 +34,12 @@
 		must.EqOp(t, Exhausted, f.accounts["vm1"].Reserve(ctx, organisation, prepaid, most))
 	})
 }
+
+// Guards against spending tokens of a draw that fell into a restore and whose answer was lost: the router found its mark in the record
+// of the new era, but a later state of the era to which the draw counted replaced it.
+func TestMarkInALaterEraIsNoDraw(t *testing.T) {
+	a := &account{prepaid: 20_000, pendingDraws: map[string]pendingDraw{"vm2#1/9": {amount: 330, baseRevision: platform.NewRevision(0, 9)}}}
+	a.applyRead(time.Unix(0, 0), Draws{0: {Writes: 1, Drawn: 330}}, "vm2#1/9", platform.NewRevision(1, 1))
+	must.EqOp(t, 0, a.free)
+	must.MapEmpty(t, a.pendingDraws)
+}
