--- a/pkg/entry/monitoredstore.go
+++ b/pkg/entry/monitoredstore.go
@@ -9,11 +9,12 @@
 	"github.com/lavendershunt/lavendershunt/pkg/poison"
 )
 
-// monitoredStore tells the monitor the result of each call to the store. The calls of feeds are given up if the monitor finds that
+// monitoredStore counts each call to the store and tells the monitor its result. The calls of feeds are given up if the monitor finds that
 // they were lost.
 type monitoredStore struct {
 	Store
 	monitor *contact.Monitor
+	calls   *storeCalls
 }
 
 // monitorStore makes all calls of the router to the store go through the monitor.
@@ -27,12 +28,14 @@
 			return err
 		},
 	})
-	r.adapter.Store = monitoredStore{Store: r.adapter.Store, monitor: r.contact}
+	r.storeCalls = newStoreCalls()
+	r.adapter.Store = monitoredStore{Store: r.adapter.Store, monitor: r.contact, calls: r.storeCalls}
 	r.breaker = &circuitBreaker{Store: r.adapter.Store, contact: r.contact}
 }
 
 // Get implements Store.
 func (s monitoredStore) Get(ctx context.Context, key string) (object platform.Object, err error) {
+	s.calls.count("get", key)
 	err = s.monitor.Call(ctx, false, func(ctx context.Context) (err error) {
 		object, err = s.Store.Get(ctx, key)
 		return err
@@ -42,6 +45,7 @@
 
 // Put implements Store. The result of a call that is given up is uncertain.
 func (s monitoredStore) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (object platform.Object, err error) {
+	s.calls.count("put", key)
 	err = s.monitor.Call(ctx, false, func(ctx context.Context) (err error) {
 		object, err = s.Store.Put(ctx, key, value, ifRevision)
 		return err
@@ -51,11 +55,13 @@
 
 // Delete implements Store. The result of a call that is given up is uncertain.
 func (s monitoredStore) Delete(ctx context.Context, key string, ifRevision uint64) error {
+	s.calls.count("delete", key)
 	return s.monitor.Call(ctx, false, func(ctx context.Context) error { return s.Store.Delete(ctx, key, ifRevision) })
 }
 
 // List implements Store.
 func (s monitoredStore) List(ctx context.Context, prefix string) (objects []platform.Object, revision uint64, err error) {
+	s.calls.count("list", prefix)
 	err = s.monitor.Call(ctx, true, func(ctx context.Context) (err error) {
 		objects, revision, err = s.Store.List(ctx, prefix)
 		return err
@@ -65,6 +71,7 @@
 
 // ListStale implements Store.
 func (s monitoredStore) ListStale(ctx context.Context, prefix string) (objects []platform.Object, err error) {
+	s.calls.count("list_stale", prefix)
 	err = s.monitor.Call(ctx, false, func(ctx context.Context) (err error) {
 		objects, err = s.Store.ListStale(ctx, prefix)
 		return err
@@ -74,6 +81,7 @@
 
 // Poll implements Store.
 func (s monitoredStore) Poll(ctx context.Context, prefix string, after uint64, wait time.Duration) (changes []platform.Object, revision uint64, err error) {
+	s.calls.count("watch", prefix)
 	err = s.monitor.Call(ctx, true, func(ctx context.Context) (err error) {
 		changes, revision, err = s.Store.Poll(ctx, prefix, after, wait)
 		return err
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -87,21 +87,22 @@
 
 // Router is the router process of one entry VM.
 type Router struct {
-	settings  Settings
-	adapter   Adapter
-	breaker   *circuitBreaker
-	contact   *contact.Monitor
-	catchUps  *catchUps
-	log       log.Interface
-	config    *configuration
-	endpoints *endpointSet
-	placement *forward.Placement
-	server    *forward.Server
-	accounts  *allowance.Accounts
-	roster    *roster.Roster
-	crashes   *poison.Registry
-	origins   *origin.Registry
-	client    *upstream.Client
+	settings   Settings
+	adapter    Adapter
+	breaker    *circuitBreaker
+	contact    *contact.Monitor
+	storeCalls *storeCalls
+	catchUps   *catchUps
+	log        log.Interface
+	config     *configuration
+	endpoints  *endpointSet
+	placement  *forward.Placement
+	server     *forward.Server
+	accounts   *allowance.Accounts
+	roster     *roster.Roster
+	crashes    *poison.Registry
+	origins    *origin.Registry
+	client     *upstream.Client
 	// linkMeter is nil if the bandwidth of the VM's link isn't known.
 	linkMeter *linkMeter
 	// liveEndpoints holds the liveAddresses of the endpoints that were published last.
@@ -162,6 +163,7 @@
 	})
 	instruments := telemetry.NewInstruments(r.metrics.Meter)
 	r.accounts.RegisterMetrics(instruments)
+	r.storeCalls.registerMetrics(instruments)
 	if err := instruments.Err(); err != nil {
 		return nil, err
 	}
@@ -262,6 +264,7 @@
 	defer tasks.Wait()
 	defer stop()
 	tasks.Go(func() { r.contact.Run(backgroundCtx) })
+	tasks.Go(func() { r.storeCalls.run(backgroundCtx, r.log) })
 	tasks.Go(func() { r.placement.Run(backgroundCtx) })
 	tasks.Go(func() { r.accounts.Run(backgroundCtx) })
 	tasks.Go(func() { r.contact.NotifyReturns(backgroundCtx, r.accounts.StoreReturned) })
--- a/pkg/entry/storereturn_test.go
+++ b/pkg/entry/storereturn_test.go
@@ -111,7 +111,7 @@
 		memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
 		silenced := &silencedStore{Store: memory.Client("router")}
 		monitor := contact.NewMonitor(contact.Options{Log: discardLog(), MayProbe: func() bool { return true }})
-		store := monitoredStore{Store: silenced, monitor: monitor}
+		store := monitoredStore{Store: silenced, monitor: monitor, calls: newStoreCalls()}
 		monitor.Probe = func(ctx context.Context) error { _, err := store.ListStale(ctx, "crashrecords/"); return err }
 		breaker := &circuitBreaker{Store: store, contact: monitor}
 		go monitor.Run(ctx)
