roster: the leaders of a fleet are six in all, not three in each zone

Each leader watches the configuration, the endpoints and the crash records, though all followers of a zone follow its first leader. Nine leaders of 87 routers make about 36 watches a second (computed: 3 kinds, one in 0.5 to 1 s). Now availability zones share six leaders, at least one each and at most three: the followers, their order and the ages that they accept are unchanged, so freshness is. Not yet measured.

--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -41,7 +41,7 @@
 const (
 	// maxSmallFleet is the number of routers up to which each one watches the store itself.
 	maxSmallFleet = 16
-	// leadersPerZone is the number of routers in an availability zone that read the store for the others in it.
+	// leadersPerZone is the largest number of routers in an availability zone that read the store for the others in it.
 	leadersPerZone = 3
 	// directReadsPerSecond is the rate at which the routers of a large fleet read the store themselves when they can follow
 	// no other router.
--- a/pkg/roster/leaders.go
+++ b/pkg/roster/leaders.go
@@ -8,8 +8,12 @@
 	"github.com/lavendershunt/lavendershunt/pkg/rendezvous"
 )
 
-// Leaders returns the peer addresses of the routers to follow, in order: at most perZone of this availability zone, then
-// one of each other zone. The leaders of a zone are its largest routers, ranked by rendezvous hashing. Leaders returns
+// minFleetLeaders is the number of leaders in the fleet that its availability zones share. Each leader reads the store all the time, though
+// only the first one of a zone is followed while it lives; of six, one is left after a loss of three routers in five in all but 0.05 of cases.
+const minFleetLeaders = 6
+
+// Leaders returns the peer addresses of the routers to follow, in order: at most perZone of this availability zone, fewer in a fleet of
+// more than minFleetLeaders/perZone zones, then one of each other zone. The leaders of a zone are its largest routers, ranked by rendezvous hashing. Leaders returns
 // none if this router is a leader of its zone, or if the fleet has at most smallFleet routers.
 func (r *Roster) Leaders(smallFleet, perZone int) []string {
 	r.mu.Lock()
@@ -22,6 +26,7 @@
 	for _, m := range records {
 		byZone[m.Zone] = append(byZone[m.Zone], m)
 	}
+	perZone = min(perZone, (minFleetLeaders+len(byZone)-1)/max(1, len(byZone)))
 	leaders := zoneLeaders(r.self.Zone, byZone[r.self.Zone], perZone)
 	if slices.ContainsFunc(leaders, func(m Record) bool { return m.name == r.name }) {
 		return nil
