--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -92,14 +92,15 @@
 
 // Router is the router process of one entry VM.
 type Router struct {
-	settings  Settings
-	adapter   Adapter
-	breaker   *circuitBreaker
-	contact   *contact.Monitor
-	catchUps  *catchUps
-	log       log.Interface
-	config    *configuration
-	endpoints *endpointSet
+	settings   Settings
+	adapter    Adapter
+	breaker    *circuitBreaker
+	contact    *contact.Monitor
+	storeCalls *storeCalls
+	catchUps   *catchUps
+	log        log.Interface
+	config     *configuration
+	endpoints  *endpointSet
 	// evacuations is nil if there are no orders to empty a zone.
 	evacuations *evacuations
 	placement   *forward.Placement
@@ -181,6 +182,7 @@
 		r.evacuations = newEvacuations(a.EvacuationKind, logger, r.placement.SetEvacuated)
 		r.evacuations.registerMetrics(instruments)
 	}
+	r.storeCalls.registerMetrics(instruments)
 	if err := instruments.Err(); err != nil {
 		return nil, err
 	}
@@ -284,6 +286,7 @@
 	defer tasks.Wait()
 	defer stop()
 	tasks.Go(func() { r.contact.Run(backgroundCtx) })
+	tasks.Go(func() { r.storeCalls.run(backgroundCtx, r.log) })
 	tasks.Go(func() { r.placement.Run(backgroundCtx) })
 	tasks.Go(func() { r.accounts.Run(backgroundCtx) })
 	tasks.Go(func() { r.contact.NotifyReturns(backgroundCtx, r.accounts.StoreReturned) })
--- a/pkg/load/cli/cli.go
+++ b/pkg/load/cli/cli.go
@@ -38,6 +38,8 @@
   lsload scores [-journal DIR] SITE...      show which days of the newest scores got worse
   lsload callers [-interval S] [-by organisation|router|route] [-only NAME] [-most N] LOG
                                             show what callers got, by the routers' logs
+  lsload budgets [-interval S] [-organisation NAME] [-sum] LOG
+                                            show where the tokens of each budget are, by the routers' logs
   lsload router-bench [-h]                  measure one router with instant engines
 `
 
@@ -60,6 +62,8 @@
 		return compareScores(args[1:], stdout, stderr)
 	case "callers":
 		return showCallers(args[1:], stdout, stderr)
+	case "budgets":
+		return showBudgets(args[1:], stdout, stderr)
 	case "router-bench":
 		return runRouterBench(ctx, args[1:], stdout, stderr)
 	case "check":
