Cold engines: their rate is shared by few routers, each by its own view

Cause: what engines say of their coldness was decoded and thrown away, so a zone of engines that comes back cold gets whatever the routers send it.

Change: coldness is decoded from entries and answers (the strictest of several values), and the bounds from the configuration and the settings. At most K routers, ranked by their names with dead ones included, send to a cold endpoint; each has a credit. A router uses its part only with a current view and once all others know its record (pkg/roster/share.go). Whatever is sent passes the gate directly before (Table.AdmitCold): requests, repeats, questions for the start time, sends on behalf of others.

TestDecodeEndpoint: the decoded VM now has the entry's sequence, so the expected value has it too.

Tests: model test of the shares (it fails with a settle time of 7 s, without the bound on the view's age, and without the store's era). The decoding tests fail before, as the fields don't exist.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -76,6 +76,10 @@
 	Slots int
 	// MaxConnections is the number of connections that an endpoint accepts from all routers together; 0 if unknown.
 	MaxConnections int
+	// ColdStart is how long an endpoint is cold after its start, and ColdPerSecond the requests a second that it bears from all routers
+	// together while it is cold; 0 if it is never cold.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Limits bound what callers may send.
--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -178,6 +178,7 @@
 		e.log.WithFields(log.Fields{"key": o.Key, "revision": platform.FormatRevision(o.Revision)}).WithError(err).Warn("endpoint_entry_skipped")
 		return
 	}
+	vm.ColdUntil = coldUntil(now, vm, e.registered[o.Key])
 	vm.State = e.effectiveState(now, o, vm, restored)
 	if old, ok := e.registered[o.Key]; !ok || old.State != vm.State || old.Address != vm.Address || old.Started != vm.Started {
 		e.log.WithFields(log.Fields{
--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -101,6 +101,9 @@
 }
 
 func (r *Router) pollEngine(ctx context.Context, vm platform.VM) {
+	if r.placement.IsCold(vm.Name) {
+		return // All that a cold engine gets counts.
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, _, err := r.fetchReport(ctx, vm, r.client.Send)
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -148,6 +148,7 @@
 	r.placement = forward.NewPlacement(s.Zone, routeOptions)
 	r.placement.LimitShare = r.limitShare
 	r.placement.BrittleShare = r.brittleShare
+	r.placement.SetColdPermit(r.coldPermit, logger)
 	r.config = newConfiguration(a.ConfigKey, a.DecodeConfig, r.breaker, s.ConfigApply, logger)
 	r.config.age = func() (time.Duration, bool) { return r.configFeed.Age() }
 	r.endpoints = newEndpointSet(a.DecodeEndpoint, logger, r.updateEndpoints)
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -56,4 +56,7 @@
 	// AddressTTL is the longest time for which callers may use an address answer.
 	AddressTTL time.Duration
 	Retry      retry.Limits
+	// ColdOvershoot and ColdTolerance bound the requests that a cold endpoint gets in any second from all routers together: what it
+	// bears a second times ColdOvershoot plus ColdTolerance.
+	ColdOvershoot, ColdTolerance float64
 }
--- a/pkg/forward/confirm.go
+++ b/pkg/forward/confirm.go
@@ -53,6 +53,9 @@
 	if c.StartOf == nil || c.service.TokensPerEvent == 0 {
 		return upstream.EndWithoutRuns, nil
 	}
+	if err := c.awaitCold(ctx); err != nil {
+		return upstream.EndNone, err
+	}
 	stated, err := c.StartOf(ctx, c.decision.Address)
 	if err != nil {
 		return upstream.EndNone, err
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -22,8 +22,8 @@
 	// maxUnsentAttempts is the number of endpoints to which sending may fail before any byte of the request is sent.
 	// These attempts don't count towards the route's MaxAttempts.
 	maxUnsentAttempts = 3
-	// maxRefusedAttempts is the number of endpoints that may say that they are processes which can't continue the stream. Nothing of the
-	// request is sent to them either.
+	// maxRefusedAttempts is the number of endpoints that may say that they are processes which can't continue the stream, or that may turn
+	// out to be cold. Nothing of the request is sent to them either.
 	maxRefusedAttempts = 8
 	// minAttemptTime is the lower bound of an attempt's timeout.
 	minAttemptTime = 20 * time.Millisecond
@@ -98,7 +98,7 @@
 		}
 		if result == attemptNotSent {
 			e.refusedProcess = e.refusedProcess || errors.Is(e.attemptErr, upstream.ErrRefused)
-			if errors.Is(e.attemptErr, errOtherVersion) && e.process.run.Known {
+			if errors.Is(e.attemptErr, errOtherVersion) && e.process.run.Known || errors.Is(e.attemptErr, errCold) {
 				refusedAttempts++
 			} else {
 				unsentAttempts++
@@ -168,7 +168,7 @@
 }
 
 func (e *exchange) placementRequest(excluded []string) route.Request {
-	r := route.Request{ID: e.request.ID, Pool: route.Service(e.service.Name), Exclude: excluded, WithSoftware: e.begun, Software: e.software}
+	r := route.Request{ID: e.request.ID, Objective: e.route.Objective, Pool: route.Service(e.service.Name), Exclude: excluded, WithSoftware: e.begun, Software: e.software}
 	if p := e.request.Prompt; p != nil {
 		r.PromptTokens, r.OutputTokens = int(p.Tokens), int(p.MaxOutput)
 		r.Blocks, r.BlockEnds = p.sharedPrefixes()
@@ -263,6 +263,7 @@
 		}
 		call.Accept = func(run upstream.Run) error { return e.acceptProcess(&decision, run) }
 	}
+	e.gateCold(&call, inFlight)
 	response, err := e.Client.Send(ctx, call)
 	e.attemptErr = err
 	if errors.Is(err, upstream.ErrNotSent) {
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -21,6 +21,7 @@
 	irregular     metric.Int64Counter
 	ends          metric.Int64Counter
 	processes     metric.Int64Counter
+	cold          metric.Int64Counter
 }
 
 // latencyBucketsSeconds are the histograms' bucket boundaries. They cover the latency objectives and timeouts of
@@ -55,6 +56,9 @@
 	if m.processes, err = meter.Int64Counter("forward_stream_processes", metric.WithDescription("Attempts of streams by what proves the software version of the process that got them.")); err != nil {
 		return nil, err
 	}
+	if m.cold, err = meter.Int64Counter("forward_cold", metric.WithDescription("Requests and questions to cold endpoints that were sent, or not sent although the endpoint was chosen, by result.")); err != nil {
+		return nil, err
+	}
 	if m.duration, err = meter.Float64Histogram("forward_duration", metric.WithUnit("s"), latencyBucketsSeconds, metric.WithDescription("Time to the end of the answer.")); err != nil {
 		return nil, err
 	}
@@ -124,3 +128,14 @@
 		m.processes.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("proof", string(proof)))))
 	}
 }
+
+func (m *Metrics) recordCold(sent bool) {
+	if m == nil || m.cold == nil {
+		return
+	}
+	result := "sent"
+	if !sent {
+		result = "refused"
+	}
+	m.cold.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("result", result))))
+}
--- a/pkg/forward/notice.go
+++ b/pkg/forward/notice.go
@@ -18,6 +18,8 @@
 	// Brittle is set. It fails if it has to reject more.
 	MaxRejections float64
 	Brittle       bool
+	// ColdRemaining is how long the endpoint stays cold, 0 if it isn't or says nothing of this.
+	ColdRemaining time.Duration
 	// Leaving is set if the endpoint leaves: it takes no new requests soon.
 	Leaving bool
 	// Pause is how long the endpoint wants no requests of this router after one that it has rejected, 0 if it asks for no pause.
@@ -63,6 +65,8 @@
 		p.recordBrittle(t, now, a, brittleShare, routers, logger)
 		p.recordLeaving(t, now, a, logger)
 		p.recordPause(t, now, a, logger)
+		t.NameCold(now, a.VM, a.Notice.ColdRemaining)
+		p.logCold(t)
 	})
 }
 
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/lavendershunt/lavendershunt/pkg/logging"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
@@ -23,6 +25,9 @@
 	owner *task.Owner[table]
 	// invalidNotices limits the log lines for notices of endpoints that can't be read.
 	invalidNotices *logging.Limiter
+	// coldLog gets the lines on cold endpoints, coldLines limits them.
+	coldLog   log.Interface
+	coldLines *logging.Limiter
 }
 
 type table struct {
@@ -34,7 +39,7 @@
 
 // NewPlacement returns a Placement for a router in the availability zone. Its methods block until Run is called.
 func NewPlacement(zone string, options route.Options) *Placement {
-	return &Placement{invalidNotices: logging.NewLimiter(invalidNoticeLinesPerSecond), owner: task.New(&table{
+	return &Placement{invalidNotices: logging.NewLimiter(invalidNoticeLinesPerSecond), coldLines: logging.NewLimiter(coldLinesPerSecond), owner: task.New(&table{
 		Table: route.New(route.Location{Zone: zone}, options),
 		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})}
@@ -45,12 +50,18 @@
 
 // Update replaces the set of endpoints.
 func (p *Placement) Update(vms []platform.VM) {
-	p.owner.Do(func(t *table) { t.Update(time.Now(), vms, nil) })
+	p.owner.Do(func(t *table) {
+		t.Update(time.Now(), vms, nil)
+		p.logCold(t)
+	})
 }
 
 // Report records an engine's load report as received now.
 func (p *Placement) Report(vm string, r route.LoadReport) {
-	p.owner.Post(func(t *table) { t.Report(time.Now(), vm, r) })
+	p.owner.Post(func(t *table) {
+		t.Report(time.Now(), vm, r)
+		p.logCold(t)
+	})
 }
 
 // chooseEndpoint chooses an endpoint and counts the request as in flight there. The InFlightRequest is nil if no
@@ -63,6 +74,7 @@
 		if decision = t.Choose(now, t.rng, r); decision.OK() {
 			inFlight = t.Begin(now, decision)
 		}
+		p.logCold(t)
 	})
 	return decision, inFlight
 }
--- a/pkg/platform/owned.go
+++ b/pkg/platform/owned.go
@@ -41,3 +41,10 @@
 	o.revision = object.Revision
 	return nil
 }
+
+// Revision returns the revision of the last write that was acknowledged, 0 before the first one.
+func (o *OwnedObject) Revision() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.revision
+}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -113,6 +113,12 @@
 	// Started is the start time as a Unix time in ms, 0 if the platform doesn't report it. It distinguishes
 	// successive starts of a VM under the same name.
 	Started int64 `json:"started,omitempty"`
+	// ColdRemaining is how long the endpoint still was cold when its entry was written: it bears fewer requests than usual. Sequence
+	// is the number of that writing, which an older copy of the entry has lower.
+	ColdRemaining time.Duration `json:"cold_remaining,omitempty"`
+	Sequence      int64         `json:"sequence,omitempty"`
+	// ColdUntil is the end of that time by this router's monotonic clock, zero if the endpoint isn't cold.
+	ColdUntil time.Time `json:"-"`
 	// Deadline is the planned shutdown time of a leaving VM, if it is known.
 	Deadline *time.Time `json:"deadline,omitempty"`
 }
--- a/pkg/rendezvous/rendezvous.go
+++ b/pkg/rendezvous/rendezvous.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +31,14 @@
 	return order
 }
 
+// Score returns the score of an id with the given weight, which is above 0. The ids with the highest scores for a key own it; an id owns a
+// part of the keys that is proportional to its weight.
+func Score(key, id string, of float64) float64 {
+	const steps = 1 << 53 // A float64 represents each integer up to it.
+	uniform := (float64(weight(key, id)>>11) + 0.5) / steps
+	return of / -math.Log(uniform)
+}
+
 func weight(key, id string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -103,6 +103,9 @@
 	// preferenceLists caches the results of PreferenceList until the next list or change of state, because the view does
 	// not change in between.
 	preferenceLists map[preferenceKey][]string
+	// shareRanks caches the ranks of this router for Share in the same way, and tenure is what it knows about its own record.
+	shareRanks map[string]int
+	tenure     tenure
 }
 
 type preferenceKey struct {
@@ -114,7 +117,7 @@
 func New(store Store, name string, self Record, logger log.Interface) *Roster {
 	self.name = name
 	record := &platform.OwnedObject{Store: store, Key: Kind + "/" + name}
-	return &Roster{store: store, record: record, name: name, self: self, log: logger, renewalRequested: make(chan struct{}, 1), view: view{members: map[string]member{}}, preferenceLists: map[preferenceKey][]string{}}
+	return &Roster{store: store, record: record, name: name, self: self, log: logger, renewalRequested: make(chan struct{}, 1), view: view{members: map[string]member{}}, preferenceLists: map[preferenceKey][]string{}, shareRanks: map[string]int{}}
 }
 
 // SetState changes this router's state and renews its record at once.
@@ -226,7 +229,14 @@
 	if err != nil {
 		return fmt.Errorf("roster: encode record: %w", err)
 	}
-	return r.record.Write(ctx, value)
+	startedAt := time.Now()
+	if err := r.record.Write(ctx, value); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tenure.acknowledged(time.Now(), startedAt, platform.Era(r.record.Revision()), r.view.retention(r.self))
+	return nil
 }
 
 // ReplaceAll implements feed.Consumer.
@@ -268,6 +278,7 @@
 		time.AfterFunc(rand.N(maxRestoredDelay), r.requestRenewal)
 	}
 	clear(r.preferenceLists)
+	clear(r.shareRanks)
 	var changed []string
 	for name, m := range r.view.members {
 		if old, ok := previous[name]; !ok || old.record.State != m.record.State || old.record.NoLinks != m.record.NoLinks || old.record.Instance != m.record.Instance {
--- a/pkg/roster/view.go
+++ b/pkg/roster/view.go
@@ -110,6 +110,10 @@
 
 // isExpired reports whether the member's record is to be deleted.
 func (v *view) isExpired(m member) bool {
-	retention := max(recordRetention, retainedRenewals*v.renewalInterval(m.record))
-	return v.firstListAt.Add(v.elapsed).Sub(m.changedAt) >= retention
+	return v.firstListAt.Add(v.elapsed).Sub(m.changedAt) >= v.retention(m.record)
+}
+
+// retention returns the time without a renewal after which a router's record is deleted.
+func (v *view) retention(r Record) time.Duration {
+	return max(recordRetention, retainedRenewals*v.renewalInterval(r))
 }
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -40,6 +40,9 @@
 			return d
 		}
 		d.Reason, d.RetryAfter = t.refusalReason(now, p)
+		if d.Reason == ReasonCold {
+			d.RetryAfter += time.Duration(rng.Float64() * float64(coldSpread))
+		}
 		return d
 	}
 	d.Considered = make([]Candidate, len(candidates))
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -25,6 +25,8 @@
 	PromptTokens int
 	// OutputTokens is the expected length of the answer in tokens.
 	OutputTokens int
+	// Objective is the latency objective, 0 if there is none.
+	Objective time.Duration
 	// Blocks and BlockEnds are the prompt's indexed blocks as returned by Blocks.
 	Blocks    []uint64
 	BlockEnds []int
@@ -58,6 +60,8 @@
 	ReasonAtLimit Reason = "endpoints_at_limit"
 	// ReasonBrittle means that the endpoints that could take the request are brittle, and this router knows of no room there.
 	ReasonBrittle Reason = "endpoints_brittle"
+	// ReasonCold means that the endpoints that could take the request are cold, and this router has sent them its part.
+	ReasonCold Reason = "endpoints_cold"
 	// ReasonPaused means that the endpoints that could take the request have asked for a time without any.
 	ReasonPaused Reason = "endpoints_paused"
 	// ReasonExcluded means that the request excludes all open endpoints, is a suspect and all others run one too, or needs software
@@ -122,7 +126,7 @@
 	}
 	reason := outcome.ReasonNoEndpoint
 	switch d.Reason {
-	case ReasonFull, ReasonAtLimit, ReasonBrittle, ReasonPaused:
+	case ReasonFull, ReasonAtLimit, ReasonBrittle, ReasonPaused, ReasonCold:
 		reason = outcome.ReasonOverload
 	}
 	return outcome.NotRunf(reason, d.RetryAfter, "no endpoint of %s can take the request: %s", d.Pool, d.Reason)
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -30,6 +30,7 @@
 	speed          speed
 	limit          requestLimit
 	brittle        brittleness
+	cold           coldness
 	// brittleRecheckAt is the time of the last recheck that scheduleBrittleRecheck scheduled.
 	brittleRecheckAt time.Time
 
@@ -60,7 +61,7 @@
 	if e.removed {
 		return
 	}
-	closed := e.isLeaving() || e.isUnhealthy(now) || e.announced.isPaused(now)
+	closed := t.isColdClosed(now, e) || e.isLeaving() || e.isUnhealthy(now) || e.announced.isPaused(now)
 	if !closed && t.isQueueFull(now, e) {
 		closed = true
 		t.scheduleStaleRecheck(e)
--- a/pkg/route/health.go
+++ b/pkg/route/health.go
@@ -118,6 +118,7 @@
 
 // runRechecks refreshes the endpoints whose recheck is due.
 func (t *Table) runRechecks(now time.Time) {
+	t.refreshCold(now)
 	for len(t.rechecks) > 0 && !t.rechecks[0].at.After(now) {
 		t.refresh(now, heap.Pop(&t.rechecks).(recheck).endpoint)
 	}
--- a/pkg/route/inflight.go
+++ b/pkg/route/inflight.go
@@ -17,6 +17,8 @@
 	suspect      bool
 	prefillDone  bool
 	done         bool
+	// coldReserved is what was counted for the request at a cold endpoint and has not been sent.
+	coldReserved float64
 }
 
 // VM returns the name of the endpoint's VM.
@@ -59,6 +61,7 @@
 	}
 	e.inFlight++
 	e.countAgainstLimit(now)
+	f.reserveCold(now)
 	e.prefillTokens += f.uncachedTokens()
 	e.report.addChange(now, 1, t.options.StaleAfter)
 	if f.suspect {
--- a/pkg/route/pause.go
+++ b/pkg/route/pause.go
@@ -22,6 +22,8 @@
 	leaving bool
 	// pausedUntil is the end of the time for which it asked for no requests of this router.
 	pausedUntil time.Time
+	// coldUntil is the latest time until which it said that it is cold.
+	coldUntil time.Time
 }
 
 func (a *announcement) isLeaving() bool { return a != nil && a.leaving }
@@ -100,6 +102,9 @@
 		}
 		consider(min(wait, retryAfter), ReasonAtLimit)
 	}
+	if wait, cold := t.coldWait(now, e); cold {
+		consider(wait, ReasonCold)
+	}
 	if t.isBrittleClosed(now, e) {
 		consider(max(brittleRecheckInterval, e.brittle.pausedUntil.Sub(now)), ReasonBrittle)
 	}
--- a/pkg/route/report.go
+++ b/pkg/route/report.go
@@ -45,6 +45,7 @@
 	if e == nil {
 		return
 	}
+	t.nameStart(now, e, r.Started)
 	measuredAt := now.Add(-r.Age)
 	e.report.polledAt = now
 	if e.report.valid && measuredAt.Before(e.report.measuredAt) {
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -14,7 +14,7 @@
 	prefillTokens := float64(e.prefillTokens) + min(queued, others)*t.meanPrefillTokens.value
 	c.Load = prefillTokens/o.PrefillTokensPerMS + total*o.RequestMS + queued*o.QueuedMS
 	c.Load += max(0, e.report.KVUse-kvPreemptShare) / (1 - kvPreemptShare) * o.KVFullMS * e.report.weight(now, o.StaleAfter)
-	c.Load += t.slowStartMS(now, e)
+	c.Load += t.slowStartMS(now, e) + t.coldMS(now, e, r)
 	c.RequestTime = float64(r.PromptTokens-cached) / o.PrefillTokensPerMS * (o.PromptWeight + max(0, o.CongestionWeight)*total)
 	if slowdown := t.slowdown(now, e, p); slowdown > 1 {
 		c.Load *= slowdown
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -24,6 +24,12 @@
 	rechecks  recheckHeap
 	// announcements holds what endpoints said of their runs, also of those that are not listed at present.
 	announcements map[runID]*announcement
+	// coldEndpoints are the endpoints that are cold, coldPermit says what this router may send them, and coldChanges are the changes that
+	// TakeColdChanges returns.
+	coldEndpoints   []*endpoint
+	coldRefreshedAt time.Time
+	coldPermit      func(platform.VM) ColdPermit
+	coldChanges     []ColdChange
 	// meanPrefillTokens is the average number of uncached prompt tokens of a request.
 	meanPrefillTokens average
 	// scratch is the slice of candidates that Choose reuses.
@@ -168,6 +174,7 @@
 
 func (t *Table) removeEndpoint(e *endpoint) {
 	e.endLimit()
+	t.endCold(e)
 	e.removeFromOpenLists()
 	for _, m := range e.memberships {
 		m.pool.remove(e)
