--- a/pkg/entry/endpoints_test.go
+++ b/pkg/entry/endpoints_test.go
@@ -262,3 +262,25 @@
 		must.Eq(t, map[string]platform.VMState{"a": live, "b": leaving, "d": live, "new": live}, p.get())
 	})
 }
+
+// Guards against an endpoint that counts as warm by an older copy of its entry, and against one that stays cold after its entry says that it
+// isn't, or after a restart.
+func TestColdnessByEntries(t *testing.T) {
+	now := time.Now()
+	cold := platform.VM{Started: 1, Sequence: 5, ColdRemaining: 3 * time.Second}
+	cold.ColdUntil = coldUntil(now, cold, platform.VM{})
+	must.EqOp(t, now.Add(3*time.Second), cold.ColdUntil)
+	for name, c := range map[string]struct {
+		vm   platform.VM
+		want time.Time
+	}{
+		"later, 0":               {platform.VM{Started: 1, Sequence: 6}, time.Time{}},
+		"earlier, 0":             {platform.VM{Started: 1, Sequence: 4}, cold.ColdUntil},
+		"later, less":            {platform.VM{Started: 1, Sequence: 6, ColdRemaining: time.Second}, cold.ColdUntil},
+		"later, more":            {platform.VM{Started: 1, Sequence: 6, ColdRemaining: 5 * time.Second}, now.Add(6 * time.Second)},
+		"another run, 0":         {platform.VM{Started: 2, Sequence: 1}, time.Time{}},
+		"another run, also cold": {platform.VM{Started: 2, Sequence: 1, ColdRemaining: time.Second}, now.Add(2 * time.Second)},
+	} {
+		must.EqOp(t, c.want, coldUntil(now.Add(time.Second), c.vm, cold), must.Sprint(name))
+	}
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -105,7 +105,9 @@
 	preferenceLists map[preferenceKey][]string
 	// shareRanks caches the ranks of this router for Share in the same way, and tenure is what it knows about its own record.
 	shareRanks map[string]int
-	tenure     tenure
+	// primaries caches the result of PrimaryCount in the same way, 0 if there is none.
+	primaries int
+	tenure    tenure
 }
 
 type preferenceKey struct {
@@ -125,7 +127,7 @@
 	r.mu.Lock()
 	changed := r.self.State != s
 	r.self.State = s
-	clear(r.preferenceLists)
+	r.clearCaches()
 	r.mu.Unlock()
 	if changed {
 		r.log.WithField("state", string(s)).Info("router_state")
@@ -182,7 +184,7 @@
 func (r *Roster) deleteExpired(ctx context.Context, now time.Time) error {
 	r.mu.Lock()
 	r.view.advance(now)
-	clear(r.preferenceLists)
+	r.clearCaches()
 	expired := map[string]uint64{}
 	for name, m := range r.view.members {
 		if r.view.isExpired(m) {
@@ -201,6 +203,13 @@
 	return nil
 }
 
+// clearCaches forgets what was derived from the view. r.mu must be held.
+func (r *Roster) clearCaches() {
+	clear(r.preferenceLists)
+	clear(r.shareRanks)
+	r.primaries = 0
+}
+
 func (r *Roster) renewalInterval() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -277,8 +286,7 @@
 		// The copy has an earlier record of this router, or none.
 		time.AfterFunc(rand.N(maxRestoredDelay), r.requestRenewal)
 	}
-	clear(r.preferenceLists)
-	clear(r.shareRanks)
+	r.clearCaches()
 	var changed []string
 	for name, m := range r.view.members {
 		if old, ok := previous[name]; !ok || old.record.State != m.record.State || old.record.NoLinks != m.record.NoLinks || old.record.Instance != m.record.Instance {
@@ -324,7 +332,10 @@
 func (r *Roster) PrimaryCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(selectPrimaries(r.aliveRecords(func(m Record) bool { return m.State != Leaving })))
+	if r.primaries == 0 {
+		r.primaries = len(selectPrimaries(r.aliveRecords(func(m Record) bool { return m.State != Leaving })))
+	}
+	return r.primaries
 }
 
 // PrimaryPeers returns the peer addresses of the other primary routers that are alive and not leaving, by name.
--- a/pkg/roster/share_test.go
+++ b/pkg/roster/share_test.go
@@ -72,7 +72,7 @@
 func (f *modelFleet) stepRouter(r *modelRouter) {
 	if r.pending != nil && !f.now.Before(r.arrivesAt) {
 		r.view.applyList(f.now, r.self, r.pending)
-		clear(r.shareRanks)
+		r.clearCaches()
 		r.pending, r.contact = nil, f.now
 		for name, m := range r.view.members {
 			if r.view.isExpired(m) && f.records[name].revision == m.revision {
@@ -203,3 +203,13 @@
 	}
 	must.Greater(t, 4*keys*95/100, first, must.Sprint("of the first four"))
 }
+
+// BenchmarkShare measures the time of a decision about a share, which is made for each cold engine many times a second.
+func BenchmarkShare(b *testing.B) {
+	r := newTestRoster(84)
+	r.tenure = tenure{since: time.Now().Add(-time.Hour), renewedAt: time.Now()}
+	for b.Loop() {
+		r.Share("cold/e1", 3, time.Second, true)
+		r.PrimaryCount()
+	}
+}
--- a/pkg/route/cold.go
+++ b/pkg/route/cold.go
@@ -74,7 +74,9 @@
 	warmUp     = 4 * time.Second
 	warmUpStep = time.Second
 	// coldRefreshInterval is the time between two checks of all cold endpoints. What is sent is checked in any case.
-	coldRefreshInterval = 10 * time.Millisecond
+	coldRefreshInterval = 20 * time.Millisecond
+	// coldDelayMS is the delay in ms that is added to the score of a cold endpoint: it is slower, how much isn't known.
+	coldDelayMS = 50
 	// coldSpread spreads the return of callers that a cold endpoint could have served.
 	coldSpread = 500 * time.Millisecond
 	// usualObjective is the objective of requests to which a cold endpoint is as slow as its score says. minColdWeight and maxColdWeight
@@ -322,7 +324,7 @@
 		if r.Objective > 0 {
 			weight = min(maxColdWeight, max(minColdWeight, float64(usualObjective)/float64(r.Objective)))
 		}
-		return t.options.SlowStartMS * weight
+		return coldDelayMS * weight
 	case c.isWarmingUp(now):
 		if c.update(now); c.credit < 1 {
 			return t.options.SlowStartMS
