--- a/pkg/route/cold.go
+++ b/pkg/route/cold.go
@@ -243,7 +243,7 @@
 }
 
 // AdmitCold reports whether the request, or a question before it, may be sent to its endpoint at this moment. cold is set if the endpoint is
-// cold. isLast is set for the request itself. It must be called directly before anything is sent: the endpoint may have become cold, or
+// cold; one that is no longer listed gets nothing. isLast is set for the request itself. It must be called directly before anything is sent: the endpoint may have become cold, or
 // the connection may have taken long, since it was chosen.
 func (t *Table) AdmitCold(now time.Time, f *InFlightRequest, isLast bool) (cold, ok bool) {
 	e := f.endpoint
@@ -251,7 +251,7 @@
 		// The present process at the address may be another one than the one chosen.
 		current := t.endpoints[e.vm.Name]
 		if current == nil {
-			return false, true
+			return false, false
 		}
 		e, f.coldReserved = current, 0
 	}
--- a/pkg/route/cold_test.go
+++ b/pkg/route/cold_test.go
@@ -170,6 +170,18 @@
 	}
 }
 
+// Guards against a request to an endpoint that was removed from the list after the choice: another process, which may be cold, may have its
+// address.
+func TestRemovedEndpointGetsNothing(t *testing.T) {
+	now := start
+	table := coldTable(1, 0, 0, always(ColdPermit{ColdLimits: ColdLimits{PerSecond: 7, Most: 16, Burst: 2}, PerRouter: 2}), &now)
+	d := table.Choose(now, rand.New(rand.NewPCG(1, 2)), Request{Pool: Service("s")})
+	f := table.Begin(now, d)
+	table.Update(now, nil, nil)
+	_, ok := table.AdmitCold(now, f, true)
+	must.False(t, ok)
+}
+
 func updateCold(t *Table, now time.Time, started int64, remaining time.Duration) {
 	t.Update(now, []platform.VM{{
 		Name: "e0", Zone: "a", Role: platform.RoleService, Service: "s", State: platform.VMLive, MaxInFlight: 64, Started: started, ColdUntil: now.Add(remaining),
