An entry that comes once more doesn't prolong an endpoint's coldness

Cause: a feed that follows another router gets all entries again, and each time the coldness of an unchanged entry began anew.

TestColdnessByEntries has the case; it failed before.

--- a/pkg/entry/cold.go
+++ b/pkg/entry/cold.go
@@ -31,14 +31,17 @@
 	return p
 }
 
-// coldUntil returns the end of the coldness of an endpoint by an entry that has arrived now, and the entry before. An older copy of an entry
-// doesn't end it, and neither does one that was written earlier.
+// coldUntil returns the end of the coldness of an endpoint by an entry that has arrived now, and the entry before. An entry that was written
+// earlier, such as one from an older copy of the store, doesn't end it, and one that comes once more, in a list, doesn't prolong it.
 func coldUntil(now time.Time, vm, before platform.VM) time.Time {
+	isSameRun := before.Started == vm.Started && before.Address == vm.Address
+	if isSameRun && vm.Sequence == before.Sequence && vm.ColdRemaining == before.ColdRemaining {
+		return before.ColdUntil
+	}
 	until := time.Time{}
 	if vm.ColdRemaining > 0 {
 		until = now.Add(vm.ColdRemaining)
 	}
-	isSameRun := before.Started == vm.Started && before.Address == vm.Address
 	if isSameRun && before.ColdUntil.After(until) && (vm.ColdRemaining > 0 || vm.Sequence < before.Sequence) {
 		return before.ColdUntil
 	}
--- a/pkg/entry/endpoints_test.go
+++ b/pkg/entry/endpoints_test.go
@@ -276,6 +276,7 @@
 	}{
 		"later, 0":               {platform.VM{Started: 1, Sequence: 6}, time.Time{}},
 		"earlier, 0":             {platform.VM{Started: 1, Sequence: 4}, cold.ColdUntil},
+		"the same again":         {platform.VM{Started: 1, Sequence: 5, ColdRemaining: 3 * time.Second}, cold.ColdUntil},
 		"later, less":            {platform.VM{Started: 1, Sequence: 6, ColdRemaining: time.Second}, cold.ColdUntil},
 		"later, more":            {platform.VM{Started: 1, Sequence: 6, ColdRemaining: 5 * time.Second}, now.Add(6 * time.Second)},
 		"another run, 0":         {platform.VM{Started: 2, Sequence: 1}, time.Time{}},
