Cold engines: the credit begins full unless the router has just sent there; half the delay while they warm up

Credits began empty, which takes 0.8 of the 3 s that a zone of engines is cold: that answered a restarted router, which doesn't use a share for 10 s anyhow. And 200 ms for engines that warm up sent their requests to the busy ones.

--- a/pkg/route/cold.go
+++ b/pkg/route/cold.go
@@ -73,6 +73,10 @@
 	// endpoint bears while it is cold.
 	warmUp     = 4 * time.Second
 	warmUpStep = time.Second
+	// warmUpDelayMS is the delay in ms that is added to the score of an endpoint which has got its part of that rate.
+	warmUpDelayMS = 100
+	// sentMemory is how long a router remembers that it has sent something to an endpoint: a second, with the delay of the send.
+	sentMemory = 2 * time.Second
 	// coldRefreshInterval is the time between two checks of all cold endpoints. What is sent is checked in any case.
 	coldRefreshInterval = 20 * time.Millisecond
 	// coldDelayMS is the delay in ms that is added to the score of a cold endpoint: it is slower, how much isn't known.
@@ -96,8 +100,7 @@
 	until    time.Time
 	source   ColdSource
 	permit   ColdPermit
-	// credit is the number of requests that this router may send at updatedAt. It begins with none, because an earlier process of the VM may
-	// have just used the share.
+	// credit is the number of requests that this router may send at updatedAt.
 	credit    float64
 	updatedAt time.Time
 }
@@ -138,6 +141,9 @@
 			return
 		}
 		*c = coldness{unlistedUntil: c.unlistedUntil, isActive: true, until: until, source: source, permit: permit, updatedAt: now}
+		if !t.hasJustSent(now, e) {
+			c.credit = permit.Burst // An earlier process of this VM has not sent anything either: a permit takes longer after a start.
+		}
 		t.coldEndpoints = append(t.coldEndpoints, e)
 		t.coldChanges = append(t.coldChanges, ColdChange{VM: e.vm.Name, Remaining: until.Sub(now), Source: source, ColdPermit: permit})
 	case isCold:
@@ -151,6 +157,21 @@
 	}
 }
 
+// hasJustSent reports whether this router may have sent something to the endpoint, or to an earlier run of it, within a second.
+func (t *Table) hasJustSent(now time.Time, e *endpoint) bool {
+	t.forgetSent(now)
+	_, recently := t.lastSentAt[e.vm.Name]
+	return recently || !e.lastBegin.IsZero() && now.Sub(e.lastBegin) <= sentMemory
+}
+
+func (t *Table) forgetSent(now time.Time) {
+	for vm, at := range t.lastSentAt {
+		if now.Sub(at) > sentMemory {
+			delete(t.lastSentAt, vm)
+		}
+	}
+}
+
 func (t *Table) endCold(e *endpoint) {
 	if !e.cold.isActive {
 		return
@@ -277,6 +298,7 @@
 	default:
 		return true, false
 	}
+	t.lastSentAt[e.vm.Name] = now
 	if isLast {
 		c.credit, f.coldReserved = min(c.permit.Burst, c.credit+f.coldReserved), 0
 	}
@@ -327,7 +349,7 @@
 		return coldDelayMS * weight
 	case c.isWarmingUp(now):
 		if c.update(now); c.credit < 1 {
-			return t.options.SlowStartMS
+			return warmUpDelayMS
 		}
 	}
 	return 0
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -31,6 +31,8 @@
 	limit          requestLimit
 	brittle        brittleness
 	cold           coldness
+	// lastBegin is the time of the last Begin.
+	lastBegin time.Time
 	// brittleRecheckAt is the time of the last recheck that scheduleBrittleRecheck scheduled.
 	brittleRecheckAt time.Time
 
--- a/pkg/route/inflight.go
+++ b/pkg/route/inflight.go
@@ -62,6 +62,7 @@
 	e.inFlight++
 	e.countAgainstLimit(now)
 	f.reserveCold(now)
+	e.lastBegin = now
 	e.prefillTokens += f.uncachedTokens()
 	e.report.addChange(now, 1, t.options.StaleAfter)
 	if f.suspect {
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -30,6 +30,8 @@
 	coldRefreshedAt time.Time
 	coldPermit      func(platform.VM) ColdPermit
 	coldChanges     []ColdChange
+	// lastSentAt holds when this router last sent something to an endpoint that was cold, or that was removed, by its name.
+	lastSentAt map[string]time.Time
 	// meanPrefillTokens is the average number of uncached prompt tokens of a request.
 	meanPrefillTokens average
 	// scratch is the slice of candidates that Choose reuses.
@@ -41,7 +43,7 @@
 	options = options.withDefaults()
 	return &Table{
 		location: location, options: options, prefix: newPrefixIndex(options),
-		announcements: map[runID]*announcement{}, endpoints: map[string]*endpoint{}, pools: map[Pool]*pool{},
+		announcements: map[runID]*announcement{}, lastSentAt: map[string]time.Time{}, endpoints: map[string]*endpoint{}, pools: map[Pool]*pool{},
 	}
 }
 
@@ -72,6 +74,7 @@
 			t.removeEndpoint(e)
 		}
 	}
+	t.forgetSent(now)
 }
 
 // SetLeaving sets or clears an operator's leaving mark. It takes effect from the next choice on.
@@ -175,6 +178,9 @@
 func (t *Table) removeEndpoint(e *endpoint) {
 	e.endLimit()
 	t.endCold(e)
+	if t.coldPermit != nil && e.lastBegin.After(t.lastSentAt[e.vm.Name]) {
+		t.lastSentAt[e.vm.Name] = e.lastBegin
+	}
 	e.removeFromOpenLists()
 	for _, m := range e.memberships {
 		m.pool.remove(e)
