--- a/pkg/route/main_test.go
+++ b/pkg/route/main_test.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"errors"
 	"flag"
 	"os"
 	"testing"
@@ -18,5 +17,3 @@
 	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
-
-func asRefused(err error, refused **RefusedError) bool { return errors.As(err, refused) }
