--- a/pkg/route/cold_test.go
+++ b/pkg/route/cold_test.go
@@ -93,7 +93,9 @@
 					tables[i].Update(now, nil, nil)
 					tables[i].Update(now, []platform.VM{vm}, nil)
 				case 2:
-					blindUntil[i] = now.Add(time.Duration(rng.IntN(3000)) * time.Millisecond)
+					if until := now.Add(time.Duration(rng.IntN(3000)) * time.Millisecond); until.After(blindUntil[i]) {
+						blindUntil[i] = until // It doesn't shorten the time after a start.
+					}
 				}
 				if table = tables[i]; now.After(blindUntil[i]) {
 					permitted += step
