--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -103,6 +103,11 @@
 	// preferenceLists caches the results of PreferenceList until the next list or change of state, because the view does
 	// not change in between.
 	preferenceLists map[preferenceKey][]string
+	// shareRanks caches the ranks of this router for Share in the same way, and tenure is what it knows about its own record.
+	shareRanks map[string]int
+	// primaries caches the result of PrimaryCount in the same way, 0 if there is none.
+	primaries int
+	tenure    tenure
 }
 
 type preferenceKey struct {
@@ -114,7 +119,7 @@
 func New(store Store, name string, self Record, logger log.Interface) *Roster {
 	self.name = name
 	record := &platform.OwnedObject{Store: store, Key: Kind + "/" + name}
-	return &Roster{store: store, record: record, name: name, self: self, log: logger, renewalRequested: make(chan struct{}, 1), view: view{members: map[string]member{}}, preferenceLists: map[preferenceKey][]string{}}
+	return &Roster{store: store, record: record, name: name, self: self, log: logger, renewalRequested: make(chan struct{}, 1), view: view{members: map[string]member{}}, preferenceLists: map[preferenceKey][]string{}, shareRanks: map[string]int{}}
 }
 
 // SetState changes this router's state and renews its record at once.
@@ -122,7 +127,7 @@
 	r.mu.Lock()
 	changed := r.self.State != s
 	r.self.State = s
-	clear(r.preferenceLists)
+	r.clearCaches()
 	r.mu.Unlock()
 	if changed {
 		r.log.WithField("state", string(s)).Info("router_state")
@@ -179,7 +184,7 @@
 func (r *Roster) deleteExpired(ctx context.Context, now time.Time) error {
 	r.mu.Lock()
 	r.view.advance(now)
-	clear(r.preferenceLists)
+	r.clearCaches()
 	expired := map[string]uint64{}
 	for name, m := range r.view.members {
 		if r.view.isExpired(m) {
@@ -198,6 +203,13 @@
 	return nil
 }
 
+// clearCaches forgets what was derived from the view. r.mu must be held.
+func (r *Roster) clearCaches() {
+	clear(r.preferenceLists)
+	clear(r.shareRanks)
+	r.primaries = 0
+}
+
 func (r *Roster) renewalInterval() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -226,7 +238,14 @@
 	if err != nil {
 		return fmt.Errorf("roster: encode record: %w", err)
 	}
-	return r.record.Write(ctx, value)
+	startedAt := time.Now()
+	if err := r.record.Write(ctx, value); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tenure.acknowledged(time.Now(), startedAt, platform.Era(r.record.Revision()), r.view.retention(r.self))
+	return nil
 }
 
 // ReplaceAll implements feed.Consumer.
@@ -267,7 +286,7 @@
 		// The copy has an earlier record of this router, or none.
 		time.AfterFunc(rand.N(maxRestoredDelay), r.requestRenewal)
 	}
-	clear(r.preferenceLists)
+	r.clearCaches()
 	var changed []string
 	for name, m := range r.view.members {
 		if old, ok := previous[name]; !ok || old.record.State != m.record.State || old.record.NoLinks != m.record.NoLinks || old.record.Instance != m.record.Instance {
@@ -313,7 +332,10 @@
 func (r *Roster) PrimaryCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(selectPrimaries(r.aliveRecords(func(m Record) bool { return m.State != Leaving })))
+	if r.primaries == 0 {
+		r.primaries = len(selectPrimaries(r.aliveRecords(func(m Record) bool { return m.State != Leaving })))
+	}
+	return r.primaries
 }
 
 // Peer is another router.
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -32,6 +32,9 @@
 	speed          speed
 	limit          requestLimit
 	brittle        brittleness
+	cold           coldness
+	// lastBegin is the time of the last Begin.
+	lastBegin time.Time
 	// brittleRecheckAt is the time of the last recheck that scheduleBrittleRecheck scheduled.
 	brittleRecheckAt time.Time
 
@@ -63,7 +66,7 @@
 		return
 	}
 	e.evacuated = t.isEvacuated(e.vm.Zone)
-	closed := e.isWithdrawn() || e.isUnhealthy(now) || e.announced.isPaused(now)
+	closed := t.isColdClosed(now, e) || e.isWithdrawn() || e.isUnhealthy(now) || e.announced.isPaused(now)
 	if !closed && t.isQueueFull(now, e) {
 		closed = true
 		t.scheduleStaleRecheck(e)
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -27,6 +27,14 @@
 	ordersKnown bool
 	// announcements holds what endpoints said of their runs, also of those that are not listed at present.
 	announcements map[runID]*announcement
+	// coldEndpoints are the endpoints that are cold, coldPermit says what this router may send them, and coldChanges are the changes that
+	// TakeColdChanges returns.
+	coldEndpoints   []*endpoint
+	coldRefreshedAt time.Time
+	coldPermit      func(platform.VM) ColdPermit
+	coldChanges     []ColdChange
+	// lastSentAt holds when this router last sent something to an endpoint that was cold, or that was removed, by its name.
+	lastSentAt map[string]time.Time
 	// meanPrefillTokens is the average number of uncached prompt tokens of a request.
 	meanPrefillTokens average
 	// scratch is the slice of candidates that Choose reuses.
@@ -38,7 +46,7 @@
 	options = options.withDefaults()
 	return &Table{
 		location: location, options: options, prefix: newPrefixIndex(options),
-		announcements: map[runID]*announcement{}, endpoints: map[string]*endpoint{}, pools: map[Pool]*pool{},
+		announcements: map[runID]*announcement{}, lastSentAt: map[string]time.Time{}, endpoints: map[string]*endpoint{}, pools: map[Pool]*pool{},
 	}
 }
 
@@ -69,6 +77,7 @@
 			t.removeEndpoint(e)
 		}
 	}
+	t.forgetSent(now)
 }
 
 // SetLeaving sets or clears an operator's leaving mark. It takes effect from the next choice on.
@@ -181,6 +190,10 @@
 
 func (t *Table) removeEndpoint(e *endpoint) {
 	e.endLimit()
+	t.endCold(e)
+	if t.coldPermit != nil && e.lastBegin.After(t.lastSentAt[e.vm.Name]) {
+		t.lastSentAt[e.vm.Name] = e.lastBegin
+	}
 	e.removeFromOpenLists()
 	for _, m := range e.memberships {
 		m.pool.remove(e)
