--- a/pkg/entry/storecalls.go
+++ b/pkg/entry/storecalls.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"maps"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -23,24 +23,30 @@
 
 // storeCalls counts this router's calls to the store, those without an answer included, as the platform prices them all.
 type storeCalls struct {
-	mu     sync.Mutex
-	counts map[storeCall]int64
+	// counts holds an *atomic.Int64 for each storeCall, so that calls don't wait for each other.
+	counts sync.Map
 }
 
-func newStoreCalls() *storeCalls { return &storeCalls{counts: map[storeCall]int64{}} }
+func newStoreCalls() *storeCalls { return &storeCalls{} }
 
 // count records a call about the object with the key, or about all objects with it as prefix.
 func (c *storeCalls) count(call, key string) {
 	kind, _, _ := strings.Cut(key, "/")
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.counts[storeCall{call, kind}]++
+	counted := storeCall{call, kind}
+	n, ok := c.counts.Load(counted)
+	if !ok {
+		n, _ = c.counts.LoadOrStore(counted, &atomic.Int64{})
+	}
+	n.(*atomic.Int64).Add(1)
 }
 
 func (c *storeCalls) snapshot() map[storeCall]int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return maps.Clone(c.counts)
+	counts := map[storeCall]int64{}
+	c.counts.Range(func(call, n any) bool {
+		counts[call.(storeCall)] = n.(*atomic.Int64).Load()
+		return true
+	})
+	return counts
 }
 
 // registerMetrics registers the counts by call and kind of object.
