--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -20,6 +20,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/contact"
 	"github.com/lavendershunt/lavendershunt/pkg/feed"
 	"github.com/lavendershunt/lavendershunt/pkg/forward"
+	"github.com/lavendershunt/lavendershunt/pkg/memory"
 	"github.com/lavendershunt/lavendershunt/pkg/origin"
 	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
@@ -45,6 +46,8 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is larger than the limit that the configuration states to callers.
 	maxHeaderBytes = 64 << 10
+	// maxQuestionHeaderBytes is the size limit of the head of an address lookup or a readiness check.
+	maxQuestionHeaderBytes = 8 << 10
 	// activePollInterval is the time between two checks whether requests are still in progress.
 	activePollInterval = 20 * time.Millisecond
 	// memoryLimitShare is the garbage collector's soft memory limit as a share of the process's memory limit.
@@ -76,6 +79,8 @@
 	DecodeEndpoint endpointDecoder
 	// EndpointKind is the kind of the endpoints' objects, ConfigKind that of the configuration's.
 	EndpointKind, ConfigKind string
+	// EvacuationKind is the kind of the orders that nothing is sent to an availability zone. The names of the objects are the zones'.
+	EvacuationKind string
 	// ReportPath is the path of the engines' load reports, and DecodeReport decodes a report.
 	ReportPath   string
 	DecodeReport func([]byte) (route.LoadReport, error)
@@ -96,13 +101,15 @@
 	log        log.Interface
 	config     *configuration
 	endpoints  *endpointSet
-	placement  *forward.Placement
-	server     *forward.Server
-	accounts   *allowance.Accounts
-	roster     *roster.Roster
-	crashes    *poison.Registry
-	origins    *origin.Registry
-	client     *upstream.Client
+	// evacuations is nil if there are no orders to empty a zone.
+	evacuations *evacuations
+	placement   *forward.Placement
+	server      *forward.Server
+	accounts    *allowance.Accounts
+	roster      *roster.Roster
+	crashes     *poison.Registry
+	origins     *origin.Registry
+	client      *upstream.Client
 	// linkMeter is nil if the bandwidth of the VM's link isn't known.
 	linkMeter *linkMeter
 	// liveEndpoints holds the liveAddresses of the endpoints that were published last.
@@ -111,11 +118,15 @@
 	services    atomic.Pointer[map[string]string]
 	links       *reach.Monitor
 	callerConns *callerConns
-	remote      *remote.Client
-	metrics     *telemetry.Metrics
-	draining    atomic.Bool
+	// questionConns are the connections for address lookups and readiness checks.
+	questionConns *callerConns
+	remote        *remote.Client
+	metrics       *telemetry.Metrics
+	draining      atomic.Bool
 
 	configFeed, endpointFeed, rosterFeed, crashFeed *feed.Feed
+	// evacuationFeed is nil without evacuations.
+	evacuationFeed *feed.Feed
 }
 
 // New creates a router. It also sets the memory limit and garbage collection target of the Go runtime.
@@ -146,12 +157,15 @@
 	if a.DialEndpoint != nil {
 		r.client.DialContext = a.DialEndpoint
 	}
-	r.placement = forward.NewPlacement(s.Zone, routeOptions)
+	placing := routeOptions
+	placing.AwaitEvacuations = s.Evacuate > 0
+	r.placement = forward.NewPlacement(s.Zone, placing)
 	r.placement.LimitShare = r.limitShare
 	r.placement.BrittleShare = r.brittleShare
+	r.placement.SetColdPermit(r.coldPermit, logger)
 	r.config = newConfiguration(a.ConfigKey, a.DecodeConfig, r.breaker, s.ConfigApply, logger)
 	r.config.age = func() (time.Duration, bool) { return r.configFeed.Age() }
-	r.endpoints = newEndpointSet(a.DecodeEndpoint, logger, r.updateEndpoints)
+	r.endpoints = newEndpointSet(s.inRegions(a.DecodeEndpoint), logger, r.updateEndpoints)
 	r.endpoints.lastSilence = r.contact.LastSilence
 	r.roster = roster.New(r.breaker, s.VM, roster.Record{Instance: instance, Zone: s.Zone, Address: s.CallerAddress, Peer: s.PeerAddress, State: roster.Starting, Capacity: s.capacity()}, logger)
 	peers := newPeerClient()
@@ -163,6 +177,12 @@
 	})
 	instruments := telemetry.NewInstruments(r.metrics.Meter)
 	r.accounts.RegisterMetrics(instruments)
+	account, refusals := memory.NewAccount(memory.LimitsFor(s.MemoryBytes)), &memory.Refusals{}
+	memory.RegisterMetrics(instruments, account, refusals)
+	if s.Evacuate > 0 {
+		r.evacuations = newEvacuations(a.EvacuationKind, logger, r.placement.SetEvacuated)
+		r.evacuations.registerMetrics(instruments)
+	}
 	r.storeCalls.registerMetrics(instruments)
 	if err := instruments.Err(); err != nil {
 		return nil, err
@@ -178,7 +198,10 @@
 		Peers:         &origin.RemotePeers{Addresses: r.roster.Peers, Client: peers, Log: logger},
 		IsViewCurrent: func(ctx context.Context) bool { return r.endpointFeed.Confirm(ctx) },
 	})
-	r.callerConns = newCallerConns(r.limits, maxCallerConns(s.Descriptors), logger)
+	r.callerConns = newCallerConns(r.limits, maxCallerConns(s.Descriptors, s.MemoryBytes), logger)
+	r.callerConns.account, r.callerConns.refusals, r.callerConns.socketBuffer = account, refusals, socketBuffer(s.MemoryBytes)
+	r.questionConns = newCallerConns(r.limits, maxQuestionConns(s.Descriptors, s.MemoryBytes), logger)
+	r.questionConns.account, r.questionConns.refusals, r.questionConns.socketBuffer = account, refusals, minSocketBuffer
 	r.newFeeds(peers)
 	r.newLinks(peers)
 	r.server = forward.NewServer(forward.Options{
@@ -188,7 +211,7 @@
 		Remote: r.remote, OnBroken: r.links.Suspect,
 		StartOf: r.startOf, Identify: r.identify,
 		Routers: r.roster.Count, Log: logger, Metrics: metrics,
-		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)),
+		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)), Memory: account, Refusals: refusals,
 	})
 	return r, nil
 }
@@ -278,6 +301,7 @@
 	tasks.Go(func() { r.remote.Run(backgroundCtx) })
 
 	tasks.Go(func() { r.callerConns.run(backgroundCtx) })
+	tasks.Go(func() { r.questionConns.run(backgroundCtx) })
 
 	callers := r.newHTTPServer(r.server)
 	r.callerConns.attach(callers)
@@ -287,12 +311,14 @@
 	listeners := []struct {
 		address string
 		server  *http.Server
+		// conns limits the connections, nil for none.
+		conns *callerConns
 	}{
-		{r.settings.CallerAddress, callers},
-		{r.settings.ReadyAddress, r.newHTTPServer(http.HandlerFunc(r.serveReady))},
-		{r.settings.LookupAddress, r.newHTTPServer(http.HandlerFunc(r.serveLookup))},
-		{r.settings.PeerAddress, peers},
-		{r.settings.MetricsAddress, r.newHTTPServer(r.metrics.Handler)},
+		{r.settings.CallerAddress, callers, r.callerConns},
+		{r.settings.ReadyAddress, r.newQuestionServer(r.serveReady), r.questionConns},
+		{r.settings.LookupAddress, r.newQuestionServer(r.serveLookup), r.questionConns},
+		{r.settings.PeerAddress, peers, nil},
+		{r.settings.MetricsAddress, r.newHTTPServer(r.metrics.Handler), nil},
 	}
 	for _, l := range listeners {
 		if l.address == "" {
@@ -308,8 +334,8 @@
 			tasks.Go(func() { metered.run(backgroundCtx) })
 			listener = metered
 		}
-		if l.server == callers {
-			listener = r.callerConns.listen(listener)
+		if l.conns != nil {
+			listener = l.conns.listen(listener)
 		}
 		tasks.Go(func() {
 			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -350,6 +376,8 @@
 		return errNoConfiguration
 	case !r.endpoints.isLoaded():
 		return errors.New("the endpoints have not been read yet")
+	case r.evacuations != nil && !r.evacuations.isLoaded():
+		return errors.New("the orders to empty availability zones have not been read yet")
 	case !r.crashes.IsLoaded():
 		return errors.New("the crash records have not been read yet")
 	case r.callerConns.isFull():
@@ -376,7 +404,8 @@
 		http.NotFound(w, request)
 		return
 	}
-	addresses := r.roster.Addresses(request.URL.Query().Get("zone"), maxAddresses)
+	query := request.URL.Query()
+	addresses := r.roster.AddressesIn(r.zonesFor(query.Get("name"), query.Get("region")), query.Get("zone"), maxAddresses)
 	if len(addresses) == 0 {
 		http.Error(w, "no router is known to be ready", http.StatusServiceUnavailable)
 		return
@@ -391,6 +420,19 @@
 	_, _ = w.Write(body) // On an error the caller repeats the lookup.
 }
 
+// zonesFor returns a function that reports whether a caller in the region may be sent to a zone for a host: if the requests of the host
+// have homes, only to these, or to its own region, because their bodies go there.
+func (r *Router) zonesFor(host, region string) func(zone string) bool {
+	var homes catalog.Homes
+	if c := r.config.Current(); c != nil {
+		homes = c.HostHomes(host)
+	}
+	return func(zone string) bool {
+		in := r.settings.Regions[zone]
+		return homes.Allow(in) || in != "" && in == region
+	}
+}
+
 // addressTTL is how long callers may use an address answer, unless the platform's limit is lower.
 const addressTTL = 3 * time.Second
 
@@ -400,6 +442,15 @@
 	}
 }
 
+// newQuestionServer returns a server for questions without a body. What anybody sends there beyond is read for a short time only, and
+// the connections idle for longest make room for others.
+func (r *Router) newQuestionServer(answer http.HandlerFunc) *http.Server {
+	s := r.newHTTPServer(answer)
+	r.questionConns.attach(s)
+	s.ReadTimeout, s.MaxHeaderBytes = readHeaderTimeout, maxQuestionHeaderBytes
+	return s
+}
+
 // drain removes the router from address answers, serves for drainServingTime, and then waits until the requests in
 // progress have ended, at most until exitMargin before the end of the grace time. Finally it returns unused tokens.
 func (r *Router) drain(callers *http.Server) {
--- a/pkg/forward/confirm.go
+++ b/pkg/forward/confirm.go
@@ -53,6 +53,9 @@
 	if c.StartOf == nil || c.service.TokensPerEvent == 0 {
 		return upstream.EndWithoutRuns, nil
 	}
+	if err := c.awaitCold(ctx); err != nil {
+		return upstream.EndNone, err
+	}
 	stated, err := c.StartOf(ctx, c.decision.Address)
 	if err != nil {
 		return upstream.EndNone, err
@@ -109,6 +112,8 @@
 		return "failed_start_not_stated"
 	case errors.Is(err, errStartNotKnown):
 		return "failed_start_not_known"
+	case errors.Is(err, upstream.ErrRequestNotWritten):
+		return "failed_request_not_written"
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		return "failed_cancelled"
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/pkg/forward/remote.go
+++ b/pkg/forward/remote.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lavendershunt/lavendershunt/pkg/catalog"
 	"github.com/lavendershunt/lavendershunt/pkg/outcome"
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
@@ -48,6 +49,8 @@
 	// Begun is set if the stream has begun at an endpoint whose software has the version Software.
 	Begun    bool
 	Software string
+	// Homes are the regions of the routers that may get the request.
+	Homes catalog.Homes
 	// Service is the service that is to continue a stream that has begun, empty from a router of an earlier build.
 	Service string
 }
@@ -73,6 +76,10 @@
 	Progress func() RemoteProgress
 }
 
+// messageCopies is how often the message to another router holds the body besides the request: encoded, and in the buffer of the
+// connection.
+const messageCopies = 2
+
 // needsRemote reports whether the next attempt is made by another router.
 func (e *exchange) needsRemote() bool {
 	return e.Remote != nil && !e.onBehalf && !e.remoteUnavailable && e.Remote.IsNeeded()
@@ -89,12 +96,17 @@
 	request := RemoteRequest{
 		Method: e.request.Method, Target: e.request.Target, Host: e.request.Host, Header: e.incoming, Body: e.request.Body,
 		TimeLeft: time.Until(e.deadline), ConfigVersion: e.config.Version, Attempts: e.attempts, LastEvent: e.request.LastEvent,
-		Begun: e.begun, Software: e.software, Service: e.service.Name,
+		Begun: e.begun, Software: e.software, Service: e.service.Name, Homes: e.homes(),
 	}
 	if stream.lastID != noEvent {
 		request.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
 	e.beginAttempt(stream)
+	copies := int64(messageCopies * len(request.Body))
+	if err := e.held.Grow(copies); err != nil {
+		return attemptNotSent, nil, outcome.NotRunf(outcome.ReasonNoMemory, shortRetryAfter, "no memory is left for the message to another router")
+	}
+	defer e.held.Shrink(copies)
 	sentAt := time.Now()
 	response, err := e.Remote.Send(ctx, request)
 	e.attemptErr = err
@@ -171,7 +183,13 @@
 			return nil, ErrOlderConfiguration
 		}
 	}
-	e := &exchange{Server: s, arrivedAt: time.Now(), onBehalf: true}
+	e := &exchange{Server: s, arrivedAt: time.Now(), onBehalf: true, peerBody: r.Body}
+	admitted := false
+	defer func() {
+		if !admitted {
+			e.release()
+		}
+	}()
 	if failure := e.admit(r.httpRequest(ctx)); failure != nil {
 		return nil, failure
 	}
@@ -183,9 +201,13 @@
 	if failure := e.checkContent(); failure != nil {
 		return nil, failure
 	}
+	admitted = true
 	return &RemoteExchange{e}, nil
 }
 
+// Close gives back what is held for the request. It must be called after Serve, or instead of it.
+func (x *RemoteExchange) Close() { x.e.release() }
+
 // keepService makes a stream that has begun go on at its service, which the route may not use any more by a later configuration.
 func (e *exchange) keepService(r RemoteRequest) *outcome.Failure {
 	if !r.Begun || r.Service == "" {
@@ -207,7 +229,6 @@
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	e.Retries.RecordRequest(e.service.Name, time.Now())
-	defer func() { e.buffers.release(e.bufferedBytes) }()
 	e.forward(ctx)
 	if e.failure == nil && e.incomplete {
 		e.failure = outcome.Unknownf(outcome.ReasonEndpointFailed, 0, "the answer broke off")
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -14,8 +14,10 @@
 	// markedLeaving is set by an operator's leaving mark.
 	markedLeaving bool
 	// announced is what the endpoint's answers said of this run, nil if they said nothing.
-	announced   *announcement
-	removed     bool
+	announced *announcement
+	removed   bool
+	// evacuated is set while the endpoint's zone gets nothing by an operator's order.
+	evacuated   bool
 	memberships []membership
 
 	// This router's requests in progress, the suspects among them, and their prompt tokens that are still to be computed.
@@ -30,6 +32,9 @@
 	speed          speed
 	limit          requestLimit
 	brittle        brittleness
+	cold           coldness
+	// lastBegin is the time of the last Begin.
+	lastBegin time.Time
 	// brittleRecheckAt is the time of the last recheck that scheduleBrittleRecheck scheduled.
 	brittleRecheckAt time.Time
 
@@ -60,7 +65,8 @@
 	if e.removed {
 		return
 	}
-	closed := e.isLeaving() || e.isUnhealthy(now) || e.announced.isPaused(now)
+	e.evacuated = t.isEvacuated(e.vm.Zone)
+	closed := t.isColdClosed(now, e) || e.isWithdrawn() || e.isUnhealthy(now) || e.announced.isPaused(now)
 	if !closed && t.isQueueFull(now, e) {
 		closed = true
 		t.scheduleStaleRecheck(e)
