Test: callers have their answers before the server has finished their requests

What was seen: TestNewCallersReplaceThoseIdleLongest failed in 1 of 150 repeats under -race (line 189, the router counts as full).

Cause: the test, not the product. net/http calls the hook of an idle connection after the response is written, so all four callers may have their answers while the server has finished none of the requests. A trace at the failure shows four connections active and not ended; after synctest.Wait, without time passing, four idle.

Change: the check comes after synctest.Wait, and the number of open connections is checked too. A new test holds the hook back and shows the order: full before, not full after, and a new caller replaces an idle one.

--- a/pkg/entry/callerconns_test.go
+++ b/pkg/entry/callerconns_test.go
@@ -39,6 +39,8 @@
 	limits   atomic.Pointer[catalog.Limits]
 	// work is a time.Duration.
 	work atomic.Int64
+	// idleHook is called before the hook of a connection that becomes idle.
+	idleHook func()
 }
 
 func newCallersOf(t *testing.T, most int, limits catalog.Limits) *callersOf {
@@ -50,6 +52,12 @@
 		time.Sleep(time.Duration(c.work.Load()))
 	})}
 	c.conns.attach(server)
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if state == http.StateIdle && c.idleHook != nil {
+			c.idleHook()
+		}
+		c.conns.Observe(conn, state)
+	}
 	go func() { _ = server.Serve(c.conns.listen(c.listener)) }() // It ends with the listener.
 	ctx, cancel := context.WithCancel(t.Context())
 	go c.conns.run(ctx)
@@ -186,7 +194,9 @@
 		for _, i := range []int{0, 2, 3} {
 			must.True(t, send(conns[i]), must.Sprint(i))
 		}
+		synctest.Wait() // A caller has its answer before the server has finished the request.
 		must.False(t, c.conns.isFull())
+		must.EqOp(t, most, c.countOpen())
 
 		c.work.Store(int64(time.Minute))
 		for _, conn := range []net.Conn{conns[0], conns[2], conns[3], added} {
@@ -202,6 +212,29 @@
 	})
 }
 
+// Guards against a connection that stays active after its answer. The server calls the hook after the caller has the answer, and a
+// connection whose request isn't finished can't be ended for another; the test holds the hook back to fix this order.
+func TestAnsweredCallersAreIdleOnceTheServerHasFinished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 2
+		c := newCallersOf(t, most, catalog.Limits{IdleTimeout: time.Hour, HeaderTimeout: time.Hour})
+		finish := make(chan struct{})
+		c.idleHook = func() { <-finish }
+		for range most {
+			must.True(t, send(c.dial(t)))
+		}
+		synctest.Wait()
+		must.True(t, c.conns.isFull(), must.Sprint("both requests are answered and not finished"))
+		close(finish)
+		synctest.Wait()
+		must.False(t, c.conns.isFull())
+		must.EqOp(t, most, c.countOpen())
+		must.True(t, send(c.dial(t)))
+		synctest.Wait()
+		must.EqOp(t, most, c.countOpen())
+	})
+}
+
 // Guards against a request that is lost because it came as its connection was ended.
 func TestRequestOnAnEndedConnectionIsServed(t *testing.T) {
 	near, far := net.Pipe()
