--- a/pkg/forward/body_test.go
+++ b/pkg/forward/body_test.go
@@ -1,10 +1,13 @@
 package forward
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -162,3 +165,33 @@
 	must.EqOp(t, outcome.ReasonNoMemory, failure.Reason)
 	must.EqOp(t, 0, account.Stats().Used)
 }
+
+// Guards against a refused request that keeps its part of the account while the rest of its body is read: a holding that is ended to
+// make room makes none then, and others are ended in its place.
+func TestRefusedBodyIsGivenBackBeforeTheRestIsRead(t *testing.T) {
+	const limit = 100 << 10
+	snapshot, err := catalog.New(catalog.Config{
+		Version: 1, Routes: []catalog.Route{{Name: "a", Host: "h", Prefix: "/a/", Timeout: time.Minute, Backends: []catalog.Backend{{Service: "s", Weight: 1}}, MaxAttempts: 1}},
+		Services: []catalog.Service{{Name: "s"}}, Limits: catalog.Limits{MaxBodyBytes: limit},
+	}, 1)
+	must.NoError(t, err)
+	account := memory.NewAccount(memory.Limits{Total: 1 << 20, Caller: 1 << 20})
+	s := NewServer(Options{
+		Configuration: fixedConfiguration{snapshot}, Dialect: readingDialect{}, Client: upstream.NewClient(), Memory: account,
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+	})
+	server := httptest.NewUnstartedServer(s)
+	server.Config.ConnContext = WithConn
+	server.Start()
+	defer server.Close()
+	conn, err := net.Dial("tcp4", server.Listener.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", 2*limit, make([]byte, limit+1))
+	must.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+	must.Positive(t, account.Stats().Peak)
+	must.EqOp(t, 0, account.Stats().Used, must.Sprint("the caller has the refusal, and the connection is still open"))
+}
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -264,6 +264,7 @@
 
 func (e *exchange) serve(r *http.Request) {
 	if failure := e.admit(r); failure != nil {
+		e.held.Close() // The body is dropped, and others may wait for the room.
 		e.recordRefusal(failure)
 		if e.bodyUnread {
 			e.refuseUnread(r, failure)
