--- a/pkg/entry/callerconns.go
+++ b/pkg/entry/callerconns.go
@@ -239,8 +239,8 @@
 	if n > 0 && h.idle.CompareAndSwap(true, false) {
 		h.conns.beginHead(h)
 	}
-	if n > 0 && h.inHead.Load() && h.headBytes.Add(int64(n)) > bufferedHeadBytes {
-		if full := h.held.Grow(int64(n)); full != nil {
+	if n > 0 && h.inHead.Load() {
+		if full := h.countHead(int64(n)); full != nil {
 			h.conns.recordRefusal(addressOf(h.Conn), full)
 			return 0, &net.OpError{Op: "read", Err: errHeadRefused} // After any other error the server answers with 400.
 		}
@@ -248,6 +248,22 @@
 	return n, err
 }
 
+// countHead counts n more bytes of a head. One that doesn't fit into its connection's buffer can be ended for others until it is whole:
+// the server gives no answer after a timeout, and has read no request.
+func (h *headConn) countHead(n int64) error {
+	total := h.headBytes.Add(n)
+	if total <= bufferedHeadBytes {
+		return nil
+	}
+	if err := h.held.Grow(n); err != nil {
+		return err
+	}
+	if total-n <= bufferedHeadBytes {
+		h.held.Arrive(func() { _ = h.Conn.SetReadDeadline(time.Unix(1, 0)) }) // On an error the connection is closed already.
+	}
+	return nil
+}
+
 // Write implements net.Conn. It writes in parts, each of which the caller has writeStall to take.
 func (h *headConn) Write(p []byte) (written int, err error) {
 	for {
@@ -274,6 +290,9 @@
 	switch state {
 	case http.StateActive:
 		h.inHead.Store(false)
+		if h.headBytes.Load() > bufferedHeadBytes {
+			h.held.Arrived() // If it was ended at its last byte, the server sets the deadline anew for the body or the next head.
+		}
 	case http.StateIdle:
 		if h.headBytes.Swap(0) > bufferedHeadBytes {
 			h.held.Close()
--- a/pkg/entry/callermemory_test.go
+++ b/pkg/entry/callermemory_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -86,3 +87,40 @@
 	}
 	must.EqOp(t, 1146, maxCallerConns(0, 64<<20))
 }
+
+// Guards against callers that send most of a large head and stop: they would hold the account until their heads are overdue, and others
+// would be refused meanwhile.
+func TestStalledHeadsAreEndedForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCallersOf(t, 0, catalog.Limits{HeaderTimeout: time.Minute})
+		c.conns.account = memory.NewAccount(memory.Limits{Total: 64 << 10})
+		part := fmt.Sprintf("GET / HTTP/1.1\r\nHost: a\r\nX: %s\r\n", strings.Repeat("x", 30<<10))
+		stalled, slow := c.dial(t), c.dial(t)
+		for _, conn := range []net.Conn{stalled, slow} {
+			_, err := io.WriteString(conn, part)
+			must.NoError(t, err)
+		}
+		must.Positive(t, c.conns.account.Stats().Used)
+		other := c.conns.account.Open(netip.Addr{}, "")
+		defer other.Close()
+		must.ErrorIs(t, other.Grow(16<<10), memory.ErrFull)
+		must.EqOp(t, 2, c.countOpen(), must.Sprint("both heads are new"))
+		time.Sleep(5 * time.Second)
+		_, err := io.WriteString(slow, "Y: y\r\n")
+		must.NoError(t, err)
+		must.ErrorIs(t, other.Grow(16<<10), memory.ErrFull)
+		synctest.Wait()
+		must.NoError(t, other.Grow(16<<10))
+		must.EqOp(t, 1, c.countOpen())
+		must.False(t, isOpen(stalled, time.Millisecond), must.Sprint("the slowest"))
+		_, err = io.WriteString(slow, "\r\n")
+		must.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(slow), nil)
+		must.NoError(t, err)
+		must.EqOp(t, http.StatusOK, response.StatusCode)
+		time.Sleep(5 * time.Second)
+		must.ErrorIs(t, other.Grow(64<<10), memory.ErrFull)
+		synctest.Wait()
+		must.True(t, send(slow), must.Sprint("a head that has arrived is not ended"))
+	})
+}
