--- a/pkg/entry/callerconns.go
+++ b/pkg/entry/callerconns.go
@@ -228,6 +228,8 @@
 	inHead    atomic.Bool
 	headBytes atomic.Int64
 	held      *memory.Holding
+	// writeLimit is the write deadline that the server or a handler has set, nil if none.
+	writeLimit atomic.Pointer[time.Time]
 }
 
 // errHeadRefused ends a connection for whose head there is no memory. The server has read no request from it.
@@ -264,11 +266,25 @@
 	return nil
 }
 
-// Write implements net.Conn. It writes in parts, each of which the caller has writeStall to take.
+// SetWriteDeadline implements net.Conn. It bounds all parts of a Write together.
+func (h *headConn) SetWriteDeadline(t time.Time) error {
+	if t.IsZero() {
+		h.writeLimit.Store(nil)
+	} else {
+		h.writeLimit.Store(&t)
+	}
+	return h.Conn.SetWriteDeadline(t)
+}
+
+// Write implements net.Conn. It writes in parts, each of which the caller has writeStall to take, at most until the write deadline.
 func (h *headConn) Write(p []byte) (written int, err error) {
 	for {
 		part := p[written:min(len(p), written+writeBytes)]
-		if err := h.Conn.SetWriteDeadline(time.Now().Add(writeStall)); err != nil {
+		deadline := time.Now().Add(writeStall)
+		if limit := h.writeLimit.Load(); limit != nil && limit.Before(deadline) {
+			deadline = *limit
+		}
+		if err := h.Conn.SetWriteDeadline(deadline); err != nil {
 			return written, err
 		}
 		n, err := h.Conn.Write(part)
--- a/pkg/entry/callermemory_test.go
+++ b/pkg/entry/callermemory_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -124,3 +125,36 @@
 		must.True(t, send(slow), must.Sprint("a head that has arrived is not ended"))
 	})
 }
+
+// Guards against a caller that reads just fast enough to keep a large answer in memory long after the time for it.
+func TestDeadlineOfAnAnswerEndsSlowCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCallersOf(t, 0, catalog.Limits{})
+		near, far := net.Pipe()
+		defer far.Close()
+		ended := make(chan struct{})
+		defer func() {
+			_ = near.Close()
+			<-ended
+		}()
+		go func() {
+			defer close(ended)
+			for buffer := make([]byte, writeBytes); ; time.Sleep(writeStall - time.Second) {
+				if _, err := io.ReadFull(near, buffer); err != nil {
+					return
+				}
+			}
+		}()
+		h := &headConn{Conn: far, conns: c.conns}
+		started := time.Now()
+		must.NoError(t, h.SetWriteDeadline(started.Add(30*time.Second)))
+		written, err := h.Write(make([]byte, 1<<20))
+		must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		must.EqOp(t, 30*time.Second, time.Since(started))
+		must.EqOp(t, 4*writeBytes, written)
+		must.NoError(t, h.SetWriteDeadline(time.Time{}), must.Sprint("as the server does after each request"))
+		written, err = h.Write(make([]byte, 4*writeBytes))
+		must.NoError(t, err)
+		must.EqOp(t, 4*writeBytes, written)
+	})
+}
--- a/pkg/forward/body_test.go
+++ b/pkg/forward/body_test.go
@@ -195,3 +195,24 @@
 	must.Positive(t, account.Stats().Peak)
 	must.EqOp(t, 0, account.Stats().Used, must.Sprint("the caller has the refusal, and the connection is still open"))
 }
+
+// deadlineRecorder keeps the time by which an answer must have been read.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (r *deadlineRecorder) SetWriteDeadline(t time.Time) error {
+	r.deadline = t
+	return nil
+}
+
+// Guards against a buffered answer that is held for a slow caller long after the deadline of its request.
+func TestAnswerMustBeReadSoonAfterItsDeadline(t *testing.T) {
+	e := testExchange(catalog.Route{})
+	recorder := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	e.writer, e.deadline = recorder, time.Now().Add(time.Minute)
+	e.writeResponse(&bufferedResponse{status: http.StatusOK, body: []byte("body")})
+	must.EqOp(t, "body", recorder.Body.String())
+	must.EqOp(t, e.deadline.Add(readGrace), recorder.deadline)
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -34,6 +34,8 @@
 	// slowWrite is the time of a write from which the caller counts as slow: the read from the endpoint stops meanwhile, and endpoints
 	// cut off answers that stay unread for some seconds.
 	slowWrite = time.Second
+	// readGrace is how long after the deadline of a request its caller may still read an answer that is held whole.
+	readGrace = 10 * time.Second
 )
 
 // bufferedResponse is a complete non-streaming response of an endpoint.
@@ -386,6 +388,8 @@
 	}
 	copyHeader(e.writer.Header(), r.header)
 	e.writer.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+	// A writer for another router has no deadline: that router's caller has one.
+	_ = http.NewResponseController(e.writer).SetWriteDeadline(e.deadline.Add(readGrace))
 	e.writer.WriteHeader(r.status)
 	if e.request.Method != http.MethodHead {
 		_, _ = e.writer.Write(r.body) // An error means that the caller has disconnected; the request ends here in either case.
