--- a/pkg/memory/account.go
+++ b/pkg/memory/account.go
@@ -43,8 +43,10 @@
 	address      netip.Addr
 	organisation string
 	bytes        int64
-	since        time.Time
-	end          func()
+	// since is when the bytes began to arrive, and grownAt when the holding had last doubled, to grownTo bytes.
+	since, grownAt time.Time
+	grownTo        int64
+	end            func()
 }
 
 // Open returns an empty holding for a caller. The address may be invalid if there is none, and the organisation empty; neither has a
@@ -75,6 +77,9 @@
 		return err
 	}
 	h.add(n)
+	if h.bytes >= 2*h.grownTo {
+		h.grownAt, h.grownTo = a.now(), h.bytes
+	}
 	return nil
 }
 
@@ -108,6 +113,7 @@
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
 	h.since, h.end = h.account.now(), end
+	h.grownAt, h.grownTo = h.since, h.bytes
 	h.account.arriving[h] = struct{}{}
 }
 
@@ -155,23 +161,21 @@
 	}
 }
 
-// evict ends a holding after h was refused with cause. Of those that still arrive it is the one with the fewest bytes a second; for
-// ErrShare one of the same caller. mu must be held.
+// evict ends a holding after h was refused with cause. Of those that still arrive it is the one that has not doubled for longest, and the
+// smallest of several; for ErrShare one of the same caller. The bytes a second since its beginning would protect a large body that has
+// stalled, and end small ones on poor links. mu must be held.
 func (a *Account) evict(h *Holding, cause error) {
 	now := a.now()
 	if now.Sub(a.evictedAt) < evictInterval {
 		return
 	}
 	var slowest *Holding
-	slowestPace := 0.0
 	for other := range a.arriving {
-		age := now.Sub(other.since)
-		if other == h || age < evictAfter || cause == ErrShare && !other.isOf(h) {
+		if other == h || now.Sub(other.since) < evictAfter || cause == ErrShare && !other.isOf(h) {
 			continue
 		}
-		// The pace of one that has stopped falls with its age, however much it holds.
-		if pace := float64(other.bytes) / age.Seconds(); slowest == nil || pace < slowestPace {
-			slowest, slowestPace = other, pace
+		if slowest == nil || other.isSlowerThan(slowest) {
+			slowest = other
 		}
 	}
 	if slowest == nil {
@@ -183,6 +187,14 @@
 	slowest.end()
 }
 
+// isSlowerThan reports whether the holding is ended before another.
+func (h *Holding) isSlowerThan(other *Holding) bool {
+	if !h.grownAt.Equal(other.grownAt) {
+		return h.grownAt.Before(other.grownAt)
+	}
+	return h.bytes < other.bytes
+}
+
 // isOf reports whether the holding counts against a share of h.
 func (h *Holding) isOf(other *Holding) bool {
 	return shared(h.bytes) > 0 && (h.address == other.address || h.organisation != "" && h.organisation == other.organisation)
--- a/pkg/memory/account_test.go
+++ b/pkg/memory/account_test.go
@@ -79,6 +79,39 @@
 	must.EqOp(t, 1, a.Stats().Evicted)
 }
 
+// Guards against ending ordinary small bodies on poor links while large ones that have stalled keep the account full: a size mustn't count
+// as pace. One that still grows isn't ended before those that have stalled, nor one saved by single bytes.
+func TestStalledLargeBodiesAreEndedBeforeSmallOnes(t *testing.T) {
+	a := NewAccount(LimitsFor(88 << 20))
+	now := time.Now()
+	a.now = func() time.Time { return now }
+	var ended []string
+	arrive := func(name string, bytes int64) *Holding {
+		h := a.Open(netip.Addr{}, "")
+		h.Arrive(func() { ended = append(ended, name) })
+		must.NoError(t, h.Grow(bytes))
+		return h
+	}
+	growing := arrive("growing", SmallBytes)
+	stalled := []*Holding{arrive("stalled", wholeBody), arrive("stalled", wholeBody)}
+	dripping := arrive("dripping", wholeBody)
+	now = now.Add(20 * time.Second)
+	arrive("small", SmallBytes/4)
+	must.NoError(t, dripping.Grow(1))
+	must.NoError(t, growing.Grow(2*SmallBytes))
+	growing.Shrink(SmallBytes)
+	now = now.Add(evictAfter + time.Millisecond)
+	for range 3 {
+		must.ErrorIs(t, a.Open(netip.Addr{}, "").Grow(2*wholeBody), ErrFull)
+		now = now.Add(evictInterval)
+	}
+	must.SliceContainsAll(t, ended, []string{"stalled", "stalled", "dripping"})
+	for _, h := range append(stalled, dripping) {
+		h.Close()
+	}
+	must.NoError(t, a.Open(netip.Addr{}, "").Grow(2*wholeBody))
+}
+
 // Guards against sums that drift from the holdings, or pass the total, over any sequence of calls.
 func TestSumsStayExact(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
