--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -191,6 +191,8 @@
 	// written is closed when writing the request has ended, with the error writeErr.
 	written  chan struct{}
 	writeErr error
+	// writtenBytes is how much of a larger body has been written.
+	writtenBytes atomic.Int64
 	// status is the status of the response.
 	status int
 	// reusable is set if the response allows another request on the connection.
@@ -211,8 +213,12 @@
 	} else {
 		go func() {
 			defer close(e.written)
-			if _, e.writeErr = e.conn.Write(head); e.writeErr == nil {
-				_, e.writeErr = e.conn.Write(e.call.Body)
+			_, e.writeErr = e.conn.Write(head)
+			for body := e.call.Body; len(body) > 0 && e.writeErr == nil; {
+				n := 0
+				n, e.writeErr = e.conn.Write(body[:min(len(body), bodyPartBytes)])
+				body = body[n:]
+				e.writtenBytes.Add(int64(n))
 			}
 		}()
 	}
@@ -223,6 +229,9 @@
 // buffer, so that the write does not block.
 const smallBodyBytes = 4 << 10
 
+// bodyPartBytes is the size of the parts in which a larger body is written.
+const bodyPartBytes = 64 << 10
+
 func (e *exchange) encodeHead() ([]byte, error) {
 	var b bytes.Buffer
 	b.WriteString(e.call.Method + " " + e.call.Target + " HTTP/1.1\r\nHost: " + e.call.Host + "\r\n")
--- a/pkg/upstream/early_test.go
+++ b/pkg/upstream/early_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -140,3 +141,76 @@
 		}
 	}
 }
+
+// slowReader is a connection to an endpoint that has answered and ended its direction, and reads the request at its own pace.
+type slowReader struct {
+	net.Conn
+	answer *strings.Reader
+	// pause is the time for each bodyPartBytes, and stopsAfter the number of bytes after which it reads no more.
+	pause      time.Duration
+	stopsAfter int
+	read       int
+	closed     chan struct{}
+}
+
+func (c *slowReader) Read(p []byte) (int, error) { return c.answer.Read(p) }
+
+func (c *slowReader) Write(p []byte) (int, error) {
+	wait := time.After(time.Duration(len(p)) * c.pause / bodyPartBytes)
+	if c.read += len(p); c.read > c.stopsAfter {
+		wait = nil
+	}
+	select {
+	case <-wait:
+		return len(p), nil
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+func (c *slowReader) Close() error {
+	select {
+	case <-c.closed:
+	default:
+		close(c.closed)
+	}
+	return nil
+}
+
+// Guards against refusing the answer of an endpoint that answers early and then reads the rest of a long request for longer than a
+// second, and against waiting for one that reads no more.
+func TestEndpointMayReadTheRequestAfterItsAnswer(t *testing.T) {
+	const parts = 16
+	for _, test := range []struct {
+		pause      time.Duration
+		stopsAfter int
+		whole      bool
+		within     time.Duration
+	}{
+		{requestEndWait / 4, 2 * parts * bodyPartBytes, true, 5 * requestEndWait},
+		{requestEndWait / 4, parts / 2 * bodyPartBytes, false, 5 * requestEndWait},
+		{2 * requestEndWait, 2 * parts * bodyPartBytes, false, 3 * requestEndWait},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := NewClient()
+			connected := false
+			c.DialContext = func(context.Context, string, string) (net.Conn, error) {
+				if connected { // The check whether the endpoint still accepts connections.
+					near, _ := net.Pipe()
+					return near, nil
+				}
+				connected = true
+				return &slowReader{
+					answer: strings.NewReader("HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\n\r\nwhole"),
+					pause:  test.pause, stopsAfter: test.stopsAfter, closed: make(chan struct{}),
+				}, nil
+			}
+			call := newTestCall("endpoint", "1")
+			call.Body = make([]byte, parts*bodyPartBytes)
+			started := time.Now()
+			_, err := fetch(c, call)
+			must.EqOp(t, test.whole, err == nil, must.Sprint(test, ": ", err))
+			must.LessEq(t, test.within, time.Since(started))
+		})
+	}
+}
--- a/pkg/upstream/end.go
+++ b/pkg/upstream/end.go
@@ -29,8 +29,8 @@
 	EndEarlyFailure EndBasis = "early_failure"
 )
 
-// requestEndWait bounds the time after the end of an answer in which writing its request may end: an endpoint may answer before it has
-// read a long body, and read on.
+// requestEndWait bounds the time after the end of an answer in which writing its request makes no progress: an endpoint may answer before
+// it has read a long body, and read on.
 const requestEndWait = time.Second
 
 // ErrRequestNotWritten means that an answer ended with its connection before the endpoint had the whole request. It isn't known to be whole:
@@ -76,22 +76,28 @@
 	return e.call.ConfirmRun(e.ctx)
 }
 
-// awaitWritten returns the error with which writing the request ended. If it doesn't end within requestEndWait, the connection is closed.
+// awaitWritten returns the error with which writing the request ended. If no part of it is written in requestEndWait, the connection is
+// closed.
 func (e *exchange) awaitWritten() error {
-	timer := time.NewTimer(requestEndWait)
-	defer timer.Stop()
-	select {
-	case <-e.written:
-	case <-e.ctx.Done():
-		return e.ctx.Err()
-	case <-timer.C:
-		_ = e.conn.Close() // Ends the write, whose error counts.
-		<-e.written
-	}
-	if e.writeErr != nil {
-		return e.writeErr
+	ticker := time.NewTicker(requestEndWait)
+	defer ticker.Stop()
+	for before := e.writtenBytes.Load(); ; {
+		select {
+		case <-e.written:
+			if e.writeErr != nil {
+				return e.writeErr
+			}
+			return e.conn.pendingError()
+		case <-e.ctx.Done():
+			return e.ctx.Err()
+		case <-ticker.C:
+		}
+		now := e.writtenBytes.Load()
+		if now == before {
+			_ = e.conn.Close() // Ends the write, whose error counts.
+		}
+		before = now
 	}
-	return e.conn.pendingError()
 }
 
 // judgeUnreached decides on the answer of an endpoint that accepts no connection after it. One that stops by plan closes its listener
