--- a/pkg/forward/answer_fuzz_test.go
+++ b/pkg/forward/answer_fuzz_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -27,8 +28,18 @@
 	return []byte("HTTP/1.1 " + status + "\r\nId: 1\r\n" + headers + "\r\n" + body)
 }
 
+// unwrittenConn is a connection whose reset the kernel has reported to the write, so that the read sees an orderly end.
+type unwrittenConn struct {
+	net.Conn
+	answer *bytes.Reader
+}
+
+func (c *unwrittenConn) Read(p []byte) (int, error)  { return c.answer.Read(p) }
+func (c *unwrittenConn) Write(p []byte) (int, error) { return len(p) / 2, syscall.ECONNRESET }
+func (c *unwrittenConn) Close() error                { return nil }
+
 // Guards against a success, a promise that the request has not run, or a panic made of bytes in which the endpoint didn't say so: any
-// head and body, cut anywhere.
+// head and body, cut anywhere. If the request isn't written whole, the end of the connection doesn't make a success whole.
 func FuzzAnswer(f *testing.F) {
 	const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 	for _, answer := range [][]byte{
@@ -48,18 +59,23 @@
 		[]byte("\x00\x01garbage\r\n\r\n"),
 	} {
 		for _, cut := range []int{len(answer), len(answer) - 1, len(answer) / 2} {
-			f.Add(answer[:cut], false)
-			f.Add(answer[:cut], true)
+			for _, unwritten := range []bool{false, true} {
+				f.Add(answer[:cut], false, unwritten)
+				f.Add(answer[:cut], true, unwritten)
+			}
 		}
 	}
 	placement := NewPlacement("a", route.Options{LastResort: true})
 	go placement.Run(context.Background()) // It ends with the process of the test.
 	placement.Update([]platform.VM{{Name: "e0", Role: platform.RoleService, Service: "s", State: platform.VMLive, Address: "endpoint"}})
-	f.Fuzz(func(t *testing.T, answer []byte, streaming bool) {
+	f.Fuzz(func(t *testing.T, answer []byte, streaming, unwritten bool) {
 		e := testExchange(catalog.Route{MaxAttempts: 1, Streaming: streaming})
 		e.Log = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 		e.Dialect, e.Placement, e.Client = signingDialect{}, placement, upstream.NewClient()
 		e.Client.DialContext = func(context.Context, string, string) (net.Conn, error) {
+			if unwritten {
+				return &unwrittenConn{answer: bytes.NewReader(answer)}, nil
+			}
 			near, far := net.Pipe()
 			go func() {
 				r, err := http.ReadRequest(bufio.NewReader(far))
@@ -89,14 +105,17 @@
 			if !ownSuccess || !whole.ok || recorder.Body.String() != whole.body || streaming && whole.body != "" && !strings.HasSuffix(whole.body, "\n\n") {
 				t.Fatalf("%q: passed on as the success %q", answer, recorder.Body)
 			}
+			if unwritten && whole.endsWithConnection {
+				t.Fatalf("%q: passed on as a success after the request was not written whole", answer)
+			}
 		}
 	})
 }
 
-// wholeBody is the body of an answer; ok is set if it is whole by its framing.
+// wholeBody is the body of an answer; ok is set if it is whole by its framing, endsWithConnection if it has neither a length nor chunks.
 type wholeBody struct {
-	body string
-	ok   bool
+	body                   string
+	ok, endsWithConnection bool
 }
 
 // parseAnswer returns the final head in the bytes of an answer to the request with the id 1, nil if there is none, and its body.
@@ -114,6 +133,6 @@
 			return nil, wholeBody{}
 		}
 		body, err := io.ReadAll(r.Body)
-		return r, wholeBody{string(body), err == nil}
+		return r, wholeBody{string(body), err == nil, r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody}
 	}
 }
