--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -116,7 +116,7 @@
 	})
 	e.held.Arrived()
 	switch {
-	case err == nil:
+	case err == nil && !ended.Load(): // Otherwise the server may take the deadline for the end of the connection, at any time.
 		_ = control.SetReadDeadline(time.Time{}) // As above.
 		e.request.Body, e.bodyUnread = body, false
 		return nil
--- a/pkg/forward/body_test.go
+++ b/pkg/forward/body_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -216,3 +217,60 @@
 	must.EqOp(t, "body", recorder.Body.String())
 	must.EqOp(t, e.deadline.Add(readGrace), recorder.deadline)
 }
+
+// forwardedRemote counts the requests that are to be forwarded.
+type forwardedRemote struct {
+	countingRemote
+	forwarded atomic.Int64
+}
+
+func (r *forwardedRemote) IsNeeded() bool {
+	r.forwarded.Add(1)
+	panic(http.ErrAbortHandler)
+}
+
+// endedBody ends the holding of its own request with its last bytes: after net/http has begun to watch the connection for its end, and
+// before the router has seen that the body is whole.
+type endedBody struct {
+	io.ReadCloser
+	account *memory.Account
+	context context.Context
+}
+
+func (b endedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		time.Sleep(1100 * time.Millisecond) // Holdings of a second can be ended.
+		_ = b.account.Open(netip.Addr{}, "").Grow(1 << 30)
+		<-b.context.Done() // net/http takes the deadline for the end of the connection.
+	}
+	return n, err
+}
+
+// Guards against sending a request to an endpoint whose context ends by itself, because others needed its room as its last byte came.
+func TestRequestEndedWithItsLastByteIsNotForwarded(t *testing.T) {
+	snapshot, err := catalog.New(catalog.Config{
+		Version: 1, Routes: []catalog.Route{{Name: "a", Host: "h", Prefix: "/a/", Timeout: time.Minute, Backends: []catalog.Backend{{Service: "s", Weight: 1}}, MaxAttempts: 1}},
+		Services: []catalog.Service{{Name: "s"}},
+	}, 1)
+	must.NoError(t, err)
+	account, remote := memory.NewAccount(memory.Limits{Total: 1 << 20, Caller: 1 << 20}), &forwardedRemote{}
+	s := NewServer(Options{
+		Configuration: fixedConfiguration{snapshot}, Dialect: readingDialect{}, Client: upstream.NewClient(), Memory: account, Remote: remote,
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+	})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = endedBody{r.Body, account, r.Context()}
+		s.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	request, err := http.NewRequest(http.MethodPost, server.URL+"/a/", strings.NewReader("body"))
+	must.NoError(t, err)
+	request.Host = "h"
+	response, err := http.DefaultTransport.RoundTrip(request)
+	must.EqOp(t, 0, remote.forwarded.Load())
+	must.NoError(t, err)
+	defer response.Body.Close()
+	must.EqOp(t, http.StatusServiceUnavailable, response.StatusCode)
+	must.NotEq(t, "", response.Header.Get("Retry-After"))
+}
