--- a/pkg/entry/callerconns.go
+++ b/pkg/entry/callerconns.go
@@ -228,6 +228,8 @@
 	inHead    atomic.Bool
 	headBytes atomic.Int64
 	held      *memory.Holding
+	// writeLimit is the write deadline that the server or a handler has set, nil if none.
+	writeLimit atomic.Pointer[time.Time]
 }
 
 // errHeadRefused ends a connection for whose head there is no memory. The server has read no request from it.
@@ -239,8 +241,8 @@
 	if n > 0 && h.idle.CompareAndSwap(true, false) {
 		h.conns.beginHead(h)
 	}
-	if n > 0 && h.inHead.Load() && h.headBytes.Add(int64(n)) > bufferedHeadBytes {
-		if full := h.held.Grow(int64(n)); full != nil {
+	if n > 0 && h.inHead.Load() {
+		if full := h.countHead(int64(n)); full != nil {
 			h.conns.recordRefusal(addressOf(h.Conn), full)
 			return 0, &net.OpError{Op: "read", Err: errHeadRefused} // After any other error the server answers with 400.
 		}
@@ -248,11 +250,41 @@
 	return n, err
 }
 
-// Write implements net.Conn. It writes in parts, each of which the caller has writeStall to take.
+// countHead counts n more bytes of a head. One that doesn't fit into its connection's buffer can be ended for others until it is whole:
+// the server gives no answer after a timeout, and has read no request.
+func (h *headConn) countHead(n int64) error {
+	total := h.headBytes.Add(n)
+	if total <= bufferedHeadBytes {
+		return nil
+	}
+	if err := h.held.Grow(n); err != nil {
+		return err
+	}
+	if total-n <= bufferedHeadBytes {
+		h.held.Arrive(func() { _ = h.Conn.SetReadDeadline(time.Unix(1, 0)) }) // On an error the connection is closed already.
+	}
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn. It bounds all parts of a Write together.
+func (h *headConn) SetWriteDeadline(t time.Time) error {
+	if t.IsZero() {
+		h.writeLimit.Store(nil)
+	} else {
+		h.writeLimit.Store(&t)
+	}
+	return h.Conn.SetWriteDeadline(t)
+}
+
+// Write implements net.Conn. It writes in parts, each of which the caller has writeStall to take, at most until the write deadline.
 func (h *headConn) Write(p []byte) (written int, err error) {
 	for {
 		part := p[written:min(len(p), written+writeBytes)]
-		if err := h.Conn.SetWriteDeadline(time.Now().Add(writeStall)); err != nil {
+		deadline := time.Now().Add(writeStall)
+		if limit := h.writeLimit.Load(); limit != nil && limit.Before(deadline) {
+			deadline = *limit
+		}
+		if err := h.Conn.SetWriteDeadline(deadline); err != nil {
 			return written, err
 		}
 		n, err := h.Conn.Write(part)
@@ -274,6 +306,9 @@
 	switch state {
 	case http.StateActive:
 		h.inHead.Store(false)
+		if h.headBytes.Load() > bufferedHeadBytes {
+			h.held.Arrived() // If it was ended at its last byte, the server sets the deadline anew for the body or the next head.
+		}
 	case http.StateIdle:
 		if h.headBytes.Swap(0) > bufferedHeadBytes {
 			h.held.Close()
--- a/pkg/entry/callermemory_test.go
+++ b/pkg/entry/callermemory_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -86,3 +88,73 @@
 	}
 	must.EqOp(t, 1146, maxCallerConns(0, 64<<20))
 }
+
+// Guards against callers that send most of a large head and stop: they would hold the account until their heads are overdue, and others
+// would be refused meanwhile.
+func TestStalledHeadsAreEndedForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCallersOf(t, 0, catalog.Limits{HeaderTimeout: time.Minute})
+		c.conns.account = memory.NewAccount(memory.Limits{Total: 64 << 10})
+		part := fmt.Sprintf("GET / HTTP/1.1\r\nHost: a\r\nX: %s\r\n", strings.Repeat("x", 30<<10))
+		stalled, slow := c.dial(t), c.dial(t)
+		for _, conn := range []net.Conn{stalled, slow} {
+			_, err := io.WriteString(conn, part)
+			must.NoError(t, err)
+		}
+		must.Positive(t, c.conns.account.Stats().Used)
+		other := c.conns.account.Open(netip.Addr{}, "")
+		defer other.Close()
+		must.ErrorIs(t, other.Grow(16<<10), memory.ErrFull)
+		must.EqOp(t, 2, c.countOpen(), must.Sprint("both heads are new"))
+		time.Sleep(5 * time.Second)
+		_, err := io.WriteString(slow, "Y: y\r\n")
+		must.NoError(t, err)
+		must.ErrorIs(t, other.Grow(16<<10), memory.ErrFull)
+		synctest.Wait()
+		must.NoError(t, other.Grow(16<<10))
+		must.EqOp(t, 1, c.countOpen())
+		must.False(t, isOpen(stalled, time.Millisecond), must.Sprint("the slowest"))
+		_, err = io.WriteString(slow, "\r\n")
+		must.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(slow), nil)
+		must.NoError(t, err)
+		must.EqOp(t, http.StatusOK, response.StatusCode)
+		time.Sleep(5 * time.Second)
+		must.ErrorIs(t, other.Grow(64<<10), memory.ErrFull)
+		synctest.Wait()
+		must.True(t, send(slow), must.Sprint("a head that has arrived is not ended"))
+	})
+}
+
+// Guards against a caller that reads just fast enough to keep a large answer in memory long after the time for it.
+func TestDeadlineOfAnAnswerEndsSlowCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCallersOf(t, 0, catalog.Limits{})
+		near, far := net.Pipe()
+		defer far.Close()
+		ended := make(chan struct{})
+		defer func() {
+			_ = near.Close()
+			<-ended
+		}()
+		go func() {
+			defer close(ended)
+			for buffer := make([]byte, writeBytes); ; time.Sleep(writeStall - time.Second) {
+				if _, err := io.ReadFull(near, buffer); err != nil {
+					return
+				}
+			}
+		}()
+		h := &headConn{Conn: far, conns: c.conns}
+		started := time.Now()
+		must.NoError(t, h.SetWriteDeadline(started.Add(30*time.Second)))
+		written, err := h.Write(make([]byte, 1<<20))
+		must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		must.EqOp(t, 30*time.Second, time.Since(started))
+		must.EqOp(t, 4*writeBytes, written)
+		must.NoError(t, h.SetWriteDeadline(time.Time{}), must.Sprint("as the server does after each request"))
+		written, err = h.Write(make([]byte, 4*writeBytes))
+		must.NoError(t, err)
+		must.EqOp(t, 4*writeBytes, written)
+	})
+}
