Routers that the store rejects don't follow each other in a ring

Cause: two leaders that the store rejected followed each other. Each passed the other's whole list on as its own, at the speed of the network, and an age loses the time on the way at each hop, so the old objects counted as current for ever. Change: a router that follows a substitute ends its own followers and takes none, so no ring forms; its followers find another leader as before. It tries three substitutes after each failure of its own, not all.

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -27,6 +27,9 @@
 	confirmWait = time.Millisecond
 	// directWatchTime is how long a router watches the store itself after it could follow no other router.
 	directWatchTime = 10 * time.Second
+	// maxSubstitutes is the number of other routers that a router which watches the store tries to follow after each of its own failures.
+	// While the store is down for all, none of them can be followed.
+	maxSubstitutes = 3
 	// leaderRetryPause is the time after which a router that could follow no other router tries again.
 	leaderRetryPause = 500 * time.Millisecond
 )
@@ -147,7 +150,9 @@
 	}
 }
 
-// followSubstitutes follows other routers that watch the store until it answers this router again, or until each of them has failed.
+// followSubstitutes follows other routers that watch the store until it answers this router again, or until maxSubstitutes of them, chosen at
+// random, have failed. It ends the followers of this router, which find another leader: a ring of routers that follow each other would
+// pass old objects on for ever, with an age that doesn't grow.
 func (f *Feed) followSubstitutes(ctx context.Context) {
 	if f.Substitutes == nil {
 		return
@@ -163,8 +168,14 @@
 		}
 	}()
 	f.isSubstituted = true
-	defer func() { f.isSubstituted = false }()
-	f.followLeaders(ctx, f.Substitutes())
+	f.hub.setRefusing(true)
+	defer func() {
+		f.isSubstituted = false
+		f.hub.setRefusing(false)
+	}()
+	substitutes := f.Substitutes()
+	rand.Shuffle(len(substitutes), func(i, j int) { substitutes[i], substitutes[j] = substitutes[j], substitutes[i] })
+	f.followLeaders(ctx, substitutes[:min(maxSubstitutes, len(substitutes))])
 }
 
 // followLeaders follows one router after the other until each of them has failed.
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -446,3 +446,37 @@
 	write("c")
 	eventually(t, "changes come from the store", func() bool { return m.hasObjects(want) })
 }
+
+// Guards against routers that watch the store, are both rejected by it and follow each other: their old objects would be passed on without
+// end and count as current.
+func TestRejectedWatchersDontFollowEachOther(t *testing.T) {
+	memory := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+	_, err := memory.Client("operator").Put(t.Context(), "servers/a", []byte("a"), 0)
+	must.NoError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var feeds [2]*Feed
+	var addresses [2]string
+	for i := range feeds {
+		feeds[i] = testFeed(memory.Client(fmt.Sprint(i)), &memoryConsumer{}, nil)
+		mux := http.NewServeMux()
+		mux.Handle(NewService(feeds[i]).Handler())
+		server := httptest.NewServer(mux)
+		defer server.Close()
+		addresses[i] = strings.TrimPrefix(server.URL, "http://")
+	}
+	for i, f := range feeds {
+		f.Substitutes = func() []string { return []string{addresses[1-i]} }
+		f.StoreReturned = func() <-chan struct{} { return nil }
+		go f.Run(ctx)
+	}
+	isAged := func(f *Feed) bool { age, ok := f.Age(); return ok && age > MaxAge }
+	eventually(t, "both have read the store", func() bool {
+		_, first := feeds[0].Age()
+		_, second := feeds[1].Age()
+		return first && second
+	})
+	_, err = memory.Inject(memstore.Fault{Kind: memstore.FaultDown, Clients: []string{"0", "1"}})
+	must.NoError(t, err)
+	eventually(t, "what both know gets old", func() bool { return isAged(feeds[0]) && isAged(feeds[1]) })
+}
--- a/pkg/feed/hub.go
+++ b/pkg/feed/hub.go
@@ -37,11 +37,13 @@
 
 // hub holds the current objects of a kind and sends changes to followers. It is safe for concurrent use.
 type hub struct {
-	mu        sync.Mutex
-	objects   map[string]*heldObject
-	revision  uint64
-	contact   time.Time
-	loaded    bool
+	mu       sync.Mutex
+	objects  map[string]*heldObject
+	revision uint64
+	contact  time.Time
+	loaded   bool
+	// refusing is set while the router itself follows a substitute, so that no two routers follow each other.
+	refusing  bool
 	followers map[chan message]struct{}
 }
 
@@ -100,11 +102,11 @@
 }
 
 // subscribe returns all objects and a channel of the messages after them. It returns false if no list has been read
-// yet.
+// yet, and while the hub is refusing.
 func (h *hub) subscribe() (message, chan message, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.loaded {
+	if !h.loaded || h.refusing {
 		return message{}, nil, false
 	}
 	all := message{full: true, revision: h.revision}
@@ -116,6 +118,20 @@
 	return all, follower, true
 }
 
+// setRefusing ends all followers and takes no others while refusing is set.
+func (h *hub) setRefusing(refusing bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refusing = refusing
+	if !refusing {
+		return
+	}
+	for follower := range h.followers {
+		delete(h.followers, follower)
+		close(follower)
+	}
+}
+
 // heartbeat returns a message without objects for the follower. It returns false while changes are queued for the follower: a heartbeat
 // ahead of them would have a revision that includes them, and the follower would take them for known.
 func (h *hub) heartbeat(follower chan message) (message, bool) {
@@ -125,7 +141,7 @@
 }
 
 // next waits for the next message to the follower: changes, or a heartbeat at a tick, unless ok is false. open is false once the
-// follower was too slow.
+// follower was too slow or was ended by setRefusing.
 func (h *hub) next(ctx context.Context, follower chan message, ticks <-chan time.Time) (m message, ok, open bool) {
 	select {
 	case <-ctx.Done():
--- a/pkg/feed/peer.go
+++ b/pkg/feed/peer.go
@@ -68,7 +68,7 @@
 	}
 	all, follower, ok := f.hub.subscribe()
 	if !ok {
-		return connect.NewError(connect.CodeUnavailable, errors.New("feed: nothing has been read yet"))
+		return connect.NewError(connect.CodeUnavailable, errors.New("feed: nothing has been read yet, or another router is followed"))
 	}
 	if _, age := f.hub.revisionAndAge(); age > f.maxAge() {
 		// The follower would reject the objects, which may be many.
@@ -87,7 +87,7 @@
 		case ctx.Err() != nil:
 			return nil
 		case !open:
-			return connect.NewError(connect.CodeResourceExhausted, errors.New("feed: the follower is too slow"))
+			return connect.NewError(connect.CodeResourceExhausted, errors.New("feed: the follower is too slow, or another router is followed"))
 		case !ok:
 			continue
 		}
