lsctl check: a configuration is checked before it is sent

Cause: a fault in a configuration (a service that isn't there, a key of two organisations, a lower version) was seen only once routers had rejected or applied it. Change: lsctl check FILE decodes with the routers' own decoder (platform.ParseConfig, which DecodeConfig uses) and rules (catalog.Config.Validate, which New uses). pkg/configcheck takes decoded configurations and returns findings and changes; it has no I/O. The retry check asks retry.Budget itself. -store reads config/main with the existing client, -against a file. Keys appear as a count and a short hash. Text and -json; exit status 0, 1, 2. All problems of a configuration are reported, not only the first; the error that routers log names the first one and how many more there are. catalog.Route has the target gap, which only the check reads.

--- a/pkg/admin/cli/cli.go
+++ b/pkg/admin/cli/cli.go
@@ -49,6 +49,8 @@
 	// optional is set if the operand may be omitted.
 	optional bool
 	help     string
+	// local commands don't call the admin API and need no operator key.
+	local bool
 	// setup declares the flags and returns the function that runs the command.
 	setup func(*flag.FlagSet) runFunc
 }
@@ -62,6 +64,9 @@
 	// setFlags holds the names of the flags that were given.
 	setFlags map[string]bool
 	now      time.Time
+	format   ConfigFormat
+	// exit is the exit code of a command that ends without an error.
+	exit int
 }
 
 // result is the output of a command.
@@ -79,17 +84,18 @@
 
 func usagef(format string, args ...any) error { return usageError{fmt.Sprintf(format, args...)} }
 
-// Env is the environment of a run: its outputs, environment variables, HTTP client and clock.
+// Env is the environment of a run: its outputs, environment variables, HTTP client, clock and the platform's configurations.
 type Env struct {
 	Stdout, Stderr io.Writer
 	Getenv         func(string) string
 	HTTP           connect.HTTPClient
 	Now            func() time.Time
+	Format         ConfigFormat
 }
 
 // Main runs lsctl in the environment of the process and returns the exit code.
-func Main(ctx context.Context, args []string) int {
-	return Run(ctx, args, Env{Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, HTTP: http.DefaultClient, Now: time.Now})
+func Main(ctx context.Context, args []string, format ConfigFormat) int {
+	return Run(ctx, args, Env{Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, HTTP: http.DefaultClient, Now: time.Now, Format: format})
 }
 
 // Run executes one command line, given without the program name, and returns the exit code.
@@ -100,8 +106,11 @@
 	}
 	flags := flag.NewFlagSet("lsctl "+cmd.path, flag.ContinueOnError)
 	flags.SetOutput(env.Stderr)
-	admin := flags.String("admin", orDefault(env.Getenv(AdminVariable), defaultAdmin), "admin `address` of any entry VM (or "+AdminVariable+")")
-	keyFile := flags.String("key-file", "", "`file` with the operator key (default: the variable "+KeyVariable+")")
+	var admin, keyFile string
+	if !cmd.local {
+		flags.StringVar(&admin, "admin", orDefault(env.Getenv(AdminVariable), defaultAdmin), "admin `address` of any entry VM (or "+AdminVariable+")")
+		flags.StringVar(&keyFile, "key-file", "", "`file` with the operator key (default: the variable "+KeyVariable+")")
+	}
 	asJSON := flags.Bool("json", false, "print JSON")
 	timeout := flags.Duration("timeout", defaultTimeout, "longest time to wait for the answer")
 	run := cmd.setup(flags)
@@ -117,19 +126,22 @@
 	if err := checkOperand(cmd, operand, flags.Args()); err != nil {
 		return printError(env, *asJSON, err)
 	}
-	client, err := newClient(env, *admin, *keyFile)
-	if err != nil {
-		return printError(env, *asJSON, err)
+	c := &call{operand: operand, setFlags: map[string]bool{}, now: env.Now(), format: env.Format}
+	if !cmd.local {
+		client, err := newClient(env, admin, keyFile)
+		if err != nil {
+			return printError(env, *asJSON, err)
+		}
+		c.client = client
 	}
 	ctx, cancel := context.WithTimeout(ctx, *timeout)
 	defer cancel()
-	c := &call{client: client, operand: operand, setFlags: map[string]bool{}, now: env.Now()}
 	flags.Visit(func(f *flag.Flag) { c.setFlags[f.Name] = true })
 	out, err := run(ctx, c)
 	if err != nil {
 		return printError(env, *asJSON, err)
 	}
-	return printResult(env, *asJSON, out)
+	return printResult(env, *asJSON, out, c.exit)
 }
 
 // findCommand returns the command with the longest path that matches the first arguments, and the remaining arguments.
--- a/pkg/admin/cli/commands.go
+++ b/pkg/admin/cli/commands.go
@@ -37,5 +37,7 @@
 	deleteCommand(config.KindVM, "vm"),
 
 	{path: "status", help: "show routers, VMs, endpoints and drains", setup: showStatus},
+	{path: "check", operand: "file", local: true, setup: checkConfig,
+		help: "check a configuration of lsentry before it is sent; exits with 0 if clean, 1 with warnings, 2 with errors"},
 	{path: "drain", help: "show the work that each leaving VM still waits for", setup: showDrains},
 }
--- a/pkg/admin/cli/output.go
+++ b/pkg/admin/cli/output.go
@@ -63,18 +63,18 @@
 	flags.PrintDefaults()
 }
 
-// printResult prints the output of a command and returns the exit code.
-func printResult(env Env, asJSON bool, out result) int {
+// printResult prints the output of a command and returns the exit code, which is exit unless printing fails.
+func printResult(env Env, asJSON bool, out result, exit int) int {
 	if !asJSON {
 		fmt.Fprintln(env.Stdout, strings.TrimRight(out.text, "\n"))
-		return ExitOK
+		return exit
 	}
 	data, err := json.MarshalIndent(out.value, "", "  ")
 	if err != nil {
 		return printError(env, true, err)
 	}
 	fmt.Fprintln(env.Stdout, string(data))
-	return ExitOK
+	return exit
 }
 
 // failure describes an error as printed with -json.
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"errors"
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -46,6 +45,8 @@
 	Timeout time.Duration
 	// Objective is the latency objective for the response, or for the first event of a stream.
 	Objective time.Duration
+	// Gap is the objective for the pause between two events of a stream; 0 if there is none.
+	Gap time.Duration
 	// Priority is the priority of the route; 0 is the highest.
 	Priority int
 	// MaxAttempts bounds the number of endpoints that one request is sent to.
@@ -108,6 +109,9 @@
 
 // New validates and indexes a configuration. Its errors wrap ErrInvalid and name the route and the field.
 func New(c Config, revision uint64) (*Snapshot, error) {
+	if problems := c.Validate(); len(problems) > 0 {
+		return nil, problems
+	}
 	s := &Snapshot{
 		Version: c.Version, Revision: revision, Limits: c.Limits,
 		hosts: map[string][]Route{}, services: make(map[string]Service, len(c.Services)), keys: map[string]*Organisation{},
@@ -117,9 +121,6 @@
 		s.services[service.Name] = service
 	}
 	for _, r := range c.Routes {
-		if err := validateRoute(r); err != nil {
-			return nil, err
-		}
 		host := strings.ToLower(r.Host)
 		s.hosts[host] = append(s.hosts[host], r)
 	}
@@ -136,20 +137,6 @@
 	return s, nil
 }
 
-func validateRoute(r Route) error {
-	switch {
-	case r.Host == "":
-		return fmt.Errorf("%w: route %q: missing host", ErrInvalid, r.Name)
-	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
-		return fmt.Errorf("%w: route %q: prefix %q does not begin and end with a slash", ErrInvalid, r.Name, r.Prefix)
-	case len(r.Backends) == 0:
-		return fmt.Errorf("%w: route %q: missing service", ErrInvalid, r.Name)
-	case r.Timeout <= 0:
-		return fmt.Errorf("%w: route %q: timeout must be positive", ErrInvalid, r.Name)
-	}
-	return nil
-}
-
 // Match returns the route of the host with the longest prefix of the path. The case of the host and, unless a route
 // names it, its port are ignored.
 func (s *Snapshot) Match(host, path string) (Route, bool) {
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -44,8 +44,8 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout limits the time for which a connection is idle. For callers the limit of the configuration replaces it.
 	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes is larger than the limit that the configuration states to callers.
-	maxHeaderBytes = 64 << 10
+	// MaxHeaderBytes is larger than the limit that the configuration states to callers.
+	MaxHeaderBytes = 64 << 10
 	// maxQuestionHeaderBytes is the size limit of the head of an address lookup or a readiness check.
 	maxQuestionHeaderBytes = 8 << 10
 	// activePollInterval is the time between two checks whether requests are still in progress.
@@ -406,7 +406,7 @@
 
 func (r *Router) newHTTPServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeaderBytes,
 	}
 }
 
