Check: a test that every field of the catalog is compared

Cause: a field that is added to pkg/catalog would be left out of the differences that lsctl check prints, without a sign. Change: a test goes through the fields of routes, services, organisations and limits by reflection. How shown: a trial without the target gap in the comparison fails with 'Route.Gap isn't compared'.

--- a/pkg/configcheck/configcheck_test.go
+++ b/pkg/configcheck/configcheck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -97,3 +98,32 @@
 	_, findings = Compare(cleanConfig(), next)
 	must.SliceEmpty(t, findings)
 }
+
+// Guards against a field that is added to the catalog and left out of the comparison.
+func TestEveryFieldIsCompared(t *testing.T) {
+	for _, part := range []func(*catalog.Config) any{
+		func(c *catalog.Config) any { return &c.Routes[1] }, func(c *catalog.Config) any { return &c.Services[1] },
+		func(c *catalog.Config) any { return &c.Organisations[1] }, func(c *catalog.Config) any { return &c.Limits },
+	} {
+		fields := reflect.TypeOf(part(new(cleanConfig()))).Elem()
+		for i := range fields.NumField() {
+			before, next := cleanConfig(), cleanConfig()
+			for _, c := range []*catalog.Config{&before, &next} {
+				// Values that apply only with a flag, or only if the flag isn't set.
+				c.Organisations[1].HasPriority, c.Organisations[1].Limited = true, true
+			}
+			switch f := reflect.ValueOf(part(&next)).Elem().Field(i); f.Kind() {
+			case reflect.Bool:
+				f.SetBool(!f.Bool())
+			case reflect.String:
+				f.SetString("other")
+			case reflect.Slice:
+				f.SetZero()
+			default:
+				f.SetInt(f.Int() + 1)
+			}
+			changes, _ := Compare(before, next)
+			must.Positive(t, len(changes), must.Sprintf("%s.%s isn't compared", fields.Name(), fields.Field(i).Name))
+		}
+	}
+}
