--- a/pkg/configcheck/compare.go
+++ b/pkg/configcheck/compare.go
@@ -78,11 +78,12 @@
 		add(catalog.RouteEntry(r.Name), catalog.FieldHost, r.Host, catalog.FieldPrefix, r.Prefix,
 			catalog.FieldSemantics, semanticsText(r), catalog.FieldTimeout, r.Timeout, catalog.FieldObjective, r.Objective,
 			catalog.FieldGap, r.Gap, catalog.FieldPriority, r.Priority, catalog.FieldMaxAttempts, r.MaxAttempts,
-			catalog.FieldPublic, r.Public, catalog.FieldBackends, backendsText(r.Backends))
+			catalog.FieldPublic, r.Public, catalog.FieldBackends, backendsText(r.Backends),
+			catalog.FieldRegions, regionsText(r.AllowedRegions))
 	}
 	for _, s := range c.Services {
 		add(serviceEntry(s.Name), catalog.FieldSlots, s.Slots, catalog.FieldStride, s.TokensPerEvent,
-			catalog.FieldConnections, s.MaxConnections)
+			catalog.FieldConnections, s.MaxConnections, catalog.FieldColdStart, s.ColdStart, catalog.FieldColdRate, s.ColdPerSecond)
 	}
 	for _, o := range c.Organisations {
 		keys, priority, prepaid := "0 keys", "that of the route", "no limit"
@@ -95,7 +96,8 @@
 		if o.Limited {
 			prepaid = fmt.Sprint(o.Prepaid)
 		}
-		add(organisationEntry(o.Name), catalog.FieldKeys, keys, catalog.FieldPriority, priority, catalog.FieldPrepaid, prepaid)
+		add(organisationEntry(o.Name), catalog.FieldKeys, keys, catalog.FieldPriority, priority, catalog.FieldPrepaid, prepaid,
+			catalog.FieldRegions, regionsText(o.AllowedRegions))
 	}
 	add("limits", catalog.FieldHeaderBytes, c.Limits.MaxHeaderBytes, catalog.FieldBodyBytes, c.Limits.MaxBodyBytes,
 		catalog.FieldHeaderTime, c.Limits.HeaderTimeout, catalog.FieldIdleTime, c.Limits.IdleTimeout)
@@ -123,3 +125,10 @@
 	}
 	return strings.Join(parts, " ")
 }
+
+func regionsText(regions []string) string {
+	if len(regions) == 0 {
+		return "any"
+	}
+	return fmt.Sprintf("%q", regions)
+}
--- a/pkg/configcheck/configcheck_test.go
+++ b/pkg/configcheck/configcheck_test.go
@@ -118,7 +118,9 @@
 			case reflect.String:
 				f.SetString("other")
 			case reflect.Slice:
-				f.SetZero()
+				f.Set(reflect.MakeSlice(f.Type(), 1, 1))
+			case reflect.Float64:
+				f.SetFloat(f.Float() + 1)
 			default:
 				f.SetInt(f.Int() + 1)
 			}
--- a/pkg/entry/endpoints.go
+++ b/pkg/entry/endpoints.go
@@ -44,6 +44,15 @@
 // endpointDecoder decodes an endpoint's object in the store.
 type endpointDecoder func(platform.Object) (platform.VM, error)
 
+// inRegions returns a decoder that also sets the region of an endpoint's zone, if it is known.
+func (s Settings) inRegions(decode endpointDecoder) endpointDecoder {
+	return func(o platform.Object) (platform.VM, error) {
+		vm, err := decode(o)
+		vm.Region = s.Regions[vm.Zone]
+		return vm, err
+	}
+}
+
 // endpointSet is the set of registered endpoints. It is safe for concurrent use.
 type endpointSet struct {
 	decode endpointDecoder
@@ -178,6 +187,7 @@
 		e.log.WithFields(log.Fields{"key": o.Key, "revision": platform.FormatRevision(o.Revision)}).WithError(err).Warn("endpoint_entry_skipped")
 		return
 	}
+	vm.ColdUntil = coldUntil(now, vm, e.registered[o.Key])
 	vm.State = e.effectiveState(now, o, vm, restored)
 	if old, ok := e.registered[o.Key]; !ok || old.State != vm.State || old.Address != vm.Address || old.Started != vm.Started {
 		e.log.WithFields(log.Fields{
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -8,7 +8,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 )
 
-// Location is the region and availability zone of a router.
+// Location is the region and availability zone of a router. Without a region, that of an endpoint doesn't matter for its distance.
 type Location struct {
 	Region string
 	Zone   string
@@ -22,8 +22,19 @@
 	pools     map[Pool]*pool
 	prefix    prefixIndex
 	rechecks  recheckHeap
+	// evacuated are the zones that get nothing by an operator's order; ordersKnown is set by the first SetEvacuated.
+	evacuated   map[string]bool
+	ordersKnown bool
 	// announcements holds what endpoints said of their runs, also of those that are not listed at present.
 	announcements map[runID]*announcement
+	// coldEndpoints are the endpoints that are cold, coldPermit says what this router may send them, and coldChanges are the changes that
+	// TakeColdChanges returns.
+	coldEndpoints   []*endpoint
+	coldRefreshedAt time.Time
+	coldPermit      func(platform.VM) ColdPermit
+	coldChanges     []ColdChange
+	// lastSentAt holds when this router last sent something to an endpoint that was cold, or that was removed, by its name.
+	lastSentAt map[string]time.Time
 	// meanPrefillTokens is the average number of uncached prompt tokens of a request.
 	meanPrefillTokens average
 	// scratch is the slice of candidates that Choose reuses.
@@ -35,7 +46,7 @@
 	options = options.withDefaults()
 	return &Table{
 		location: location, options: options, prefix: newPrefixIndex(options),
-		announcements: map[runID]*announcement{}, endpoints: map[string]*endpoint{}, pools: map[Pool]*pool{},
+		announcements: map[runID]*announcement{}, lastSentAt: map[string]time.Time{}, endpoints: map[string]*endpoint{}, pools: map[Pool]*pool{},
 	}
 }
 
@@ -66,6 +77,7 @@
 			t.removeEndpoint(e)
 		}
 	}
+	t.forgetSent(now)
 }
 
 // SetLeaving sets or clears an operator's leaving mark. It takes effect from the next choice on.
@@ -82,6 +94,8 @@
 	Total int
 	// Open endpoints can take work.
 	Open int
+	// Evacuated endpoints are not leaving, but in a zone that gets nothing by an operator's order.
+	Evacuated int
 	// NotLeaving endpoints are not leaving, whether healthy or not.
 	NotLeaving int
 }
@@ -96,19 +110,27 @@
 	for _, e := range p.all {
 		if !e.isLeaving() {
 			state.NotLeaving++
+			if e.evacuated {
+				state.Evacuated++
+			}
 		}
 	}
 	return state
 }
 
-// CountByState returns the number of endpoints by state: open, full, unhealthy or leaving. Its cost is linear in the
-// endpoints.
+// CountByState returns the number of endpoints by state: open, full, unhealthy, leaving or, with Options.AwaitEvacuations, evacuated.
+// Its cost is linear in the endpoints.
 func (t *Table) CountByState(now time.Time) map[string]int64 {
 	counts := map[string]int64{"open": 0, "full": 0, "unhealthy": 0, "leaving": 0}
+	if t.options.AwaitEvacuations {
+		counts["evacuated"] = 0
+	}
 	for _, e := range t.endpoints {
 		switch {
 		case e.isLeaving():
 			counts["leaving"]++
+		case e.evacuated:
+			counts["evacuated"]++
 		case e.isUnhealthy(now):
 			counts["unhealthy"]++
 		case e.isFull(now, t.options.StaleAfter):
@@ -168,6 +190,10 @@
 
 func (t *Table) removeEndpoint(e *endpoint) {
 	e.endLimit()
+	t.endCold(e)
+	if t.coldPermit != nil && e.lastBegin.After(t.lastSentAt[e.vm.Name]) {
+		t.lastSentAt[e.vm.Name] = e.lastBegin
+	}
 	e.removeFromOpenLists()
 	for _, m := range e.memberships {
 		m.pool.remove(e)
@@ -190,7 +216,7 @@
 
 func (t *Table) distanceMS(vm platform.VM) float64 {
 	switch {
-	case vm.Region != t.location.Region:
+	case t.location.Region != "" && vm.Region != t.location.Region:
 		return t.options.RegionDistanceMS
 	case vm.Zone != t.location.Zone:
 		return t.options.ZoneDistanceMS
