Log what long prompts do to requests beside them; lsload prompts reads it

Long prompts and short ones meet at the same endpoints, and nothing showed how much of the lateness that explains. A request's line now has its prompt, its shared parts, the time of its last attempt, its longest pause and its aims. lsload prompts joins the lines of a fleet's routers by endpoint.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -46,6 +46,8 @@
 	Timeout time.Duration
 	// Objective is the latency objective for the response, or for the first event of a stream.
 	Objective time.Duration
+	// PauseObjective is the longest pause between the events of a stream with which it is on time; 0 if unknown.
+	PauseObjective time.Duration
 	// Priority is the priority of the route; 0 is the highest.
 	Priority int
 	// MaxAttempts bounds the number of endpoints that one request is sent to.
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -251,6 +251,7 @@
 		dispatch.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
 	e.beginAttempt(stream)
+	e.sentAt = time.Now()
 	check := &endCheck{exchange: e, decision: decision, inFlight: inFlight, stream: stream}
 	call := upstream.Call{
 		Address: decision.Address, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
@@ -389,10 +390,12 @@
 // request can still go to another endpoint if this one fails before its first event.
 func (e *exchange) relayStream(response *upstream.Response, inFlight *route.InFlightRequest, stream *eventStream) attemptResult {
 	buffer := make([]byte, relayBufferBytes)
+	waitingSince := time.Now()
 	for {
 		n, err := response.Body.Read(buffer)
 		events, invalid := stream.add(buffer[:n])
 		if len(events) > 0 {
+			e.notePause(waitingSince)
 			if e.firstByteAt.IsZero() {
 				e.firstByteAt = time.Now()
 			}
@@ -409,6 +412,7 @@
 				e.incomplete = true
 				return attemptDelivered
 			}
+			waitingSince = time.Now()
 		}
 		switch {
 		case invalid != nil:
@@ -427,6 +431,14 @@
 	}
 }
 
+// notePause keeps the longest wait for events of a stream that has begun. The time to write the events before isn't part of it, because
+// that is the caller's.
+func (e *exchange) notePause(since time.Time) {
+	if now := time.Now(); e.headerSent && now.Sub(since) > e.longestPause {
+		e.longestPause, e.pauseEndedAt = now.Sub(since), now
+	}
+}
+
 // reportIrregular logs and counts a stream that an endpoint sent out of order, not as events, or not to its end.
 func (e *exchange) reportIrregular(stream *eventStream, cause error) {
 	e.Metrics.recordIrregular(cause)
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -105,6 +105,12 @@
 	return ids
 }
 
+// loggedPartEnds returns for each id of loggedPartIDs how many tokens of the prompt end with its part.
+func (p *Prompt) loggedPartEnds() []int {
+	_, ends := p.sharedPrefixes()
+	return ends[:min(maxLoggedParts, len(ends))]
+}
+
 // Request is a caller's request.
 type Request struct {
 	ID     string
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -172,7 +172,12 @@
 	// headerSent is set once the header of a stream was sent to the caller.
 	headerSent bool
 	// firstByteAt is the time at which a buffered response or a stream's first event was relayed.
-	firstByteAt   time.Time
+	firstByteAt time.Time
+	// sentAt is the start of the latest attempt at an endpoint that this router has chosen.
+	sentAt time.Time
+	// longestPause is the longest wait for events of the stream after its first one, which ended at pauseEndedAt.
+	longestPause  time.Duration
+	pauseEndedAt  time.Time
 	relayedEvents int
 	// lastEvent is the id of the last event that was relayed, or noEvent.
 	lastEvent int64
@@ -452,6 +457,16 @@
 	}
 	if p := e.request.Prompt; p != nil {
 		fields["tokens"], fields["spent"] = p.maxTokens(), e.chargedTokens
+		fields["prompt_tokens"], fields["parts"], fields["part_ends"] = p.Tokens, p.loggedPartIDs(), p.loggedPartEnds()
+	}
+	if e.route.Streaming {
+		fields["aim_ms"], fields["pause_aim_ms"] = e.route.Objective.Milliseconds(), e.route.PauseObjective.Milliseconds()
+	}
+	if !e.sentAt.IsZero() {
+		fields["sent_ms"] = e.sentAt.Sub(e.arrivedAt).Milliseconds()
+	}
+	if e.longestPause > 0 {
+		fields["pause_ms"], fields["pause_ended_ms"] = e.longestPause.Milliseconds(), e.pauseEndedAt.Sub(e.arrivedAt).Milliseconds()
 	}
 	if !e.firstByteAt.IsZero() {
 		fields["first_ms"] = e.firstByteAt.Sub(e.arrivedAt).Milliseconds()
--- a/pkg/load/cli/cli.go
+++ b/pkg/load/cli/cli.go
@@ -36,6 +36,7 @@
   lsload check -scenario FILE               check a scenario file
   lsload compare A.json B.json              show what got worse from A to B
   lsload scores [-journal DIR] SITE...      show which days of the newest scores got worse
+  lsload prompts [-long N] FILE             how long prompts delay other requests, by the routers' log lines in FILE
   lsload router-bench [-h]                  measure one router with instant engines
 `
 
@@ -56,6 +57,8 @@
 		return compareRuns(args[1:], stdout, stderr)
 	case "scores":
 		return compareScores(args[1:], stdout, stderr)
+	case "prompts":
+		return analysePrompts(args[1:], stdout, stderr)
 	case "router-bench":
 		return runRouterBench(ctx, args[1:], stdout, stderr)
 	case "check":
