--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -33,6 +33,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(allowance.NewService(r.accounts).Handler())
 	mux.Handle(origin.NewService(r.origins).Handler())
+	mux.Handle(r.workload.Handler())
 	mux.Handle(remote.NewService(r.server).Handler())
 	mux.Handle(feed.NewService(r.configFeed, r.endpointFeed, r.rosterFeed, r.crashFeed).Handler())
 	return mux
--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -72,6 +72,22 @@
 	return engines
 }
 
+// sharesWork reports whether the routers tell each other what they have at the engines: with more of them than are polled, a router
+// knows nothing else of the work of the others.
+func (r *Router) sharesWork() bool {
+	config := r.config.Current()
+	if config == nil {
+		return false
+	}
+	engines := 0
+	for _, vm := range r.endpoints.list() {
+		if s, ok := config.Service(vm.Service); ok && s.TokensPerEvent > 0 && vm.State == platform.VMLive {
+			engines++
+		}
+	}
+	return engines > maxPolledEngines
+}
+
 // withStaleLimits returns at most maxLimitPolls of the engines whose limits have not been named for limitPollAge.
 func (r *Router) withStaleLimits(engines []platform.VM) []platform.VM {
 	stale := r.placement.StaleLimits(limitPollAge)
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -31,6 +31,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/telemetry"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
+	"github.com/lavendershunt/lavendershunt/pkg/workload"
 )
 
 const (
@@ -101,6 +102,7 @@
 	roster    *roster.Roster
 	crashes   *poison.Registry
 	origins   *origin.Registry
+	workload  *workload.Exchange
 	client    *upstream.Client
 	// linkMeter is nil if the bandwidth of the VM's link isn't known.
 	linkMeter *linkMeter
@@ -176,6 +178,11 @@
 		Peers:         &origin.RemotePeers{Addresses: r.roster.Peers, Client: peers, Log: logger},
 		IsViewCurrent: func(ctx context.Context) bool { return r.endpointFeed.Confirm(ctx) },
 	})
+	r.workload = workload.New(workload.Options{
+		Router: s.VM, Log: logger, Client: peers, Addresses: r.roster.Peers, Applies: r.sharesWork,
+		Keepers: func(n int) []string { return r.roster.PreferenceList("workload", n) },
+		OwnWork: r.placement.OwnWork, ApplyWork: r.placement.ApplyWork,
+	})
 	r.callerConns = newCallerConns(r.limits, maxCallerConns(s.Descriptors), logger)
 	r.newFeeds(peers)
 	r.newLinks(peers)
@@ -271,6 +278,7 @@
 	tasks.Go(func() { r.origins.Run(backgroundCtx) })
 	tasks.Go(func() { r.announceReady(backgroundCtx) })
 	tasks.Go(func() { r.pollReports(backgroundCtx) })
+	tasks.Go(func() { r.workload.Run(backgroundCtx) })
 	tasks.Go(func() { r.links.Run(backgroundCtx) })
 	tasks.Go(func() { r.remote.Run(backgroundCtx) })
 
--- a/pkg/forward/placement.go
+++ b/pkg/forward/placement.go
@@ -53,6 +53,17 @@
 	p.owner.Post(func(t *table) { t.Report(time.Now(), vm, r) })
 }
 
+// OwnWork returns what this router has at the endpoints, for the other routers.
+func (p *Placement) OwnWork() (work []route.SharedWork) {
+	p.owner.Do(func(t *table) { work = t.OwnWork() })
+	return work
+}
+
+// ApplyWork replaces what is known of the other routers' work.
+func (p *Placement) ApplyWork(work []route.SharedWork) {
+	p.owner.Post(func(t *table) { t.ApplyWork(time.Now(), work) })
+}
+
 // chooseEndpoint chooses an endpoint and counts the request as in flight there. The InFlightRequest is nil if no
 // endpoint can be chosen; otherwise it must be passed to finish.
 func (p *Placement) chooseEndpoint(r route.Request) (route.Decision, *route.InFlightRequest) {
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -30,7 +30,7 @@
 		d.Candidates = len(p.open)
 		elapsed := t.prefix.elapsed(now)
 		candidates = t.appendPrefixCandidates(candidates, elapsed, rng, p, &r)
-		candidates = t.appendRingCandidates(candidates, elapsed, p, &r)
+		candidates = t.appendRingCandidates(now, candidates, elapsed, p, &r)
 		candidates = t.appendRandomCandidates(candidates, elapsed, rng, p, &r)
 		t.scratch = candidates
 	}
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -28,8 +28,11 @@
 	staleRecheckAt time.Time
 	health         health
 	speed          speed
-	limit          requestLimit
-	brittle        brittleness
+	// peers is what other routers have at this run, and unshared what they are to be told.
+	peers    peerWork
+	unshared ownWork
+	limit    requestLimit
+	brittle  brittleness
 	// brittleRecheckAt is the time of the last recheck that scheduleBrittleRecheck scheduled.
 	brittleRecheckAt time.Time
 
--- a/pkg/route/inflight.go
+++ b/pkg/route/inflight.go
@@ -15,8 +15,10 @@
 	started      time.Time
 	firstToken   time.Time
 	suspect      bool
-	prefillDone  bool
-	done         bool
+	// pendingTokens are the uncached tokens at the endpoint at the start, of this request and of all others that were known.
+	pendingTokens float64
+	prefillDone   bool
+	done          bool
 }
 
 // VM returns the name of the endpoint's VM.
@@ -65,7 +67,9 @@
 		e.suspects++
 	}
 	t.meanPrefillTokens.add(float64(f.uncachedTokens()), sampleWeight)
+	f.pendingTokens = float64(e.prefillTokens) + t.peerPendingTokens(now, e)
 	if !e.removed {
+		t.notePrefixes(t.prefix.elapsed(now), e, d.request.Blocks)
 		t.prefix.insert(t.prefix.elapsed(now), e, d.request.Blocks...)
 	}
 	t.refresh(now, e)
@@ -79,6 +83,7 @@
 	}
 	f.prefillDone, f.firstToken = true, now
 	f.endpoint.prefillTokens -= f.uncachedTokens()
+	t.recordPrefillTime(now, f)
 }
 
 // Result is how a request ended at an endpoint.
--- a/pkg/route/ring.go
+++ b/pkg/route/ring.go
@@ -54,7 +54,7 @@
 const ringBlock = 1
 
 // appendRingCandidates appends the first open, usable endpoints that follow the prompt's hash on the ring.
-func (t *Table) appendRingCandidates(into []candidate, elapsed time.Duration, p *pool, r *Request) []candidate {
+func (t *Table) appendRingCandidates(now time.Time, into []candidate, elapsed time.Duration, p *pool, r *Request) []candidate {
 	const maxSteps = 64
 	if len(r.Blocks) == 0 || t.options.RingCandidates <= 0 {
 		return into
@@ -64,6 +64,7 @@
 	}
 	key := r.Blocks[min(ringBlock, len(r.Blocks)-1)]
 	start, _ := slices.BinarySearchFunc(p.ring, key, func(a ringPoint, key uint64) int { return cmp.Compare(a.hash, key) })
+	fleetWork := t.knowsFleetWork(now) // Then the index has what the other routers have sent.
 	want, firstUsable := len(into)+t.options.RingCandidates, true
 	for i := range min(maxSteps, len(p.ring)) {
 		e := p.ring[(start+i)%len(p.ring)].endpoint
@@ -74,7 +75,7 @@
 			continue
 		}
 		depth := t.prefix.depth(elapsed, e, r.Blocks)
-		if firstUsable && t.options.AssumeRingCacheHit {
+		if firstUsable && t.options.AssumeRingCacheHit && !fleetWork {
 			depth = len(r.Blocks)
 		}
 		firstUsable = false
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -11,6 +11,9 @@
 	queued := e.queuedRequests(now, o.StaleAfter)
 	others := max(0, total-float64(e.inFlight))
 
+	if t.knowsFleetWork(now) {
+		return t.fleetScore(now, c, e, r)
+	}
 	prefillTokens := float64(e.prefillTokens) + min(queued, others)*t.meanPrefillTokens.value
 	c.Load = prefillTokens/o.PrefillTokensPerMS + total*o.RequestMS + queued*o.QueuedMS
 	c.Load += max(0, e.report.KVUse-kvPreemptShare) / (1 - kvPreemptShare) * o.KVFullMS * e.report.weight(now, o.StaleAfter)
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -26,6 +26,12 @@
 	announcements map[runID]*announcement
 	// meanPrefillTokens is the average number of uncached prompt tokens of a request.
 	meanPrefillTokens average
+	// peerWorkAt is the time at which the work of the other routers became known, zero if it never was.
+	peerWorkAt time.Time
+	// sharesWork is set once OwnWork was called.
+	sharesWork bool
+	// prefillTime is the time to the first event by the uncached tokens at an endpoint.
+	prefillTime linearFit
 	// scratch is the slice of candidates that Choose reuses.
 	scratch []candidate
 }
--- /dev/null
+++ b/pkg/workload/exchange.go
@@ -0,0 +1,192 @@
+package workload
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/apex/log"
+
+	"github.com/lavendershunt/lavendershunt/api/ls/workload/v1"
+	"github.com/lavendershunt/lavendershunt/api/ls/workload/v1/workloadv1connect"
+	"github.com/lavendershunt/lavendershunt/pkg/peerhttp"
+	"github.com/lavendershunt/lavendershunt/pkg/route"
+)
+
+const (
+	// interval is the time between two exchanges of a router that has requests in progress. It is of the order of the prefill of a
+	// prompt of some thousand tokens: older figures describe prompts that are done.
+	interval = 100 * time.Millisecond
+	// exchangeTimeout limits one exchange. A round trip within a region takes a few ms.
+	exchangeTimeout = 150 * time.Millisecond
+	// idleAfter is the time without work after which a router exchanges nothing until it has some again.
+	idleAfter = time.Second
+	// keepers is the number of routers that may keep the board, in order of preference; retryKeeper is the time after which a router
+	// that did not answer is asked again.
+	keepers     = 3
+	retryKeeper = 2 * time.Second
+)
+
+// Options configure an Exchange.
+type Options struct {
+	Router string
+	Log    log.Interface
+	Client connect.HTTPClient
+	// Keepers returns the n routers that are to keep the board, in order, and Addresses the peer addresses of the others.
+	Keepers   func(n int) []string
+	Addresses func() map[string]string
+	// Applies reports whether the fleet shares its work at present.
+	Applies func() bool
+	// OwnWork returns this router's work, and ApplyWork takes that of the others.
+	OwnWork   func() []route.SharedWork
+	ApplyWork func([]route.SharedWork)
+}
+
+// Exchange gives this router's work to the others and gets theirs. It is safe for concurrent use.
+type Exchange struct {
+	workloadv1connect.UnimplementedWorkloadServiceHandler
+	options  Options
+	instance uint64
+
+	mu    sync.Mutex
+	board *Board
+
+	// The rest belongs to Run. next is the position in the sequence of the board named boardID.
+	keeper        string
+	boardID, next uint64
+	silent        map[string]time.Time
+	lost          bool
+}
+
+// New returns an Exchange.
+func New(o Options) *Exchange {
+	return &Exchange{options: o, instance: rand.Uint64(), board: NewBoard(), silent: map[string]time.Time{}}
+}
+
+// Handler returns the path and the handler for the peer API.
+func (x *Exchange) Handler(options ...connect.HandlerOption) (string, http.Handler) {
+	return workloadv1connect.NewWorkloadServiceHandler(x, options...)
+}
+
+// Exchange implements WorkloadService.
+func (x *Exchange) Exchange(_ context.Context, req *connect.Request[workloadv1.ExchangeRequest]) (*connect.Response[workloadv1.ExchangeResponse], error) {
+	m := req.Msg
+	next := m.GetNext()
+	if m.GetBoard() != x.instance {
+		next = 0
+	}
+	others, next := x.put(m.GetRouter(), m.GetInstance(), decodeWork(m.GetWork()), next)
+	return connect.NewResponse(&workloadv1.ExchangeResponse{Work: encodeWork(others), Board: x.instance, Next: next}), nil
+}
+
+func (x *Exchange) put(router string, instance uint64, work []route.SharedWork, next uint64) ([]route.SharedWork, uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.board.Put(time.Now(), router, instance, work, next)
+}
+
+// Run exchanges work until ctx ends.
+func (x *Exchange) Run(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	var busyAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !x.options.Applies() {
+			continue
+		}
+		work := x.options.OwnWork()
+		now := time.Now()
+		if len(work) > 0 {
+			busyAt = now
+		}
+		if now.Sub(busyAt) < idleAfter {
+			x.exchange(ctx, now, work)
+		}
+	}
+}
+
+// exchange gives work to the first keeper that answers. What no keeper got is lost, except for the requests in progress.
+func (x *Exchange) exchange(ctx context.Context, now time.Time, work []route.SharedWork) {
+	addresses := x.options.Addresses()
+	for _, keeper := range x.options.Keepers(keepers) {
+		if keeper == x.options.Router {
+			if x.keeper != keeper {
+				x.keeper, x.next = keeper, 0
+			}
+			others, next := x.put(keeper, x.instance, work, x.next)
+			x.next = next
+			x.options.ApplyWork(others)
+			x.setLost(nil)
+			return
+		}
+		address, ok := addresses[keeper]
+		if !ok || now.Sub(x.silent[keeper]) < retryKeeper {
+			continue
+		}
+		if x.keeper != keeper {
+			x.keeper, x.boardID, x.next = keeper, 0, 0
+		}
+		callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		client := workloadv1connect.NewWorkloadServiceClient(x.options.Client, "http://"+address, connect.WithReadMaxBytes(peerhttp.MaxMessageBytes))
+		response, err := client.Exchange(callCtx, connect.NewRequest(&workloadv1.ExchangeRequest{
+			Router: x.options.Router, Instance: x.instance, Work: encodeWork(work), Board: x.boardID, Next: x.next,
+		}))
+		cancel()
+		if err != nil {
+			if ctx.Err() == nil {
+				clear(x.silent) // Bounds it to the keepers of the last changes of the fleet.
+				x.silent[keeper] = now
+				x.setLost(err)
+			}
+			return // The next keeper is asked with newer work.
+		}
+		x.boardID, x.next = response.Msg.GetBoard(), response.Msg.GetNext()
+		x.options.ApplyWork(decodeWork(response.Msg.GetWork()))
+		x.setLost(nil)
+		return
+	}
+}
+
+func (x *Exchange) setLost(err error) {
+	lost := err != nil
+	if lost == x.lost {
+		return
+	}
+	x.lost = lost
+	entry := x.options.Log.WithField("keeper", x.keeper)
+	if lost {
+		entry.WithError(err).Info("work_exchange_lost")
+		return
+	}
+	entry.Info("work_exchange_regained")
+}
+
+func encodeWork(work []route.SharedWork) []*workloadv1.EndpointWork {
+	encoded := make([]*workloadv1.EndpointWork, len(work))
+	for i, w := range work {
+		encoded[i] = &workloadv1.EndpointWork{
+			Endpoint: w.VM, Started: w.Started, PendingTokens: uint32(w.PendingTokens), Running: uint32(w.Running), Prefixes: w.Prefixes,
+			PredictedMs: float32(w.PredictedMS), MeasuredMs: float32(w.MeasuredMS),
+		}
+	}
+	return encoded
+}
+
+func decodeWork(work []*workloadv1.EndpointWork) []route.SharedWork {
+	decoded := make([]route.SharedWork, len(work))
+	for i, w := range work {
+		decoded[i] = route.SharedWork{
+			VM: w.GetEndpoint(), Started: w.GetStarted(), PendingTokens: int(w.GetPendingTokens()), Running: int(w.GetRunning()), Prefixes: w.GetPrefixes(),
+			PredictedMS: float64(w.GetPredictedMs()), MeasuredMS: float64(w.GetMeasuredMs()),
+		}
+	}
+	return decoded
+}
