--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -168,7 +168,7 @@
 }
 
 func (e *exchange) placementRequest(excluded []string) route.Request {
-	r := route.Request{ID: e.request.ID, Pool: route.Service(e.service.Name), Exclude: excluded, WithSoftware: e.begun, Software: e.software}
+	r := route.Request{ID: e.request.ID, Pool: route.Service(e.service.Name), Exclude: excluded, WithSoftware: e.begun, Software: e.software, PauseObjective: e.route.PauseObjective}
 	if p := e.request.Prompt; p != nil {
 		r.PromptTokens, r.OutputTokens = int(p.Tokens), int(p.MaxOutput)
 		r.Blocks, r.BlockEnds = p.sharedPrefixes()
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -25,6 +25,8 @@
 	PromptTokens int
 	// OutputTokens is the expected length of the answer in tokens.
 	OutputTokens int
+	// PauseObjective is the longest pause between events with which streams like this are on time, 0 if unknown.
+	PauseObjective time.Duration
 	// Blocks and BlockEnds are the prompt's indexed blocks as returned by Blocks.
 	Blocks    []uint64
 	BlockEnds []int
@@ -68,13 +70,15 @@
 // Candidate is an endpoint that was scored. The parts of the score are in milliseconds.
 type Candidate struct {
 	VM string
-	// Score is Load + RequestTime + Distance; the candidate with the lowest score is chosen.
+	// Score is Load + RequestTime + Interference + Distance; the candidate with the lowest score is chosen.
 	Score float64
 	// Load is the estimated delay caused by requests that are already at the endpoint.
 	Load float64
 	// RequestTime is the estimated prefill time of the prompt tokens that are not cached at the endpoint, multiplied by
 	// its weight. At a slow endpoint it includes the additional time for the output.
 	RequestTime float64
+	// Interference is the estimated cost for the streams in progress at the endpoint whose events the prefill of the request holds up.
+	Interference float64
 	// Distance is the round-trip time to the endpoint's availability zone or region.
 	Distance float64
 	// CachedTokens is the estimated number of prompt tokens in the endpoint's prefix cache.
--- a/pkg/route/options.go
+++ b/pkg/route/options.go
@@ -27,9 +27,6 @@
 	// endpoints even when others are idle. A negative CongestionWeight means none.
 	PromptWeight     float64
 	CongestionWeight float64
-	// InterferenceWeight counts the prefill of the request's uncached prompt once more for each of so many requests in progress at the
-	// endpoint, whose events it holds up. It applies only while the work of the other routers is known (Table.ApplyWork). 0 means none.
-	InterferenceWeight float64
 	// RequestMS is the delay that one running or queued request adds to others at the same endpoint.
 	RequestMS float64
 	// QueuedMS is the additional delay caused by one request that waits for a slot in the batch.
