--- a/pkg/workload/exchange.go
+++ b/pkg/workload/exchange.go
@@ -22,8 +22,9 @@
 	interval = 100 * time.Millisecond
 	// exchangeTimeout limits one exchange. A round trip within a region takes a few ms.
 	exchangeTimeout = 150 * time.Millisecond
-	// idleAfter is the time without work after which a router exchanges nothing until it has some again.
-	idleAfter = time.Second
+	// idleAfter is the time without work after which a router exchanges nothing until it has some again. A router that gets requests
+	// now and then is to know where their prompts are when they come.
+	idleAfter = 15 * time.Second
 	// keepers is the number of routers that may keep the board, in order of preference; retryKeeper is the time after which a router
 	// that did not answer is asked again.
 	keepers     = 3
