--- a/pkg/route/sharedwork.go
+++ b/pkg/route/sharedwork.go
@@ -143,7 +143,7 @@
 	pending := float64(e.prefillTokens) + t.peerPendingTokens(now, e)
 	own := float64(r.PromptTokens-c.CachedTokens) * msPerToken
 	c.Load = pending*msPerToken*relative + running*o.RequestMS + t.slowStartMS(now, e)
-	c.RequestTime = own * (relative + max(0, o.PromptWeight-1))
+	c.RequestTime = own * (relative + max(0, 8-1))
 	c.Interference = running * (own*relative*trialLinear + trialPause*pauseCost(own*relative, (pending*msPerToken)*relative, float64(r.PauseObjective)/float64(time.Millisecond)))
 	c.Score = c.Load + c.RequestTime + c.Interference + c.Distance
 	return c
@@ -153,7 +153,7 @@
 
 func init() {
 	trialLinear, _ = strconv.ParseFloat("0", 64)
-	trialPause, _ = strconv.ParseFloat("1", 64)
+	trialPause, _ = strconv.ParseFloat("0.3", 64)
 }
 
 // pauseCost returns the expected cost in ms for a stream at an endpoint that prefills a prompt of own ms behind others of pending ms. The
