--- a/pkg/workload/exchange.go
+++ b/pkg/workload/exchange.go
@@ -22,9 +22,10 @@
 	interval = 100 * time.Millisecond
 	// exchangeTimeout limits one exchange. A round trip within a region takes a few ms.
 	exchangeTimeout = 150 * time.Millisecond
-	// idleAfter is the time without work after which a router exchanges nothing until it has some again. A router that gets requests
-	// now and then is to know where their prompts are when they come.
-	idleAfter = 15 * time.Second
+	// idleInterval is the time between two exchanges of a router without requests in progress, and idleAfter the time after its last
+	// one from which it exchanges nothing. A router that gets requests now and then is to know where their prompts are when they come.
+	idleInterval = time.Second
+	idleAfter    = 15 * time.Second
 	// keepers is the number of routers that may keep the board, in order of preference; retryKeeper is the time after which a router
 	// that did not answer is asked again.
 	keepers     = 3
@@ -93,7 +94,7 @@
 func (x *Exchange) Run(ctx context.Context) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	var busyAt time.Time
+	var busyAt, exchangedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -108,7 +109,8 @@
 		if len(work) > 0 {
 			busyAt = now
 		}
-		if now.Sub(busyAt) < idleAfter {
+		if len(work) > 0 || now.Sub(busyAt) < idleAfter && now.Sub(exchangedAt) >= idleInterval {
+			exchangedAt = now
 			x.exchange(ctx, now, work)
 		}
 	}
