--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -205,7 +205,7 @@
 	LastResort:           true,
 	PromptWeight:         3,
 	CongestionWeight:     -1,
-	SpeedHalfLife:        time.Millisecond,
+	SpeedHalfLife:        -1, // The time between tokens shows what is prefilled beside a stream; Table.ApplyWork has the speeds.
 	PrefillTokensPerMS:   50,
 	PrefixAge:            20 * time.Second,
 	MaxPrefixEntries:     20_000,
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -135,6 +135,9 @@
 		return attemptNotSent, nil, decision.Failure()
 	}
 	e.decision = &decision
+	if _, reason, ok := decision.PassedOver(); ok {
+		e.Metrics.recordPassedOver(e.route.Name, reason)
+	}
 	result, errorResponse := e.attempt(ctx, decision, inFlight, stream)
 	return result, errorResponse, nil
 }
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -7,6 +7,8 @@
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"github.com/lavendershunt/lavendershunt/pkg/route"
 )
 
 // Metrics are the counters and histograms of a Server. A nil or zero Metrics records nothing.
@@ -21,6 +23,7 @@
 	irregular     metric.Int64Counter
 	ends          metric.Int64Counter
 	processes     metric.Int64Counter
+	passedOver    metric.Int64Counter
 }
 
 // latencyBucketsSeconds are the histograms' bucket boundaries. They cover the latency objectives and timeouts of
@@ -55,6 +58,9 @@
 	if m.processes, err = meter.Int64Counter("forward_stream_processes", metric.WithDescription("Attempts of streams by what proves the software version of the process that got them.")); err != nil {
 		return nil, err
 	}
+	if m.passedOver, err = meter.Int64Counter("forward_endpoints_passed_over", metric.WithDescription("Requests sent to an endpoint that held less of their prompt than another one, by route and the reason.")); err != nil {
+		return nil, err
+	}
 	if m.duration, err = meter.Float64Histogram("forward_duration", metric.WithUnit("s"), latencyBucketsSeconds, metric.WithDescription("Time to the end of the answer.")); err != nil {
 		return nil, err
 	}
@@ -119,6 +125,12 @@
 	}
 }
 
+func (m *Metrics) recordPassedOver(kind string, reason route.PassReason) {
+	if m != nil && m.passedOver != nil {
+		m.passedOver.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("route", kind), attribute.String("reason", string(reason)))))
+	}
+}
+
 func (m *Metrics) recordProcess(proof versionProof) {
 	if m != nil && m.processes != nil {
 		m.processes.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("proof", string(proof)))))
--- a/pkg/forward/server.go
+++ b/pkg/forward/server.go
@@ -431,6 +431,9 @@
 	}
 	if e.decision != nil {
 		fields["endpoint"], fields["software"] = e.decision.Chosen, e.decision.Software
+		if vm, reason, ok := e.decision.PassedOver(); ok {
+			fields["passed_over"], fields["passed_over_for"] = vm, string(reason)
+		}
 		fields["candidates"], fields["choice"], fields["cached"] = e.decision.Candidates, string(e.decision.Reason), e.decision.Cached()
 	}
 	e.addProcessFields(fields)
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -85,6 +85,18 @@
 	CachedTokens int
 }
 
+// PassReason is why an endpoint that held more of a prompt was passed over for the one that was chosen: the part of its score that was
+// larger by most.
+type PassReason string
+
+// Reasons why an endpoint was passed over.
+const (
+	PassedForLoad         PassReason = "load"
+	PassedForInterference PassReason = "interference"
+	PassedForSpeed        PassReason = "speed"
+	PassedForDistance     PassReason = "distance"
+)
+
 // Decision is the result of a choice, with all values for its log line.
 type Decision struct {
 	RequestID    string
@@ -119,6 +131,38 @@
 // Cached returns the estimated number of prompt tokens in the chosen endpoint's prefix cache.
 func (d *Decision) Cached() int { return d.cachedTokens }
 
+// PassedOver returns the considered endpoint with most of the prompt in its cache and why it wasn't chosen, and false if none had more
+// of it than the chosen one.
+func (d *Decision) PassedOver() (vm string, reason PassReason, ok bool) {
+	var chosen, passed *Candidate
+	for i := range d.Considered {
+		c := &d.Considered[i]
+		if c.VM == d.Chosen {
+			chosen = c
+		}
+		if passed == nil || c.CachedTokens > passed.CachedTokens {
+			passed = c
+		}
+	}
+	if chosen == nil || passed.CachedTokens <= chosen.CachedTokens {
+		return "", "", false
+	}
+	reason, largest := PassedForLoad, passed.Load-chosen.Load
+	for _, other := range []struct {
+		reason PassReason
+		excess float64
+	}{
+		{PassedForInterference, passed.Interference - chosen.Interference},
+		{PassedForSpeed, passed.RequestTime - chosen.RequestTime},
+		{PassedForDistance, passed.Distance - chosen.Distance},
+	} {
+		if other.excess > largest {
+			reason, largest = other.reason, other.excess
+		}
+	}
+	return passed.VM, reason, true
+}
+
 // Failure returns the failure for the caller if no endpoint was chosen, and nil otherwise.
 func (d *Decision) Failure() *outcome.Failure {
 	if d.OK() {
--- a/pkg/route/options.go
+++ b/pkg/route/options.go
@@ -27,6 +27,12 @@
 	// endpoints even when others are idle. A negative CongestionWeight means none.
 	PromptWeight     float64
 	CongestionWeight float64
+	// SharedPromptWeight takes the place of PromptWeight and CongestionWeight while the work of the other routers is known
+	// (Table.ApplyWork): the load is known then, and the weight stands for what a prefill that another endpoint could have saved takes
+	// from the requests of others. InterferenceWeight is the weight of what the prefill does to each stream in progress at the
+	// endpoint; negative means none.
+	SharedPromptWeight float64
+	InterferenceWeight float64
 	// RequestMS is the delay that one running or queued request adds to others at the same endpoint.
 	RequestMS float64
 	// QueuedMS is the additional delay caused by one request that waits for a slot in the batch.
@@ -50,7 +56,8 @@
 	// at SlowStartMS and falls linearly to 0.
 	SlowStart   time.Duration
 	SlowStartMS float64
-	// SpeedHalfLife is the time without new samples in which the effect of a measured slowdown halves.
+	// SpeedHalfLife is the time without new samples in which the effect of a slowdown that this router has measured by itself halves;
+	// negative means that it measures none.
 	SpeedHalfLife time.Duration
 	// MaxPrefixEntries bounds the pairs of block and endpoint in the prefix index; a pair takes about 60 bytes.
 	MaxPrefixEntries int
@@ -67,6 +74,8 @@
 	setDefault(&o.RingCandidates, 2)
 	setDefault(&o.PromptWeight, 1)
 	setDefault(&o.CongestionWeight, 2)
+	setDefault(&o.SharedPromptWeight, 5)
+	setDefault(&o.InterferenceWeight, 0.3)
 	setDefault(&o.PrefillTokensPerMS, 8)
 	setDefault(&o.RequestMS, 4)
 	setDefault(&o.QueuedMS, 40)
--- a/pkg/route/sharedwork.go
+++ b/pkg/route/sharedwork.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"strconv"
 	"time"
 )
 
@@ -143,19 +142,12 @@
 	pending := float64(e.prefillTokens) + t.peerPendingTokens(now, e)
 	own := float64(r.PromptTokens-c.CachedTokens) * msPerToken
 	c.Load = pending*msPerToken*relative + running*o.RequestMS + t.slowStartMS(now, e)
-	c.RequestTime = own * (relative + max(0, 8-1))
-	c.Interference = running * (own*relative*trialLinear + trialPause*pauseCost(own*relative, (pending*msPerToken)*relative, float64(r.PauseObjective)/float64(time.Millisecond)))
+	c.RequestTime = own * (relative + max(0, o.SharedPromptWeight-1))
+	c.Interference = max(0, o.InterferenceWeight) * running * pauseCost(own*relative, pending*msPerToken*relative, float64(r.PauseObjective)/float64(time.Millisecond))
 	c.Score = c.Load + c.RequestTime + c.Interference + c.Distance
 	return c
 }
 
-var trialLinear, trialPause float64
-
-func init() {
-	trialLinear, _ = strconv.ParseFloat("0", 64)
-	trialPause, _ = strconv.ParseFloat("0.3", 64)
-}
-
 // pauseCost returns the expected cost in ms for a stream at an endpoint that prefills a prompt of own ms behind others of pending ms. The
 // stream waits for all of them at most. It counts as late with a pause over the objective, and a late one costs as much as the objective.
 // It is not certain where the pause ends: the probability rises from 0 at three quarters of the objective to 1 at five quarters.
--- a/pkg/route/speed.go
+++ b/pkg/route/speed.go
@@ -51,7 +51,7 @@
 // slowdown returns the factor by which the endpoint is slower than its pool, at least 1. Without new samples it decays
 // to 1, so that an endpoint that has become faster is tried again.
 func (t *Table) slowdown(now time.Time, e *endpoint, p *pool) float64 {
-	if !e.speed.tokenMS.hasSample || !p.tokenMS.hasSample || p.tokenMS.value <= 0 {
+	if t.options.SpeedHalfLife < 0 || !e.speed.tokenMS.hasSample || !p.tokenMS.hasSample || p.tokenMS.value <= 0 {
 		return 1
 	}
 	ratio := e.speed.tokenMS.value / p.tokenMS.value
