--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -76,7 +76,7 @@
 // knows nothing else of the work of the others.
 func (r *Router) sharesWork() bool {
 	config := r.config.Current()
-	if config == nil {
+	if config == nil || r.roster.Count() == 1 {
 		return false
 	}
 	engines := 0
--- a/pkg/route/options.go
+++ b/pkg/route/options.go
@@ -74,7 +74,7 @@
 	setDefault(&o.RingCandidates, 2)
 	setDefault(&o.PromptWeight, 1)
 	setDefault(&o.CongestionWeight, 2)
-	setDefault(&o.SharedPromptWeight, 5)
+	setDefault(&o.SharedPromptWeight, 8)
 	setDefault(&o.InterferenceWeight, 0.3)
 	setDefault(&o.PrefillTokensPerMS, 8)
 	setDefault(&o.RequestMS, 4)
--- a/pkg/route/ring.go
+++ b/pkg/route/ring.go
@@ -64,7 +64,8 @@
 	}
 	key := r.Blocks[min(ringBlock, len(r.Blocks)-1)]
 	start, _ := slices.BinarySearchFunc(p.ring, key, func(a ringPoint, key uint64) int { return cmp.Compare(a.hash, key) })
-	fleetWork := t.knowsFleetWork(now) // Then the index has what the other routers have sent.
+	// While the other routers' work is known, the index has what they have sent. What it had before is still right after a gap.
+	fleetWork := t.knowsFleetWork(now) || !t.peerWorkAt.IsZero() && t.prefix.maxDepth(elapsed, r.Blocks) == len(r.Blocks)
 	want, firstUsable := len(into)+t.options.RingCandidates, true
 	for i := range min(maxSteps, len(p.ring)) {
 		e := p.ring[(start+i)%len(p.ring)].endpoint
--- a/pkg/route/sharedwork.go
+++ b/pkg/route/sharedwork.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -47,9 +49,10 @@
 }
 
 // sharedWeight returns the weight of the others' work in the score: 1 up to sharedWorkAge, then falling to 0 at twice that age, and 0
-// without any.
+// without any. It is 0 as well while the work comes at long intervals: routers that know it now and then place prompts where those that
+// don't know it at the moment miss them.
 func (t *Table) sharedWeight(now time.Time) float64 {
-	if t.peerWorkAt.IsZero() {
+	if !t.peerWorkSteady {
 		return 0
 	}
 	return min(1, max(0, 2-float64(now.Sub(t.peerWorkAt))/float64(sharedWorkAge)))
@@ -103,11 +106,13 @@
 		})
 		e.unshared = ownWork{}
 	}
+	slices.SortFunc(work, func(a, b SharedWork) int { return strings.Compare(a.VM, b.VM) })
 	return work
 }
 
 // ApplyWork replaces what is known of the other routers' work. Records of other runs of an endpoint are ignored.
 func (t *Table) ApplyWork(now time.Time, work []SharedWork) {
+	t.peerWorkSteady = !t.peerWorkAt.IsZero() && now.Sub(t.peerWorkAt) <= 2*sharedWorkAge
 	t.peerWorkAt = now
 	for _, e := range t.endpoints {
 		e.peers = peerWork{}
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -28,6 +28,8 @@
 	meanPrefillTokens average
 	// peerWorkAt is the time at which the work of the other routers became known, zero if it never was.
 	peerWorkAt time.Time
+	// peerWorkSteady is set if the time before was not long ago.
+	peerWorkSteady bool
 	// sharesWork is set once OwnWork was called.
 	sharesWork bool
 	// prefillTime is the time to the first event by the uncached tokens at an endpoint.
--- a/pkg/workload/board.go
+++ b/pkg/workload/board.go
@@ -3,7 +3,10 @@
 package workload
 
 import (
+	"cmp"
 	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/lavendershunt/lavendershunt/pkg/route"
@@ -121,6 +124,9 @@
 	for _, s := range sums {
 		result = append(result, *s)
 	}
+	slices.SortFunc(result, func(a, b route.SharedWork) int {
+		return cmp.Or(strings.Compare(a.VM, b.VM), cmp.Compare(a.Started, b.Started))
+	})
 	return result
 }
 
--- a/pkg/workload/exchange.go
+++ b/pkg/workload/exchange.go
@@ -24,7 +24,7 @@
 	exchangeTimeout = 150 * time.Millisecond
 	// idleInterval is the time between two exchanges of a router without requests in progress, and idleAfter the time after its last
 	// one from which it exchanges nothing. A router that gets requests now and then is to know where their prompts are when they come.
-	idleInterval = time.Second
+	idleInterval = 700 * time.Millisecond
 	idleAfter    = 15 * time.Second
 	// keepers is the number of routers that may keep the board, in order of preference; retryKeeper is the time after which a router
 	// that did not answer is asked again.
