--- a/pkg/workload/board.go
+++ b/pkg/workload/board.go
@@ -31,9 +31,8 @@
 }
 
 type record struct {
-	at       time.Time
-	instance uint64
-	work     []route.SharedWork
+	at   time.Time
+	work []route.SharedWork
 }
 
 type prefix struct {
@@ -67,7 +66,7 @@
 
 // Put replaces the work of a router and returns that of the others, with the prefixes from the position next on, and the position after
 // them. A position before the oldest prefix means all.
-func (b *Board) Put(now time.Time, router string, instance uint64, work []route.SharedWork, next uint64) (others []route.SharedWork, newNext uint64) {
+func (b *Board) Put(now time.Time, router string, work []route.SharedWork, next uint64) (others []route.SharedWork, newNext uint64) {
 	b.drop(now)
 	for _, w := range work {
 		key := run{w.VM, w.Started}
@@ -83,7 +82,7 @@
 	if excess := len(b.prefixes) - maxPrefixes; excess > 0 {
 		b.dropPrefixes(excess)
 	}
-	b.records[router] = record{at: now, instance: instance, work: work}
+	b.records[router] = record{at: now, work: work}
 	return b.others(now, router, next), b.first + uint64(len(b.prefixes))
 }
 
--- a/pkg/workload/exchange.go
+++ b/pkg/workload/exchange.go
@@ -26,6 +26,8 @@
 	// one from which it exchanges nothing. A router that gets requests now and then is to know where their prompts are when they come.
 	idleInterval = 700 * time.Millisecond
 	idleAfter    = 15 * time.Second
+	// checkInterval is the time between two checks whether the fleet shares its work.
+	checkInterval = time.Second
 	// keepers is the number of routers that may keep the board, in order of preference; retryKeeper is the time after which a router
 	// that did not answer is asked again.
 	keepers     = 3
@@ -50,7 +52,8 @@
 // Exchange gives this router's work to the others and gets theirs. It is safe for concurrent use.
 type Exchange struct {
 	workloadv1connect.UnimplementedWorkloadServiceHandler
-	options  Options
+	options Options
+	// instance identifies this start of the router, and so its board.
 	instance uint64
 
 	mu    sync.Mutex
@@ -80,32 +83,36 @@
 	if m.GetBoard() != x.instance {
 		next = 0
 	}
-	others, next := x.put(m.GetRouter(), m.GetInstance(), decodeWork(m.GetWork()), next)
+	others, next := x.put(m.GetRouter(), decodeWork(m.GetWork()), next)
 	return connect.NewResponse(&workloadv1.ExchangeResponse{Work: encodeWork(others), Board: x.instance, Next: next}), nil
 }
 
-func (x *Exchange) put(router string, instance uint64, work []route.SharedWork, next uint64) ([]route.SharedWork, uint64) {
+func (x *Exchange) put(router string, work []route.SharedWork, next uint64) ([]route.SharedWork, uint64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.board.Put(time.Now(), router, instance, work, next)
+	return x.board.Put(time.Now(), router, work, next)
 }
 
 // Run exchanges work until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	var busyAt, exchangedAt time.Time
+	var busyAt, exchangedAt, checkedAt time.Time
+	applies := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		if !x.options.Applies() {
+		now := time.Now()
+		if now.Sub(checkedAt) >= checkInterval {
+			applies, checkedAt = x.options.Applies(), now
+		}
+		if !applies {
 			continue
 		}
 		work := x.options.OwnWork()
-		now := time.Now()
 		if len(work) > 0 {
 			busyAt = now
 		}
@@ -124,7 +131,7 @@
 			if x.keeper != keeper {
 				x.keeper, x.next = keeper, 0
 			}
-			others, next := x.put(keeper, x.instance, work, x.next)
+			others, next := x.put(keeper, work, x.next)
 			x.next = next
 			x.options.ApplyWork(others)
 			x.setLost(nil)
@@ -140,7 +147,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 		client := workloadv1connect.NewWorkloadServiceClient(x.options.Client, "http://"+address, connect.WithReadMaxBytes(peerhttp.MaxMessageBytes))
 		response, err := client.Exchange(callCtx, connect.NewRequest(&workloadv1.ExchangeRequest{
-			Router: x.options.Router, Instance: x.instance, Work: encodeWork(work), Board: x.boardID, Next: x.next,
+			Router: x.options.Router, Work: encodeWork(work), Board: x.boardID, Next: x.next,
 		}))
 		cancel()
 		if err != nil {
