--- a/pkg/workload/exchange.go
+++ b/pkg/workload/exchange.go
@@ -53,6 +53,7 @@
 type Exchange struct {
 	workloadv1connect.UnimplementedWorkloadServiceHandler
 	options Options
+	timeout time.Duration
 	// instance identifies this start of the router, and so its board.
 	instance uint64
 
@@ -68,7 +69,7 @@
 
 // New returns an Exchange.
 func New(o Options) *Exchange {
-	return &Exchange{options: o, instance: rand.Uint64(), board: NewBoard(), silent: map[string]time.Time{}}
+	return &Exchange{options: o, timeout: exchangeTimeout, instance: rand.Uint64(), board: NewBoard(), silent: map[string]time.Time{}}
 }
 
 // Handler returns the path and the handler for the peer API.
@@ -144,7 +145,7 @@
 		if x.keeper != keeper {
 			x.keeper, x.boardID, x.next = keeper, 0, 0
 		}
-		callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, x.timeout)
 		client := workloadv1connect.NewWorkloadServiceClient(x.options.Client, "http://"+address, connect.WithReadMaxBytes(peerhttp.MaxMessageBytes))
 		response, err := client.Exchange(callCtx, connect.NewRequest(&workloadv1.ExchangeRequest{
 			Router: x.options.Router, Work: encodeWork(work), Board: x.boardID, Next: x.next,
