--- a/pkg/route/sharedwork.go
+++ b/pkg/route/sharedwork.go
@@ -31,6 +31,9 @@
 	// speedPriorMS is the predicted time with which an endpoint counts as average before its own answers do: one slow answer is
 	// noise, several seconds of slow ones are a slow endpoint.
 	speedPriorMS = 1000
+	// minRelativeSpeed is the factor from the average up to which endpoints count as equal: with the few answers of some seconds, equal
+	// ones differ by so much.
+	minRelativeSpeed = 1.3
 	// maxRelativeSpeed bounds the estimate in both directions.
 	maxRelativeSpeed = 4
 )
@@ -132,7 +135,9 @@
 		if predicted > 0 && measured > 0 {
 			mean := measured / predicted
 			ratio := (w.MeasuredMS/mean + speedPriorMS) / (w.PredictedMS + speedPriorMS)
-			e.peers.relativeTime = min(maxRelativeSpeed, max(1.0/maxRelativeSpeed, ratio))
+			if ratio < 1/minRelativeSpeed || ratio > minRelativeSpeed {
+				e.peers.relativeTime = min(maxRelativeSpeed, max(1.0/maxRelativeSpeed, ratio))
+			}
 		}
 		t.prefix.insert(elapsed, e, w.Prefixes...)
 	}
--- a/pkg/workload/board.go
+++ b/pkg/workload/board.go
@@ -16,7 +16,7 @@
 	// maxRecordAge is the age from which a router's work is no longer on the board.
 	maxRecordAge = time.Second
 	// timesHalfLife is the time in which the weight of measured times halves. A slow spell of an endpoint lasts seconds.
-	timesHalfLife = 5 * time.Second
+	timesHalfLife = 10 * time.Second
 	// maxPrefixes bounds the prefixes on the board, of which the oldest are dropped, and maxPrefixAge is their age.
 	maxPrefixes  = 8192
 	maxPrefixAge = 20 * time.Second
--- a/pkg/workload/mixed_test.go
+++ b/pkg/workload/mixed_test.go
@@ -22,8 +22,6 @@
 	// burst multiplies the long prompts from 4 s to 6 s, hot is the share of long prompts with the same shared part, and slow the factor
 	// by which the first engine is slower than the others.
 	burst, hot, slow float64
-	// leastInTime is the least number of streams in time with an exchange over that without one.
-	leastInTime float64
 }
 
 const (
@@ -215,11 +213,11 @@
 // the long ones: routers that share their work serve more of both in time than routers that know their own work only.
 func TestSharedWorkServesMixesInTime(t *testing.T) {
 	mixes := map[string]mix{
-		"steady":      {routers: 20, engines: 24, leastInTime: 1},
-		"burst":       {routers: 20, engines: 24, burst: 2, leastInTime: 0.95},
-		"hot part":    {routers: 20, engines: 24, hot: 0.3, leastInTime: 1},
-		"slow engine": {routers: 20, engines: 24, slow: 2.5, leastInTime: 1},
-		"90 routers":  {routers: 90, engines: 33, leastInTime: 1},
+		"steady":      {routers: 20, engines: 24},
+		"burst":       {routers: 20, engines: 24, burst: 2},
+		"hot part":    {routers: 20, engines: 24, hot: 0.3},
+		"slow engine": {routers: 20, engines: 24, slow: 2.5},
+		"90 routers":  {routers: 90, engines: 33},
 	}
 	for name, m := range mixes {
 		t.Run(name, func(t *testing.T) {
@@ -234,9 +232,7 @@
 			t.Logf("shared: %v", shared)
 			must.Less(t, alone.lateShort, shared.lateShort)
 			must.LessEq(t, alone.lateLong, shared.lateLong)
-			// More long prompts than the engines can prefill beside streams without a long pause, as in a burst, pause some streams in
-			// any case; balanced work spreads these pauses, which may cost 1 stream in 20.
-			must.GreaterEq(t, m.leastInTime*float64(alone.inTime), float64(shared.inTime))
+			must.Greater(t, alone.inTime, shared.inTime)
 			must.LessEq(t, alone.slowest, shared.slowest)
 		})
 	}
@@ -259,7 +255,7 @@
 }
 
 // Guards against a loss for a fleet of one router, which knows all its work without an exchange: it has no more late first events, and
-// as many streams in time, give or take 1 in 20.
+// as many streams in time.
 func TestOneRouterServesAsMuchWithAnExchange(t *testing.T) {
 	m := mix{routers: 1, engines: 24}
 	exchanging := m
@@ -270,7 +266,7 @@
 	}
 	t.Logf("alone: %v", alone)
 	t.Logf("with:  %v", with)
-	must.GreaterEq(t, 0.95*float64(alone.inTime), float64(with.inTime))
+	must.GreaterEq(t, alone.inTime, with.inTime)
 	must.LessEq(t, alone.lateLong, with.lateLong)
 	must.LessEq(t, alone.lateShort, with.lateShort)
 }
