--- a/pkg/workload/mixed_test.go
+++ b/pkg/workload/mixed_test.go
@@ -108,7 +108,7 @@
 		next := uint64(0)
 		var exchange func(time.Time)
 		exchange = func(time.Time) {
-			others, newNext := board.Put(origin.Add(now), fmt.Sprint(i), 1, t.OwnWork(), next)
+			others, newNext := board.Put(origin.Add(now), fmt.Sprint(i), t.OwnWork(), next)
 			next = newNext
 			t.ApplyWork(origin.Add(now), others)
 			at(now+m.exchangeEvery, exchange)
@@ -255,7 +255,7 @@
 }
 
 // Guards against a loss for a fleet of one router, which knows all its work without an exchange: it has no more late first events, and
-// as many streams in time, give or take 1 in 20.
+// as many streams in time.
 func TestOneRouterServesAsMuchWithAnExchange(t *testing.T) {
 	m := mix{routers: 1, engines: 24}
 	exchanging := m
@@ -266,7 +266,7 @@
 	}
 	t.Logf("alone: %v", alone)
 	t.Logf("with:  %v", with)
-	must.GreaterEq(t, 0.95*float64(alone.inTime), float64(with.inTime))
+	must.GreaterEq(t, alone.inTime, with.inTime)
 	must.LessEq(t, alone.lateLong, with.lateLong)
 	must.LessEq(t, alone.lateShort, with.lateShort)
 }
