--- a/pkg/route/sharedwork.go
+++ b/pkg/route/sharedwork.go
@@ -113,26 +113,31 @@
 	return work
 }
 
-// ApplyWork replaces what is known of the other routers' work. Records of other runs of an endpoint are ignored.
+// ApplyWork replaces what is known of the other routers' work, the measured times only if there are any. Records of other runs of an
+// endpoint are ignored.
 func (t *Table) ApplyWork(now time.Time, work []SharedWork) {
 	t.peerWorkSteady = !t.peerWorkAt.IsZero() && now.Sub(t.peerWorkAt) <= 2*sharedWorkAge
 	t.peerWorkAt = now
-	for _, e := range t.endpoints {
-		e.peers = peerWork{}
-	}
 	var predicted, measured float64
 	for _, w := range work {
 		predicted += w.PredictedMS
 		measured += w.MeasuredMS
 	}
+	hasTimes := predicted > 0 && measured > 0
+	for _, e := range t.endpoints {
+		e.peers.pendingTokens, e.peers.running = 0, 0
+		if hasTimes {
+			e.peers.relativeTime = 0
+		}
+	}
 	elapsed := t.prefix.elapsed(now)
 	for _, w := range work {
 		e := t.endpoints[w.VM]
 		if e == nil || e.vm.Started != w.Started {
 			continue
 		}
-		e.peers = peerWork{pendingTokens: w.PendingTokens, running: w.Running}
-		if predicted > 0 && measured > 0 {
+		e.peers.pendingTokens, e.peers.running = w.PendingTokens, w.Running
+		if hasTimes {
 			mean := measured / predicted
 			ratio := (w.MeasuredMS/mean + speedPriorMS) / (w.PredictedMS + speedPriorMS)
 			if ratio < 1/minRelativeSpeed || ratio > minRelativeSpeed {
--- a/pkg/workload/board.go
+++ b/pkg/workload/board.go
@@ -22,6 +22,9 @@
 	maxPrefixAge = 20 * time.Second
 	// maxRuns bounds the runs of endpoints with measured times.
 	maxRuns = 16384
+	// timesInterval is the time between two answers to a router that have the measured times. They change slowly, and are about as
+	// many as there are endpoints.
+	timesInterval = time.Second
 )
 
 // run names one run of an endpoint.
@@ -33,6 +36,8 @@
 type record struct {
 	at   time.Time
 	work []route.SharedWork
+	// timesAt is the time of the last answer to the router that had the measured times.
+	timesAt time.Time
 }
 
 type prefix struct {
@@ -65,7 +70,7 @@
 func NewBoard() *Board { return &Board{records: map[string]record{}, times: map[run]times{}} }
 
 // Put replaces the work of a router and returns that of the others, with the prefixes from the position next on, and the position after
-// them. A position before the oldest prefix means all.
+// them. A position before the oldest prefix means all. The measured times are in one of its answers in each timesInterval.
 func (b *Board) Put(now time.Time, router string, work []route.SharedWork, next uint64) (others []route.SharedWork, newNext uint64) {
 	b.drop(now)
 	for _, w := range work {
@@ -82,11 +87,16 @@
 	if excess := len(b.prefixes) - maxPrefixes; excess > 0 {
 		b.dropPrefixes(excess)
 	}
-	b.records[router] = record{at: now, work: work}
-	return b.others(now, router, next), b.first + uint64(len(b.prefixes))
+	timesAt := b.records[router].timesAt
+	withTimes := now.Sub(timesAt) >= timesInterval
+	if withTimes {
+		timesAt = now
+	}
+	b.records[router] = record{at: now, work: work, timesAt: timesAt}
+	return b.others(now, router, next, withTimes), b.first + uint64(len(b.prefixes))
 }
 
-func (b *Board) others(now time.Time, router string, next uint64) []route.SharedWork {
+func (b *Board) others(now time.Time, router string, next uint64, withTimes bool) []route.SharedWork {
 	sums := map[run]*route.SharedWork{}
 	of := func(key run) *route.SharedWork {
 		if sums[key] == nil {
@@ -104,10 +114,13 @@
 			s.Running += w.Running
 		}
 	}
-	for key, t := range b.times {
-		t = t.decayed(now)
-		s := of(key)
-		s.PredictedMS, s.MeasuredMS = t.predictedMS, t.measuredMS
+	if withTimes {
+		b.dropTimes(now)
+		for key, t := range b.times {
+			t = t.decayed(now)
+			s := of(key)
+			s.PredictedMS, s.MeasuredMS = t.predictedMS, t.measuredMS
+		}
 	}
 	skip := uint64(0)
 	if next > b.first {
@@ -141,7 +154,11 @@
 		expired++
 	}
 	b.dropPrefixes(expired)
-	const minTimeMS = 1 // Below it, nothing is left of the measured times.
+}
+
+// dropTimes removes the times of which nothing is left.
+func (b *Board) dropTimes(now time.Time) {
+	const minTimeMS = 1
 	for key, t := range b.times {
 		if len(b.times) > maxRuns || t.decayed(now).predictedMS < minTimeMS {
 			delete(b.times, key)
