A keeper bounds the exchanges that it serves

There all 73 routers carry traffic, so the keeper served 730 exchanges a second beside its callers and the feeds that it leads. Whether that was the cause isn't shown. A keeper now asks for pauses with which it serves 250 a second.

--- a/pkg/workload/board.go
+++ b/pkg/workload/board.go
@@ -142,6 +142,11 @@
 	return result
 }
 
+// interval returns the time after which each router is to exchange again, so that they make at most maxExchangesPerSecond.
+func (b *Board) interval() time.Duration {
+	return max(interval, time.Duration(len(b.records))*time.Second/maxExchangesPerSecond)
+}
+
 // drop removes what is too old.
 func (b *Board) drop(now time.Time) {
 	for name, r := range b.records {
--- a/pkg/workload/board_test.go
+++ b/pkg/workload/board_test.go
@@ -51,6 +51,17 @@
 	must.EqOp(t, 20_000, next)
 }
 
+// Guards against a keeper that serves more exchanges the more routers there are.
+func TestBoardBoundsExchanges(t *testing.T) {
+	b := NewBoard()
+	b.Put(boardStart, "a", nil, 0)
+	must.EqOp(t, interval, b.interval())
+	for i := range 99 {
+		b.Put(boardStart, string(rune('b'+i)), nil, 0)
+	}
+	must.EqOp(t, 400*time.Millisecond, b.interval())
+}
+
 // Guards against a slow spell that counts for ever: measured times lose their weight within seconds.
 func TestBoardForgetsTimes(t *testing.T) {
 	b := NewBoard()
--- a/pkg/workload/exchange.go
+++ b/pkg/workload/exchange.go
@@ -20,6 +20,9 @@
 	// interval is the time between two exchanges of a router that has requests in progress. It is of the order of the prefill of a
 	// prompt of some thousand tokens: older figures describe prompts that are done.
 	interval = 100 * time.Millisecond
+	// maxExchangesPerSecond bounds the exchanges that a keeper serves. Each takes a fraction of a ms of a VM that may have a fifth of a
+	// processor, and has callers to serve.
+	maxExchangesPerSecond = 250
 	// exchangeTimeout limits one exchange. A round trip within a region takes a few ms.
 	exchangeTimeout = 150 * time.Millisecond
 	// idleInterval is the time between two exchanges of a router without requests in progress, and idleAfter the time after its last
@@ -65,6 +68,8 @@
 	boardID, next uint64
 	silent        map[string]time.Time
 	lost          bool
+	// pause is the time between two exchanges that the keeper has asked for.
+	pause time.Duration
 }
 
 // New returns an Exchange.
@@ -84,14 +89,15 @@
 	if m.GetBoard() != x.instance {
 		next = 0
 	}
-	others, next := x.put(m.GetRouter(), decodeWork(m.GetWork()), next)
-	return connect.NewResponse(&workloadv1.ExchangeResponse{Work: encodeWork(others), Board: x.instance, Next: next}), nil
+	others, next, pause := x.put(m.GetRouter(), decodeWork(m.GetWork()), next)
+	return connect.NewResponse(&workloadv1.ExchangeResponse{Work: encodeWork(others), Board: x.instance, Next: next, IntervalMs: uint32(pause.Milliseconds())}), nil
 }
 
-func (x *Exchange) put(router string, work []route.SharedWork, next uint64) ([]route.SharedWork, uint64) {
+func (x *Exchange) put(router string, work []route.SharedWork, next uint64) (others []route.SharedWork, newNext uint64, pause time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.board.Put(time.Now(), router, work, next)
+	others, newNext = x.board.Put(time.Now(), router, work, next)
+	return others, newNext, x.board.interval()
 }
 
 // Run exchanges work until ctx ends.
@@ -110,7 +116,7 @@
 		if now.Sub(checkedAt) >= checkInterval {
 			applies, checkedAt = x.options.Applies(), now
 		}
-		if !applies {
+		if !applies || now.Sub(exchangedAt) < x.pause-interval/2 {
 			continue
 		}
 		work := x.options.OwnWork()
@@ -132,7 +138,7 @@
 			if x.keeper != keeper {
 				x.keeper, x.next = keeper, 0
 			}
-			others, next := x.put(keeper, work, x.next)
+			others, next, _ := x.put(keeper, work, x.next)
 			x.next = next
 			x.options.ApplyWork(others)
 			x.setLost(nil)
@@ -159,7 +165,7 @@
 			}
 			return // The next keeper is asked with newer work.
 		}
-		x.boardID, x.next = response.Msg.GetBoard(), response.Msg.GetNext()
+		x.boardID, x.next, x.pause = response.Msg.GetBoard(), response.Msg.GetNext(), time.Duration(response.Msg.GetIntervalMs())*time.Millisecond
 		x.options.ApplyWork(decodeWork(response.Msg.GetWork()))
 		x.setLost(nil)
 		return
