--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// polledEngines returns the live model engines ordered by name. If there are more than maxPolledEngines, it returns only those
+// polledEngines returns the live model engines outside of evacuated zones ordered by name. If there are more than maxPolledEngines, it returns only those
 // whose limits may have ended.
 func (r *Router) polledEngines() []platform.VM {
 	config := r.config.Current()
@@ -61,7 +61,7 @@
 	}
 	var engines []platform.VM
 	for _, vm := range r.endpoints.list() {
-		if s, ok := config.Service(vm.Service); ok && s.TokensPerEvent > 0 && vm.State == platform.VMLive {
+		if s, ok := config.Service(vm.Service); ok && s.TokensPerEvent > 0 && vm.State == platform.VMLive && !r.isEvacuated(vm.Zone) {
 			engines = append(engines, vm)
 		}
 	}
@@ -88,6 +88,11 @@
 	return engines > maxPolledEngines
 }
 
+// isEvacuated reports whether nothing is sent to the zone.
+func (r *Router) isEvacuated(zone string) bool {
+	return r.evacuations != nil && r.evacuations.isEvacuated(zone)
+}
+
 // withStaleLimits returns at most maxLimitPolls of the engines whose limits have not been named for limitPollAge.
 func (r *Router) withStaleLimits(engines []platform.VM) []platform.VM {
 	stale := r.placement.StaleLimits(limitPollAge)
@@ -117,6 +122,9 @@
 }
 
 func (r *Router) pollEngine(ctx context.Context, vm platform.VM) {
+	if r.placement.IsCold(vm.Name) {
+		return // All that a cold engine gets counts.
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, _, err := r.fetchReport(ctx, vm, r.client.Send)
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -27,6 +27,9 @@
 // empty optional address disables its listener.
 type Settings struct {
 	VM, Zone string
+	// Regions maps the availability zones to their regions. Optional; without it no zone is a home of requests that may run in some
+	// regions only.
+	Regions map[string]string
 	// CallerAddress is for callers' requests, ReadyAddress for the platform's readiness checks.
 	CallerAddress, ReadyAddress string
 	// LookupAddress is for callers that look up the addresses of routers. Optional.
@@ -53,7 +56,13 @@
 	Grace time.Duration
 	// ConfigApply is the time within which a new configuration must be in force; 0 means a default.
 	ConfigApply time.Duration
+	// Evacuate is the time within which routers send nothing more to a zone that an operator has ordered to be empty; 0 means that
+	// there are no such orders.
+	Evacuate time.Duration
 	// AddressTTL is the longest time for which callers may use an address answer.
 	AddressTTL time.Duration
 	Retry      retry.Limits
+	// ColdOvershoot and ColdTolerance bound the requests that a cold endpoint gets in any second from all routers together: what it
+	// bears a second times ColdOvershoot plus ColdTolerance.
+	ColdOvershoot, ColdTolerance float64
 }
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -22,8 +22,8 @@
 	// maxUnsentAttempts is the number of endpoints to which sending may fail before any byte of the request is sent.
 	// These attempts don't count towards the route's MaxAttempts.
 	maxUnsentAttempts = 3
-	// maxRefusedAttempts is the number of endpoints that may say that they are processes which can't continue the stream. Nothing of the
-	// request is sent to them either.
+	// maxRefusedAttempts is the number of endpoints that may say that they are processes which can't continue the stream, or that may turn
+	// out to be cold. Nothing of the request is sent to them either.
 	maxRefusedAttempts = 8
 	// minAttemptTime is the lower bound of an attempt's timeout.
 	minAttemptTime = 20 * time.Millisecond
@@ -31,6 +31,9 @@
 	linksRetryAfter = 500 * time.Millisecond
 	// relayBufferBytes is the read buffer of a stream, enough for a few events.
 	relayBufferBytes = 4 << 10
+	// slowWrite is the time of a write from which the caller counts as slow: the read from the endpoint stops meanwhile, and endpoints
+	// cut off answers that stay unread for some seconds.
+	slowWrite = time.Second
 )
 
 // bufferedResponse is a complete non-streaming response of an endpoint.
@@ -98,7 +101,7 @@
 		}
 		if result == attemptNotSent {
 			e.refusedProcess = e.refusedProcess || errors.Is(e.attemptErr, upstream.ErrRefused)
-			if errors.Is(e.attemptErr, errOtherVersion) && e.process.run.Known {
+			if errors.Is(e.attemptErr, errOtherVersion) && e.process.run.Known || errors.Is(e.attemptErr, errCold) {
 				refusedAttempts++
 			} else {
 				unsentAttempts++
@@ -171,7 +174,9 @@
 }
 
 func (e *exchange) placementRequest(excluded []string) route.Request {
-	r := route.Request{ID: e.request.ID, Pool: route.Service(e.service.Name), Exclude: excluded, WithSoftware: e.begun, Software: e.software, PauseObjective: e.route.PauseObjective}
+	r := route.Request{ID: e.request.ID, Objective: e.route.Objective, Pool: route.Service(e.service.Name), Exclude: excluded, WithSoftware: e.begun, Software: e.software, PauseObjective: e.route.PauseObjective}
+	homes := e.homes()
+	r.InRegions, r.Regions = homes.Restricted, homes.Regions
 	if p := e.request.Prompt; p != nil {
 		r.PromptTokens, r.OutputTokens = int(p.Tokens), int(p.MaxOutput)
 		r.Blocks, r.BlockEnds = p.sharedPrefixes()
@@ -179,6 +184,9 @@
 	return r
 }
 
+// homes returns the regions in which the request may run.
+func (e *exchange) homes() catalog.Homes { return catalog.HomesOf(e.route, e.org) }
+
 // canRetry reports whether the request may be sent to another endpoint. A request that an endpoint may have run is sent
 // again only if it is idempotent, and a stream of which the caller has events only if it is resumable. If canRetry
 // returns true, it has counted a retry against the shared budget.
@@ -188,6 +196,8 @@
 		return false
 	case result == attemptNotSent:
 		return false
+	case errors.Is(e.attemptErr, errBuffersFull):
+		return false // There is no memory for another endpoint's answer either.
 	case result != attemptRejected && e.route.Semantics != catalog.Idempotent:
 		return false
 	case e.route.Streaming && !e.route.Resumable && stream.count > 0:
@@ -267,6 +277,7 @@
 		}
 		call.Accept = func(run upstream.Run) error { return e.acceptProcess(&decision, run) }
 	}
+	e.gateCold(&call, inFlight)
 	response, err := e.Client.Send(ctx, call)
 	e.attemptErr = err
 	if errors.Is(err, upstream.ErrNotSent) {
@@ -317,9 +328,10 @@
 	return result
 }
 
-// failureResult returns whether a failed attempt counts against the endpoint: it doesn't if ctx has ended.
+// failureResult returns whether a failed attempt counts against the endpoint: it doesn't if ctx has ended, if this router had no memory
+// for the answer, or if its caller read so slowly that the endpoint may have cut it off.
 func (e *exchange) failureResult(ctx context.Context) route.Result {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(e.attemptErr, errBuffersFull) || e.slowCaller {
 		return route.Cancelled
 	}
 	return route.Failed
@@ -354,9 +366,10 @@
 	case verdictStream:
 		return e.relayStream(response, inFlight, stream), nil
 	}
-	body, reserved, err := e.buffers.readAll(response.Body)
+	body, reserved, err := e.buffers.readAll(response.Body, e.held)
 	e.bufferedBytes += reserved
 	if err != nil {
+		e.attemptErr = err
 		e.Log.WithFields(log.Fields{"request": e.request.ID, "status": response.Status, "bytes": reserved}).WithError(err).Info("answer_incomplete")
 		return attemptFailed, nil
 	}
@@ -467,6 +480,8 @@
 
 // writeStreamData writes data to the caller and flushes it. It returns false if the caller has disconnected.
 func (e *exchange) writeStreamData(data []byte) bool {
+	started := time.Now()
+	defer func() { e.slowCaller = e.slowCaller || time.Since(started) >= slowWrite }()
 	if _, err := e.writer.Write(data); err != nil {
 		return false
 	}
--- a/pkg/load/cli/cli.go
+++ b/pkg/load/cli/cli.go
@@ -37,6 +37,10 @@
   lsload compare A.json B.json              show what got worse from A to B
   lsload scores [-journal DIR] SITE...      show which days of the newest scores got worse
   lsload prompts [-long N] FILE             how long prompts delay other requests, by the routers' log lines in FILE
+  lsload callers [-interval S] [-by organisation|router|route] [-only NAME] [-most N] LOG
+                                            show what callers got, by the routers' logs
+  lsload budgets [-interval S] [-organisation NAME] [-sum] LOG
+                                            show where the tokens of each budget are, by the routers' logs
   lsload router-bench [-h]                  measure one router with instant engines
 `
 
@@ -59,6 +63,10 @@
 		return compareScores(args[1:], stdout, stderr)
 	case "prompts":
 		return analysePrompts(args[1:], stdout, stderr)
+	case "callers":
+		return showCallers(args[1:], stdout, stderr)
+	case "budgets":
+		return showBudgets(args[1:], stdout, stderr)
 	case "router-bench":
 		return runRouterBench(ctx, args[1:], stdout, stderr)
 	case "check":
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -40,6 +40,9 @@
 			return d
 		}
 		d.Reason, d.RetryAfter = t.refusalReason(now, p)
+		if d.Reason == ReasonCold {
+			d.RetryAfter += time.Duration(rng.Float64() * float64(coldSpread))
+		}
 		return d
 	}
 	d.Considered = make([]Candidate, len(candidates))
@@ -85,7 +88,7 @@
 	for _, i := range rng.Perm(len(p.all)) {
 		e := p.all[i]
 		load := float64(e.inFlight) / float64(max(1, e.vm.MaxInFlight))
-		if _, _, stated := t.statedWait(now, e); stated || e.isLeaving() || t.isQueueFull(now, e) || load >= overloadRatio || !isUsable(e, r) {
+		if _, _, stated := t.statedWait(now, e); stated || e.isWithdrawn() || t.isQueueFull(now, e) || load >= overloadRatio || !isUsable(e, r) {
 			continue
 		}
 		if e.isUnhealthy(now) {
@@ -114,6 +117,10 @@
 	for _, e := range p.all {
 		switch {
 		case e.isLeaving():
+		case e.evacuated:
+			if reason == ReasonNoEndpoint {
+				reason = ReasonEvacuated
+			}
 		case !e.isUnhealthy(now):
 			return ReasonFull, retryAfter
 		default:
@@ -187,7 +194,7 @@
 }
 
 func isUsable(e *endpoint, r *Request) bool {
-	if r.WithSoftware && e.vm.Software != r.Software {
+	if r.WithSoftware && e.vm.Software != r.Software || r.InRegions && !slices.Contains(r.Regions, e.vm.Region) {
 		return false
 	}
 	return !(r.Suspect && e.suspects > 0) && !slices.Contains(r.Exclude, e.vm.Name)
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -27,6 +27,8 @@
 	OutputTokens int
 	// PauseObjective is the longest pause between events with which streams like this are on time, 0 if unknown.
 	PauseObjective time.Duration
+	// Objective is the latency objective, 0 if there is none.
+	Objective time.Duration
 	// Blocks and BlockEnds are the prompt's indexed blocks as returned by Blocks.
 	Blocks    []uint64
 	BlockEnds []int
@@ -38,6 +40,9 @@
 	// WithSoftware restricts the choice to endpoints whose software has the version Software.
 	WithSoftware bool
 	Software     string
+	// InRegions restricts the choice to endpoints in the Regions, which may be none.
+	InRegions bool
+	Regions   []string
 }
 
 // Reason is why an endpoint was chosen, or why none was.
@@ -52,7 +57,9 @@
 	ReasonLastResort Reason = "last_resort"
 	// ReasonNoEndpoint means that the pool has no endpoint, or all are leaving.
 	ReasonNoEndpoint Reason = "no_endpoint"
-	// ReasonUnhealthy means that all endpoints that are not leaving are excluded after failures or quarantined.
+	// ReasonEvacuated means that all endpoints that are not leaving are in zones that get nothing by an operator's order.
+	ReasonEvacuated Reason = "zones_evacuated"
+	// ReasonUnhealthy means that all endpoints that are neither leaving nor evacuated are excluded after failures or quarantined.
 	ReasonUnhealthy Reason = "endpoints_unhealthy"
 	// ReasonFull means that there are healthy endpoints, but all of them are at their limit.
 	ReasonFull Reason = "endpoints_full"
@@ -60,10 +67,12 @@
 	ReasonAtLimit Reason = "endpoints_at_limit"
 	// ReasonBrittle means that the endpoints that could take the request are brittle, and this router knows of no room there.
 	ReasonBrittle Reason = "endpoints_brittle"
+	// ReasonCold means that the endpoints that could take the request are cold, and this router has sent them its part.
+	ReasonCold Reason = "endpoints_cold"
 	// ReasonPaused means that the endpoints that could take the request have asked for a time without any.
 	ReasonPaused Reason = "endpoints_paused"
-	// ReasonExcluded means that the request excludes all open endpoints, is a suspect and all others run one too, or needs software
-	// that none of them has.
+	// ReasonExcluded means that the request excludes all open endpoints, is a suspect and all others run one too, needs software
+	// that none of them has, or may not run in their regions.
 	ReasonExcluded Reason = "endpoints_excluded_by_request"
 )
 
@@ -170,7 +179,7 @@
 	}
 	reason := outcome.ReasonNoEndpoint
 	switch d.Reason {
-	case ReasonFull, ReasonAtLimit, ReasonBrittle, ReasonPaused:
+	case ReasonFull, ReasonAtLimit, ReasonBrittle, ReasonPaused, ReasonCold:
 		reason = outcome.ReasonOverload
 	}
 	return outcome.NotRunf(reason, d.RetryAfter, "no endpoint of %s can take the request: %s", d.Pool, d.Reason)
