--- a/pkg/route/sharedwork.go
+++ b/pkg/route/sharedwork.go
@@ -156,7 +156,8 @@
 	running := float64(e.inFlight) + t.sharedWeight(now)*float64(e.peers.running)
 	pending := float64(e.prefillTokens) + t.peerPendingTokens(now, e)
 	own := float64(r.PromptTokens-c.CachedTokens) * msPerToken
-	c.Load = pending*msPerToken*relative + running*o.RequestMS + t.slowStartMS(now, e)
+	c.Load = pending*msPerToken*relative + running*o.RequestMS + t.slowStartMS(now, e) + t.coldMS(now, e, r)
+	c.Load += max(0, e.report.KVUse-kvPreemptShare) / (1 - kvPreemptShare) * o.KVFullMS * e.report.weight(now, o.StaleAfter)
 	c.RequestTime = own * (relative + max(0, o.SharedPromptWeight-1))
 	c.Interference = max(0, o.InterferenceWeight) * running * pauseCost(own*relative, pending*msPerToken*relative, float64(r.PauseObjective)/float64(time.Millisecond))
 	c.Score = c.Load + c.RequestTime + c.Interference + c.Distance
