--- a/pkg/configcheck/compare.go
+++ b/pkg/configcheck/compare.go
@@ -77,7 +77,7 @@
 	for _, r := range c.Routes {
 		add(catalog.RouteEntry(r.Name), catalog.FieldHost, r.Host, catalog.FieldPrefix, r.Prefix,
 			catalog.FieldSemantics, semanticsText(r), catalog.FieldTimeout, r.Timeout, catalog.FieldObjective, r.Objective,
-			catalog.FieldGap, r.Gap, catalog.FieldPriority, r.Priority, catalog.FieldMaxAttempts, r.MaxAttempts,
+			catalog.FieldPauseObjective, r.PauseObjective, catalog.FieldPriority, r.Priority, catalog.FieldMaxAttempts, r.MaxAttempts,
 			catalog.FieldPublic, r.Public, catalog.FieldBackends, backendsText(r.Backends),
 			catalog.FieldRegions, regionsText(r.AllowedRegions))
 	}
--- a/pkg/configcheck/configcheck.go
+++ b/pkg/configcheck/configcheck.go
@@ -138,8 +138,8 @@
 		if route.Timeout > 0 && route.Timeout < route.Objective {
 			r.add(Warning, entry, catalog.FieldTimeout, "the timeout of %s is below the target latency of %s", route.Timeout, route.Objective)
 		}
-		if route.Timeout > 0 && route.Gap > route.Timeout {
-			r.add(Warning, entry, catalog.FieldGap, "the target gap of %s is above the timeout of %s", route.Gap, route.Timeout)
+		if route.Timeout > 0 && route.PauseObjective > route.Timeout {
+			r.add(Warning, entry, catalog.FieldPauseObjective, "the pause objective of %s is above the timeout of %s", route.PauseObjective, route.Timeout)
 		}
 		r.retries(route, entry)
 	}
--- a/pkg/configcheck/configcheck_test.go
+++ b/pkg/configcheck/configcheck_test.go
@@ -16,7 +16,7 @@
 	return catalog.Config{
 		Version: 7,
 		Routes: []catalog.Route{
-			{Name: "r1", Host: "h", Prefix: "/a/", Timeout: time.Second, Objective: time.Second, Gap: time.Second, MaxAttempts: 3,
+			{Name: "r1", Host: "h", Prefix: "/a/", Timeout: time.Second, Objective: time.Second, PauseObjective: time.Second, MaxAttempts: 3,
 				Backends: []catalog.Backend{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}}},
 			{Name: "r2", Host: "h", Prefix: "/a/b/", Timeout: time.Second, MaxAttempts: 1, Backends: []catalog.Backend{{Service: "x", Weight: 1}}},
 		},
@@ -44,7 +44,7 @@
 		{`warning route "r2" backends`, func(c *catalog.Config) { c.Routes[1].Backends[0].Weight = 0 }},
 		{`error route "r2" backends`, func(c *catalog.Config) { c.Routes[1].Backends[0].Service = "z" }},
 		{`warning route "r1" timeout`, func(c *catalog.Config) { c.Routes[0].Objective++ }},
-		{`warning route "r1" gap`, func(c *catalog.Config) { c.Routes[0].Gap++ }},
+		{`warning route "r1" pause objective`, func(c *catalog.Config) { c.Routes[0].PauseObjective++ }},
 		{`warning route "r1" max attempts`, func(c *catalog.Config) { c.Routes[0].MaxAttempts++ }},
 		{`warning service "y" name`, func(c *catalog.Config) { c.Routes[0].Backends = c.Routes[0].Backends[:1] }},
 		{`warning service "x" slots`, func(c *catalog.Config) { c.Services[0].Slots = 0 }},
--- a/pkg/entry/reports.go
+++ b/pkg/entry/reports.go
@@ -72,6 +72,22 @@
 	return engines
 }
 
+// sharesWork reports whether the routers tell each other what they have at the engines: with more of them than are polled, a router
+// knows nothing else of the work of the others.
+func (r *Router) sharesWork() bool {
+	config := r.config.Current()
+	if config == nil || r.roster.Count() == 1 {
+		return false
+	}
+	engines := 0
+	for _, vm := range r.endpoints.list() {
+		if s, ok := config.Service(vm.Service); ok && s.TokensPerEvent > 0 && vm.State == platform.VMLive {
+			engines++
+		}
+	}
+	return engines > maxPolledEngines
+}
+
 // isEvacuated reports whether nothing is sent to the zone.
 func (r *Router) isEvacuated(zone string) bool {
 	return r.evacuations != nil && r.evacuations.isEvacuated(zone)
--- a/pkg/entry/router.go
+++ b/pkg/entry/router.go
@@ -32,6 +32,7 @@
 	"github.com/lavendershunt/lavendershunt/pkg/route"
 	"github.com/lavendershunt/lavendershunt/pkg/telemetry"
 	"github.com/lavendershunt/lavendershunt/pkg/upstream"
+	"github.com/lavendershunt/lavendershunt/pkg/workload"
 )
 
 const (
@@ -109,6 +110,7 @@
 	roster      *roster.Roster
 	crashes     *poison.Registry
 	origins     *origin.Registry
+	workload    *workload.Exchange
 	client      *upstream.Client
 	// linkMeter is nil if the bandwidth of the VM's link isn't known.
 	linkMeter *linkMeter
@@ -198,6 +200,11 @@
 		Peers:         &origin.RemotePeers{Addresses: r.roster.Peers, Client: peers, Log: logger},
 		IsViewCurrent: func(ctx context.Context) bool { return r.endpointFeed.Confirm(ctx) },
 	})
+	r.workload = workload.New(workload.Options{
+		Router: s.VM, Log: logger, Client: peers, Addresses: r.roster.Peers, Applies: r.sharesWork,
+		Keepers: func(n int) []string { return r.roster.PreferenceList("workload", n) },
+		OwnWork: r.placement.OwnWork, ApplyWork: r.placement.ApplyWork,
+	})
 	r.callerConns = newCallerConns(r.limits, maxCallerConns(s.Descriptors, s.MemoryBytes), logger)
 	r.callerConns.account, r.callerConns.refusals, r.callerConns.socketBuffer = account, refusals, socketBuffer(s.MemoryBytes)
 	r.questionConns = newCallerConns(r.limits, maxQuestionConns(s.Descriptors, s.MemoryBytes), logger)
@@ -223,7 +230,7 @@
 	LastResort:           true,
 	PromptWeight:         3,
 	CongestionWeight:     -1,
-	SpeedHalfLife:        time.Millisecond,
+	SpeedHalfLife:        -1, // The time between tokens shows what is prefilled beside a stream; Table.ApplyWork has the speeds.
 	PrefillTokensPerMS:   50,
 	PrefixAge:            20 * time.Second,
 	MaxPrefixEntries:     20_000,
@@ -297,6 +304,7 @@
 	tasks.Go(func() { r.origins.Run(backgroundCtx) })
 	tasks.Go(func() { r.announceReady(backgroundCtx) })
 	tasks.Go(func() { r.pollReports(backgroundCtx) })
+	tasks.Go(func() { r.workload.Run(backgroundCtx) })
 	tasks.Go(func() { r.links.Run(backgroundCtx) })
 	tasks.Go(func() { r.remote.Run(backgroundCtx) })
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -140,6 +140,9 @@
 		return attemptNotSent, nil, decision.Failure()
 	}
 	e.decision = &decision
+	if _, reason, ok := decision.PassedOver(); ok {
+		e.Metrics.recordPassedOver(e.route.Name, reason)
+	}
 	result, errorResponse := e.attempt(ctx, decision, inFlight, stream)
 	return result, errorResponse, nil
 }
@@ -173,7 +176,7 @@
 }
 
 func (e *exchange) placementRequest(excluded []string) route.Request {
-	r := route.Request{ID: e.request.ID, Objective: e.route.Objective, Pool: route.Service(e.service.Name), Exclude: excluded, WithSoftware: e.begun, Software: e.software}
+	r := route.Request{ID: e.request.ID, Objective: e.route.Objective, Pool: route.Service(e.service.Name), Exclude: excluded, WithSoftware: e.begun, Software: e.software, PauseObjective: e.route.PauseObjective}
 	homes := e.homes()
 	r.InRegions, r.Regions = homes.Restricted, homes.Regions
 	if p := e.request.Prompt; p != nil {
@@ -263,6 +266,7 @@
 		dispatch.LastEvent = strconv.FormatInt(stream.lastID, 10)
 	}
 	e.beginAttempt(stream)
+	e.sentAt = time.Now()
 	check := &endCheck{exchange: e, decision: decision, inFlight: inFlight, stream: stream}
 	call := upstream.Call{
 		Address: decision.Address, Method: e.request.Method, Target: e.request.Target, Host: e.request.Host,
@@ -406,10 +410,12 @@
 // request can still go to another endpoint if this one fails before its first event.
 func (e *exchange) relayStream(response *upstream.Response, inFlight *route.InFlightRequest, stream *eventStream) attemptResult {
 	buffer := make([]byte, relayBufferBytes)
+	waitingSince := time.Now()
 	for {
 		n, err := response.Body.Read(buffer)
 		events, invalid := stream.add(buffer[:n])
 		if len(events) > 0 {
+			e.notePause(waitingSince)
 			if e.firstByteAt.IsZero() {
 				e.firstByteAt = time.Now()
 			}
@@ -426,6 +432,7 @@
 				e.incomplete = true
 				return attemptDelivered
 			}
+			waitingSince = time.Now()
 		}
 		switch {
 		case invalid != nil:
@@ -444,6 +451,14 @@
 	}
 }
 
+// notePause keeps the longest wait for events of a stream that has begun. The time to write the events before isn't part of it, because
+// that is the caller's.
+func (e *exchange) notePause(since time.Time) {
+	if now := time.Now(); e.headerSent && now.Sub(since) > e.longestPause {
+		e.longestPause, e.pauseEndedAt = now.Sub(since), now
+	}
+}
+
 // reportIrregular logs and counts a stream that an endpoint sent out of order, not as events, or not to its end.
 func (e *exchange) reportIrregular(stream *eventStream, cause error) {
 	e.Metrics.recordIrregular(cause)
--- a/pkg/route/decision.go
+++ b/pkg/route/decision.go
@@ -25,6 +25,8 @@
 	PromptTokens int
 	// OutputTokens is the expected length of the answer in tokens.
 	OutputTokens int
+	// PauseObjective is the longest pause between events with which streams like this are on time, 0 if unknown.
+	PauseObjective time.Duration
 	// Objective is the latency objective, 0 if there is none.
 	Objective time.Duration
 	// Blocks and BlockEnds are the prompt's indexed blocks as returned by Blocks.
@@ -77,19 +79,33 @@
 // Candidate is an endpoint that was scored. The parts of the score are in milliseconds.
 type Candidate struct {
 	VM string
-	// Score is Load + RequestTime + Distance; the candidate with the lowest score is chosen.
+	// Score is Load + RequestTime + Interference + Distance; the candidate with the lowest score is chosen.
 	Score float64
 	// Load is the estimated delay caused by requests that are already at the endpoint.
 	Load float64
 	// RequestTime is the estimated prefill time of the prompt tokens that are not cached at the endpoint, multiplied by
 	// its weight. At a slow endpoint it includes the additional time for the output.
 	RequestTime float64
+	// Interference is the estimated cost for the streams in progress at the endpoint whose events the prefill of the request holds up.
+	Interference float64
 	// Distance is the round-trip time to the endpoint's availability zone or region.
 	Distance float64
 	// CachedTokens is the estimated number of prompt tokens in the endpoint's prefix cache.
 	CachedTokens int
 }
 
+// PassReason is why an endpoint that held more of a prompt was passed over for the one that was chosen: the part of its score that was
+// larger by most.
+type PassReason string
+
+// Reasons why an endpoint was passed over.
+const (
+	PassedForLoad         PassReason = "load"
+	PassedForInterference PassReason = "interference"
+	PassedForSpeed        PassReason = "speed"
+	PassedForDistance     PassReason = "distance"
+)
+
 // Decision is the result of a choice, with all values for its log line.
 type Decision struct {
 	RequestID    string
@@ -124,6 +140,38 @@
 // Cached returns the estimated number of prompt tokens in the chosen endpoint's prefix cache.
 func (d *Decision) Cached() int { return d.cachedTokens }
 
+// PassedOver returns the considered endpoint with most of the prompt in its cache and why it wasn't chosen, and false if none had more
+// of it than the chosen one.
+func (d *Decision) PassedOver() (vm string, reason PassReason, ok bool) {
+	var chosen, passed *Candidate
+	for i := range d.Considered {
+		c := &d.Considered[i]
+		if c.VM == d.Chosen {
+			chosen = c
+		}
+		if passed == nil || c.CachedTokens > passed.CachedTokens {
+			passed = c
+		}
+	}
+	if chosen == nil || passed.CachedTokens <= chosen.CachedTokens {
+		return "", "", false
+	}
+	reason, largest := PassedForLoad, passed.Load-chosen.Load
+	for _, other := range []struct {
+		reason PassReason
+		excess float64
+	}{
+		{PassedForInterference, passed.Interference - chosen.Interference},
+		{PassedForSpeed, passed.RequestTime - chosen.RequestTime},
+		{PassedForDistance, passed.Distance - chosen.Distance},
+	} {
+		if other.excess > largest {
+			reason, largest = other.reason, other.excess
+		}
+	}
+	return passed.VM, reason, true
+}
+
 // Failure returns the failure for the caller if no endpoint was chosen, and nil otherwise.
 func (d *Decision) Failure() *outcome.Failure {
 	if d.OK() {
--- a/pkg/route/endpoint.go
+++ b/pkg/route/endpoint.go
@@ -30,9 +30,12 @@
 	staleRecheckAt time.Time
 	health         health
 	speed          speed
-	limit          requestLimit
-	brittle        brittleness
-	cold           coldness
+	// peers is what other routers have at this run, and unshared what they are to be told.
+	peers    peerWork
+	unshared ownWork
+	limit    requestLimit
+	brittle  brittleness
+	cold     coldness
 	// lastBegin is the time of the last Begin.
 	lastBegin time.Time
 	// brittleRecheckAt is the time of the last recheck that scheduleBrittleRecheck scheduled.
