--- a/pkg/load/budgets/budgets.go
+++ b/pkg/load/budgets/budgets.go
@@ -3,17 +3,14 @@
 package budgets
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
-	"strconv"
 	"strings"
-)
 
-// maxLineBytes bounds a line of the log.
-const maxLineBytes = 1 << 20
+	"github.com/lavendershunt/lavendershunt/pkg/load/routerlog"
+)
 
 // Reasons of refusals that a budget causes, as logged by pkg/forward.
 const (
@@ -57,31 +54,18 @@
 	TotalMS      float64 `json:"total_ms"`
 }
 
-// read reads lines of the form SECONDS ROUTER JSON, as the bench prints them, and skips others. The result is ordered by time.
+// read returns the events of a log, ordered by time. A line whose fields have other types is none.
 func read(r io.Reader) ([]event, error) {
 	var events []event
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		parts := strings.SplitN(strings.TrimSpace(scanner.Text()), " ", 3)
-		if len(parts) < 3 || !strings.HasPrefix(parts[2], "{") {
-			continue
-		}
-		at, err := strconv.ParseFloat(parts[0], 64)
-		if err != nil {
-			continue
+	err := routerlog.Read(r, func(l routerlog.Line) error {
+		var f fields
+		if json.Unmarshal(l.Fields, &f) == nil {
+			events = append(events, event{at: l.At, vm: l.Router, message: l.Message, fields: f})
 		}
-		var line struct {
-			Message string `json:"message"`
-			Fields  fields `json:"fields"`
-		}
-		if json.Unmarshal([]byte(parts[2]), &line) != nil {
-			continue // Lines of other programs, or with other types.
-		}
-		events = append(events, event{at: at, vm: parts[1], message: line.Message, fields: line.Fields})
-	}
-	if err := scanner.Err(); err != nil {
-		return nil, fmt.Errorf("budgets: read log: %w", err)
+		return nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("budgets: %w", err)
 	}
 	slices.SortStableFunc(events, func(a, b event) int {
 		switch {
