--- a/pkg/roster/leaders.go
+++ b/pkg/roster/leaders.go
@@ -12,9 +12,15 @@
 // only the first one of a zone is followed while it lives; of six, one is left after a loss of three routers in five in all but 0.05 of cases.
 const minFleetLeaders = 6
 
-// Leaders returns the peer addresses of the routers to follow, in order: at most perZone of this availability zone, fewer in a fleet of
-// more than minFleetLeaders/perZone zones, then one of each other zone. The leaders of a zone are its largest routers, ranked by rendezvous hashing. Leaders returns
-// none if this router is a leader of its zone, or if the fleet has at most smallFleet routers.
+// leadersOfZone returns the number of leaders of each availability zone: at most perZone, fewer in a fleet of more than
+// minFleetLeaders/perZone zones.
+func leadersOfZone(zones, perZone int) int {
+	return min(perZone, (minFleetLeaders+zones-1)/max(1, zones))
+}
+
+// Leaders returns the peer addresses of the routers to follow, in order: the leaders of this availability zone, of which there are at most
+// perZone (see leadersOfZone), then one of each other zone. The leaders of a zone are its largest routers, ranked by rendezvous hashing.
+// Leaders returns none if this router is a leader of its zone, or if the fleet has at most smallFleet routers.
 func (r *Roster) Leaders(smallFleet, perZone int) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -26,7 +32,7 @@
 	for _, m := range records {
 		byZone[m.Zone] = append(byZone[m.Zone], m)
 	}
-	perZone = min(perZone, (minFleetLeaders+len(byZone)-1)/max(1, len(byZone)))
+	perZone = leadersOfZone(len(byZone), perZone)
 	leaders := zoneLeaders(r.self.Zone, byZone[r.self.Zone], perZone)
 	if slices.ContainsFunc(leaders, func(m Record) bool { return m.name == r.name }) {
 		return nil
@@ -42,8 +48,8 @@
 	return addresses
 }
 
-// Substitutes returns the peer addresses of the routers that a leader may follow while the store answers others and not it: the other
-// leaders of its zone, and then as many of each other zone. It returns none if the fleet has at most smallFleet routers.
+// Substitutes returns the peer addresses of the routers that a leader may follow while the store answers others and not it: all other
+// leaders of the fleet, in no order. It returns none if the fleet has at most smallFleet routers.
 func (r *Roster) Substitutes(smallFleet, perZone int) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -54,11 +60,10 @@
 	for _, m := range r.aliveRecords(func(m Record) bool { return m.name == r.name || m.State == Ready }) {
 		byZone[m.Zone] = append(byZone[m.Zone], m)
 	}
-	zones := rendezvous.Rank(r.name, slices.Collect(maps.Keys(byZone)))
-	slices.SortStableFunc(zones, func(a, b string) int { return cmp.Compare(rank(a == r.self.Zone), rank(b == r.self.Zone)) })
+	perZone = leadersOfZone(len(byZone), perZone)
 	var addresses []string
-	for _, zone := range zones {
-		for _, m := range zoneLeaders(zone, byZone[zone], perZone) {
+	for zone, records := range byZone {
+		for _, m := range zoneLeaders(zone, records, perZone) {
 			if m.name != r.name {
 				addresses = append(addresses, m.Peer)
 			}
@@ -100,9 +105,9 @@
 	return ranked[:min(n, len(ranked))]
 }
 
-// rank orders what comes first before the others.
-func rank(first bool) int {
-	if first {
+// rank orders primary routers before the others.
+func rank(primary bool) int {
+	if primary {
 		return 0
 	}
 	return 1
