--- a/pkg/remote/client_test.go
+++ b/pkg/remote/client_test.go
@@ -67,6 +67,7 @@
 		Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
 	})
 	c.setAble(Peer{Name: "other", Address: address}, true)
+	close(c.round)
 	return c
 }
 
