--- /dev/null
+++ b/review/standins-2/cases.go
@@ -0,0 +1,15 @@
+package main
+
+import "strconv"
+
+// cases holds the cases by name.
+var cases = map[string]caseSpec{
+	"leaving-engine": {playLeavingEngine, smallSite("-unframed", "-events", strconv.Itoa(leavingEvents), "-pause", leavingPause.String())},
+	"reborn-engine":  {playRebornEngine, smallSite("-unframed", "-work", rebornWork.String())},
+	"many-fields":    {playManyFields, smallSite()},
+}
+
+// smallSite returns the deployment of the sheet of svorka-sit, whose engines are started with the flags.
+func smallSite(engineFlags ...string) deployment {
+	return deployment{routers: 7, memoryMB: 284, modelEngines: 9, plainEngines: 3, engineFlags: engineFlags}
+}
