--- a/review/standins-2/caller.go
+++ b/review/standins-2/caller.go
@@ -70,5 +70,5 @@
 
 // promptHeader returns the headers of a request to a model engine.
 func promptHeader() map[string]string {
-	return map[string]string{"Model": "m", "Token-Usage": "1460,400", "Prefix-Hash": "5c1e07a2:800,91bd3f06:410,e4402b7d:250"}
+	return map[string]string{"Model": "m", "Token-Usage": fmt.Sprintf("%d,%d", promptTokens, outputTokens), "Prefix-Hash": "5c1e07a2:800,91bd3f06:410,e4402b7d:250"}
 }
--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -21,6 +22,11 @@
 	lookupPath   = "/lookup/"
 	// tokensPerEvent is the number of tokens in an event of a stream.
 	tokensPerEvent = 4
+	// promptTokens and outputTokens are the sizes of a request to a model engine, at most.
+	promptTokens = 1_460
+	outputTokens = 400
+	// amplePrepaid is a total that no case uses up.
+	amplePrepaid = 100_000_000
 	// heartbeat is the interval at which an engine writes its entry.
 	heartbeat = 1200 * time.Millisecond
 )
@@ -37,10 +43,12 @@
 	// modelEngines and plainEngines are the numbers of engines of the two services, and engineFlags what each is started with.
 	modelEngines, plainEngines int
 	engineFlags                []string
+	// prepaid is the total of the organisation, 0 for one that is never used up.
+	prepaid int64
 }
 
 // configuration returns the operator's configuration, as on the sheet of svorka-sit.
-func configuration() string {
+func (d deployment) configuration() string {
 	route := func(name, prefix, kind, service string, timeoutMS, targetMS, attempts int, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": hostName, "path_prefix": prefix, "route_type": kind, "service": service, "timeout_ms": timeoutMS,
@@ -63,7 +71,7 @@
 			map[string]any{"name": plainService, "health_path": "/healthz", "max_connections": 100, "protocol": "h1"},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16_384, "max_body_bytes": 4_194_304, "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
-		"tenants": []any{map[string]any{"name": organisation, "api_keys": []any{apiKey}, "priority": 1, "prepaid": 100_000_000}},
+		"tenants": []any{map[string]any{"name": organisation, "api_keys": []any{apiKey}, "priority": 1, "prepaid": cmp.Or(d.prepaid, amplePrepaid)}},
 	})
 	if err != nil {
 		panic(fmt.Sprintf("encode the configuration: %v", err)) // It has only strings, numbers and lists.
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -19,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"github.com/lavendershunt/lavendershunt/internal/loopback"
 	"github.com/lavendershunt/lavendershunt/pkg/platform"
 	"github.com/lavendershunt/lavendershunt/pkg/platform/memstore"
 	"github.com/lavendershunt/lavendershunt/platform/standin"
@@ -73,7 +74,7 @@
 	if f.storeAddress, err = f.startStore(); err != nil {
 		return f, err
 	}
-	if err := f.put("config/main", configuration()); err != nil {
+	if err := f.put("config/main", d.configuration()); err != nil {
 		return f, err
 	}
 	for i := range d.modelEngines + d.plainEngines {
@@ -118,7 +119,7 @@
 func (f *fleet) startStore() (address string, err error) {
 	memory := memstore.New(memstore.Options{})
 	f.memory = memory.Client("operator")
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", loopback.Address())
 	if err != nil {
 		return "", err
 	}
@@ -165,10 +166,7 @@
 // startEngine starts an engine at its address, or at a free one if it has none, and keeps its entry in the store while it runs.
 func (f *fleet) startEngine(ctx context.Context, e *engineProcess) (*engineProcess, error) {
 	if e.address == "" {
-		var err error
-		if e.address, err = freeAddress("127.0.0.1"); err != nil {
-			return nil, err
-		}
+		e.address = loopback.Address()
 	}
 	e.listedAddress = cmp.Or(e.listedAddress, e.address)
 	e.born, e.state, e.listed = time.Now().UnixMilli(), "ready", true
@@ -267,17 +265,11 @@
 // startRouter starts the lsentry of another VM.
 func (f *fleet) startRouter(i int) error {
 	zone := zones[i%len(zones)]
-	r := &router{name: fmt.Sprintf("front_node-%s-%d", zone, i/len(zones)+1), zone: zone, ip: "127.0.0.1"}
-	addresses := make([]string, 5)
-	for n := range addresses {
-		address, err := freeAddress(r.ip)
-		if err != nil {
-			return err
-		}
-		addresses[n] = address
+	r := &router{name: fmt.Sprintf("front_node-%s-%d", zone, i/len(zones)+1), zone: zone}
+	r.callers, r.ready, r.lookup = loopback.Address(), loopback.Address(), loopback.Address()
+	for n := range r.internalPorts {
+		r.ip, r.internalPorts[n] = loopback.Next()
 	}
-	r.callers, r.ready, r.lookup = addresses[0], addresses[1], addresses[2]
-	r.internalPorts = [2]int{portOf(addresses[3]), portOf(addresses[4])}
 	f.routers = append(f.routers, r)
 	return f.runRouter(r, true)
 }
@@ -400,22 +392,6 @@
 	<-p.ended
 }
 
-// freeAddress returns an address that nobody listens on.
-func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
-func portOf(address string) int {
-	_, port, _ := net.SplitHostPort(address) // The address is one of freeAddress.
-	number, _ := strconv.Atoi(port)
-	return number
-}
-
 // awaitListener waits until the address accepts connections.
 func awaitListener(address string) error {
 	end := time.Now().Add(startTimeout)
--- a/review/standins-2/proxy.go
+++ b/review/standins-2/proxy.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"sync"
+
+	"github.com/lavendershunt/lavendershunt/internal/loopback"
 )
 
 // proxy stands on the link between the routers and an engine. While it is cut, it holds what both sides send, new connections and the
@@ -19,7 +21,7 @@
 
 // newProxy returns a proxy to the target, which serves until it is closed.
 func newProxy(target string) (*proxy, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", loopback.Address())
 	if err != nil {
 		return nil, err
 	}
