--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -36,6 +36,9 @@
 // zones are the availability zones, in which routers and engines are placed in turn.
 var zones = []string{"praha-sever", "kladno", "benesov"}
 
+// slots are the requests that an engine of a service runs at once.
+var slots = map[string]int{modelService: 64, plainService: 6}
+
 // deployment is what a case needs of a small site.
 type deployment struct {
 	// routers is the number of lsentry processes, memoryMB the memory of each VM.
@@ -66,7 +69,7 @@
 		},
 		"services": []any{
 			map[string]any{"name": modelService, "health_path": "/healthz", "max_connections": 360, "protocol": "h1", "engine": map[string]any{
-				"slots": 64, "kv_capacity": 490_410, "stride": tokensPerEvent, "models": []any{map[string]any{"name": "m"}},
+				"slots": slots[modelService], "kv_capacity": 490_410, "stride": tokensPerEvent, "models": []any{map[string]any{"name": "m"}},
 			}},
 			map[string]any{"name": plainService, "health_path": "/healthz", "max_connections": 100, "protocol": "h1"},
 		},
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -219,8 +219,8 @@
 	}
 	e.sequence++
 	return f.put("servers/"+e.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":64,"state":%q,"cold_remaining_ms":0,"sequence":%d,"born":%d}`,
-		e.service, e.listedAddress, e.zone, e.state, e.sequence, e.born))
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":%d,"born":%d}`,
+		e.service, e.listedAddress, e.zone, slots[e.service], e.state, e.sequence, e.born))
 }
 
 // setState writes the engine's entry with another state.
