--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -1,22 +1,29 @@
 package main
 
-import "strconv"
+import (
+	"strconv"
+	"time"
+)
 
 // cases holds the cases by name.
 var cases = map[string]caseSpec{
-	"leaving-engine": {playLeavingEngine, smallSite("-unframed", "-events", strconv.Itoa(leavingEvents), "-pause", leavingPause.String())},
-	"reborn-engine":  {playRebornEngine, smallSite("-unframed", "-work", rebornWork.String())},
-	"many-fields":    {playManyFields, smallSite()},
-	"kills":          {playKills, withPrepaid(smallSite("-events", "13"), killedPrepaid)},
+	"leaving-engine": {playLeavingEngine, svorkaSit("-unframed", "-events", strconv.Itoa(leavingEvents), "-pause", leavingPause.String(), "-exit-after", leavingExit.String())},
+	"reborn-engine":  {playRebornEngine, velocarCluj("-unframed", "-work", rebornWork.String())},
+	"many-fields":    {playManyFields, svorkaSit()},
 }
 
-// smallSite returns the deployment of the sheet of svorka-sit, whose engines are started with the flags.
-func smallSite(engineFlags ...string) deployment {
-	return deployment{routers: 7, memoryMB: 284, modelEngines: 9, plainEngines: 3, engineFlags: engineFlags}
+// svorkaSit returns the deployment of the sheet of svorka-sit, whose engines are started with the flags.
+func svorkaSit(engineFlags ...string) deployment {
+	return deployment{
+		region: "cz-stred", zones: []string{"praha-sever", "kladno", "benesov"},
+		routers: 7, memoryMB: 284, modelEngines: 9, plainEngines: 3, bookingLimit: time.Second, engineFlags: engineFlags,
+	}
 }
 
-// withPrepaid returns the deployment with a total of the organisation.
-func withPrepaid(d deployment, tokens int64) deployment {
-	d.prepaid = tokens
-	return d
+// velocarCluj returns that of velocar-cluj.
+func velocarCluj(engineFlags ...string) deployment {
+	return deployment{
+		region: "ro-nord", zones: []string{"cluj-a", "cluj-b", "cluj-c"},
+		routers: 8, memoryMB: 134, modelEngines: 12, plainEngines: 3, bookingLimit: 1500 * time.Millisecond, engineFlags: engineFlags,
+	}
 }
